--- /dev/null
+++ b/src/bench/enginemodel.cpp
@@ -0,0 +1,217 @@
+#include "bench/enginemodel.h"
+
+#include <algorithm>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+constexpr std::size_t MaxCacheEvents = 4096;
+constexpr std::size_t MaxLoads = 4096;
+constexpr Duration LoadNoteInterval = std::chrono::milliseconds(20);
+
+}
+
+EngineModel::EngineModel(EngineSpeed speed)
+    : m_speed(speed)
+{
+}
+
+void EngineModel::submit(const EngineRequest &request, TimePoint now)
+{
+    m_waiting.push_back(Sequence{.request = request, .prefillLeft = 0, .made = 0});
+    if (!m_stepEnd) {
+        planStep(now);
+    }
+    noteLoad(now);
+}
+
+void EngineModel::cancel(const RequestId &id)
+{
+    std::erase_if(m_waiting, [&id](const Sequence &sequence) { return sequence.request.id == id; });
+    for (std::size_t i = 0; i < m_running.size(); ++i) {
+        if (m_running[i].request.id != id) {
+            continue;
+        }
+        m_running.erase(m_running.begin() + static_cast<std::ptrdiff_t>(i));
+        m_stepPrefill.erase(m_stepPrefill.begin() + static_cast<std::ptrdiff_t>(i));
+        return;
+    }
+}
+
+std::vector<EngineEvent> EngineModel::advance(TimePoint now)
+{
+    std::vector<EngineEvent> events;
+    while (m_stepEnd && *m_stepEnd <= now) {
+        const TimePoint end = *m_stepEnd;
+        finishStep(events);
+        m_stepEnd.reset();
+        planStep(end);
+    }
+    return events;
+}
+
+std::optional<TimePoint> EngineModel::nextEventAt() const
+{
+    return m_stepEnd;
+}
+
+void EngineModel::setSlowness(double factor)
+{
+    m_slowness = factor;
+}
+
+/// Step 1. Admits first-come while the batch has room. Step 2. Shares the step's prefill among sequences that need it, in order.
+/// Step 3. The step lasts as long as its decoding and prefill take.
+void EngineModel::planStep(TimePoint now)
+{
+    admitWaiting(now);
+    if (m_running.empty()) {
+        return;
+    }
+    std::uint32_t prefillRoom = m_speed.prefillChunk;
+    std::uint32_t prefill = 0;
+    std::uint32_t decoding = 0;
+    m_stepPrefill.assign(m_running.size(), 0);
+    for (std::size_t i = 0; i < m_running.size(); ++i) {
+        if (m_running[i].prefillLeft == 0) {
+            ++decoding;
+            continue;
+        }
+        m_stepPrefill[i] = std::min(m_running[i].prefillLeft, prefillRoom);
+        prefillRoom -= m_stepPrefill[i];
+        prefill += m_stepPrefill[i];
+    }
+    const Duration work = m_speed.stepBase + m_speed.stepPerSequence * decoding + m_speed.prefillPerToken * prefill;
+    m_stepEnd = now + Duration(static_cast<Duration::rep>(static_cast<double>(work.count()) * m_slowness));
+    noteLoad(now);
+}
+
+void EngineModel::admitWaiting(TimePoint now)
+{
+    while (!m_waiting.empty() && m_running.size() < m_speed.maxBatch) {
+        Sequence sequence = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        const EngineRequest &request = sequence.request;
+        const std::uint32_t hit = cached(request.prefix) ? std::min(request.sharedPrefix.value, request.prompt.value) : 0;
+        // At least one token is computed anew: the one whose logits begin the answer.
+        sequence.prefillLeft = std::max<std::uint32_t>(request.prompt.value - hit, 1);
+        m_prefilledTokens += sequence.prefillLeft;
+        touchCache(request, now);
+        m_running.push_back(std::move(sequence));
+    }
+}
+
+void EngineModel::finishStep(std::vector<EngineEvent> &events)
+{
+    const TimePoint end = *m_stepEnd;
+    std::vector<Sequence> stillRunning;
+    stillRunning.reserve(m_running.size());
+    for (std::size_t i = 0; i < m_running.size(); ++i) {
+        Sequence &sequence = m_running[i];
+        const bool wasPrefilling = sequence.prefillLeft > 0;
+        sequence.prefillLeft -= m_stepPrefill[i];
+        if (wasPrefilling && sequence.prefillLeft > 0) {
+            stillRunning.push_back(std::move(sequence));
+            continue;
+        }
+        events.push_back(EngineEvent{.kind = EngineEvent::Kind::Token, .id = sequence.request.id, .index = sequence.made, .at = end});
+        ++sequence.made;
+        if (sequence.made >= sequence.request.answer.value) {
+            events.push_back(EngineEvent{.kind = EngineEvent::Kind::Finished, .id = sequence.request.id, .index = sequence.made, .at = end});
+            continue;
+        }
+        stillRunning.push_back(std::move(sequence));
+    }
+    m_running.swap(stillRunning);
+}
+
+EngineLoad EngineModel::load(TimePoint now) const
+{
+    EngineLoad load{
+        .running = static_cast<std::uint32_t>(m_running.size()),
+        .waiting = static_cast<std::uint32_t>(m_waiting.size()),
+        .pendingTokens = 0,
+        .at = now,
+    };
+    for (const Sequence &sequence : m_running) {
+        load.pendingTokens += sequence.prefillLeft + sequence.request.answer.value - sequence.made;
+    }
+    for (const Sequence &sequence : m_waiting) {
+        load.pendingTokens += sequence.request.prompt.value + sequence.request.answer.value;
+    }
+    return load;
+}
+
+void EngineModel::noteLoad(TimePoint now)
+{
+    if (!m_loads.empty() && now - m_loads.back().at < LoadNoteInterval) {
+        return;
+    }
+    m_loads.push_back(load(now));
+    if (m_loads.size() > MaxLoads) {
+        m_loads.pop_front();
+    }
+}
+
+EngineLoad EngineModel::reportedLoad(TimePoint now) const
+{
+    const TimePoint then = now - m_speed.reportLag;
+    const auto later = std::ranges::upper_bound(m_loads, then, {}, &EngineLoad::at);
+    return later == m_loads.begin() ? EngineLoad{.running = 0, .waiting = 0, .pendingTokens = 0, .at = then} : *std::prev(later);
+}
+
+bool EngineModel::cached(std::uint64_t prefix) const
+{
+    return m_cache.contains(prefix);
+}
+
+void EngineModel::touchCache(const EngineRequest &request, TimePoint now)
+{
+    const auto known = m_cache.find(request.prefix);
+    if (known != m_cache.end()) {
+        m_cacheOrder.splice(m_cacheOrder.begin(), m_cacheOrder, known->second);
+        return;
+    }
+    if (request.sharedPrefix.value == 0 || request.sharedPrefix.value > m_speed.cacheTokens) {
+        return;
+    }
+    m_cacheOrder.push_front(CachedPrefix{.prefix = request.prefix, .tokens = request.sharedPrefix.value});
+    m_cache.emplace(request.prefix, m_cacheOrder.begin());
+    m_cachedTokens += request.sharedPrefix.value;
+    noteCacheEvent(request.prefix, true, now);
+    while (m_cachedTokens > m_speed.cacheTokens) {
+        const CachedPrefix evicted = m_cacheOrder.back();
+        m_cacheOrder.pop_back();
+        m_cache.erase(evicted.prefix);
+        m_cachedTokens -= evicted.tokens;
+        noteCacheEvent(evicted.prefix, false, now);
+    }
+}
+
+void EngineModel::noteCacheEvent(std::uint64_t prefix, bool stored, TimePoint now)
+{
+    ++m_cacheSequence;
+    if (m_speed.gapEvery > 0 && m_cacheSequence % m_speed.gapEvery == 0) {
+        return;
+    }
+    m_cacheEvents.push_back(CacheEvent{.sequence = m_cacheSequence, .prefix = prefix, .stored = stored, .visibleAt = now + m_speed.cacheEventLag});
+    if (m_cacheEvents.size() > MaxCacheEvents) {
+        m_cacheEvents.pop_front();
+    }
+}
+
+std::vector<CacheEvent> EngineModel::cacheEvents(std::uint64_t after, TimePoint now) const
+{
+    std::vector<CacheEvent> visible;
+    for (const CacheEvent &event : m_cacheEvents) {
+        if (event.sequence > after && event.visibleAt <= now) {
+            visible.push_back(event);
+        }
+    }
+    return visible;
+}
+
+}
--- /dev/null
+++ b/src/common/address.cpp
@@ -0,0 +1,30 @@
+#include "common/address.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace cumindyke
+{
+
+Result<Address> parseAddress(std::string_view text)
+{
+    const Error invalid{ErrorKind::Invalid, "'" + std::string(text) + "' is not an address: write an IP number and a port, for example 10.0.0.4:8080"};
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return invalid;
+    }
+    Address address{.host = std::string(text.substr(0, colon)), .port = 0};
+    in_addr parsed{};
+    if (inet_pton(AF_INET, address.host.c_str(), &parsed) != 1) {
+        return invalid;
+    }
+    const std::string_view port = text.substr(colon + 1);
+    const auto [end, failure] = std::from_chars(port.data(), port.data() + port.size(), address.port);
+    if (failure != std::errc{} || end != port.data() + port.size()) {
+        return invalid;
+    }
+    return address;
+}
+
+}
--- /dev/null
+++ b/src/common/eventloop.cpp
@@ -0,0 +1,94 @@
+#include "common/eventloop.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <mutex>
+#include <stdexcept>
+
+namespace cumindyke
+{
+
+EventLoop::EventLoop()
+{
+    static std::once_flag threadsReady;
+    std::call_once(threadsReady, [] { evthread_use_pthreads(); });
+    m_base = event_base_new();
+    if (!m_base) {
+        throw std::runtime_error("no event loop could be made: raise the limit of open files");
+    }
+}
+
+EventLoop::~EventLoop()
+{
+    event_base_free(m_base);
+}
+
+void EventLoop::run()
+{
+    event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(m_base);
+}
+
+TimePoint EventLoop::now()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
+}
+
+WallTime EventLoop::wallNow()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return WallTime{std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()};
+}
+
+Timer::Timer(EventLoop &loop, std::function<void()> callback)
+    : m_callback(std::move(callback))
+    , m_event(event_new(loop.base(), -1, 0, &Timer::fired, this))
+{
+}
+
+Timer::~Timer()
+{
+    event_free(m_event);
+}
+
+void Timer::startOnce(Duration delay)
+{
+    m_interval = Duration::zero();
+    schedule(delay);
+}
+
+void Timer::startEvery(Duration interval)
+{
+    m_interval = interval;
+    schedule(interval);
+}
+
+void Timer::stop()
+{
+    m_interval = Duration::zero();
+    event_del(m_event);
+}
+
+void Timer::fired(int /*fd*/, short /*what*/, void *self)
+{
+    auto *timer = static_cast<Timer *>(self);
+    if (timer->m_interval > Duration::zero()) {
+        timer->schedule(timer->m_interval);
+    }
+    timer->m_callback();
+}
+
+void Timer::schedule(Duration delay)
+{
+    const auto microseconds = std::max<Duration::rep>(delay.count(), 0);
+    const timeval wait{.tv_sec = microseconds / 1'000'000, .tv_usec = microseconds % 1'000'000};
+    event_add(m_event, &wait);
+}
+
+}
--- /dev/null
+++ b/src/common/eventloop.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "common/types.h"
+
+#include <functional>
+#include <memory>
+
+struct event;
+struct event_base;
+
+namespace cumindyke
+{
+
+/// One libevent loop, run by one thread: the thread of the task that owns it.
+class EventLoop
+{
+public:
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /// Runs until stop(). Call from the owning thread.
+    void run();
+    /// Ends run() after the callback in progress. Safe from any thread.
+    void stop();
+    event_base *base() const
+    {
+        return m_base;
+    }
+    /// The monotonic clock, read where a task receives an event; decisions get it as an argument.
+    static TimePoint now();
+    /// The wall clock, for what people declare and read.
+    static WallTime wallNow();
+
+private:
+    event_base *m_base;
+};
+
+/// A timer on a loop. Not safe from other threads. Destroying it cancels it.
+class Timer
+{
+public:
+    Timer(EventLoop &loop, std::function<void()> callback);
+    ~Timer();
+    Timer(const Timer &) = delete;
+    Timer &operator=(const Timer &) = delete;
+
+    void startOnce(Duration delay);
+    void startEvery(Duration interval);
+    void stop();
+
+private:
+    static void fired(int fd, short what, void *self);
+    void schedule(Duration delay);
+
+    std::function<void()> m_callback;
+    event *m_event;
+    Duration m_interval{0};
+};
+
+}
--- /dev/null
+++ b/src/common/log.cpp
@@ -0,0 +1,64 @@
+#include "common/log.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+/// Quotes a value that holds a space, a quote or an equals sign, so that lines split into fields unambiguously.
+std::string quoted(const std::string &value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\n\t") == std::string::npos) {
+        return value;
+    }
+    std::string result = "\"";
+    for (const char c : value) {
+        if (c == '\n') {
+            result += "\\n";
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            result += '\\';
+        }
+        result += c;
+    }
+    return result + "\"";
+}
+
+std::string line(std::string_view change, std::initializer_list<LogField> fields)
+{
+    std::string text = "change=" + std::string(change);
+    for (const LogField &field : fields) {
+        text += " " + std::string(field.name) + "=" + quoted(field.value);
+    }
+    return text;
+}
+
+}
+
+void startLog()
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p component=%c %m%n"));
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
+}
+
+void logChange(std::string_view component, std::string_view change, std::initializer_list<LogField> fields)
+{
+    LOG4CXX_INFO(log4cxx::Logger::getLogger(std::string(component)), line(change, fields));
+}
+
+void logWarning(std::string_view component, std::string_view change, std::initializer_list<LogField> fields)
+{
+    LOG4CXX_WARN(log4cxx::Logger::getLogger(std::string(component)), line(change, fields));
+}
+
+}
--- /dev/null
+++ b/src/common/types.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+/// Ids and units that every part of the program shares.
+namespace cumindyke
+{
+
+/// A value of one kind. Two kinds never convert into each other, so that an organisation's name can't be passed as a service's.
+template<typename Tag, typename Rep>
+struct Strong
+{
+    Rep value{};
+
+    auto operator<=>(const Strong &) const = default;
+};
+
+using OrganisationName = Strong<struct OrganisationNameTag, std::string>;
+using TierName = Strong<struct TierNameTag, std::string>;
+using ServiceName = Strong<struct ServiceNameTag, std::string>;
+using VersionName = Strong<struct VersionNameTag, std::string>;
+using UpstreamName = Strong<struct UpstreamNameTag, std::string>;
+using DataCentreName = Strong<struct DataCentreNameTag, std::string>;
+using VmName = Strong<struct VmNameTag, std::string>;
+using MoveName = Strong<struct MoveNameTag, std::string>;
+/// Made by the entry VM for each request it takes; unique over VMs and restarts. Upstreams echo it.
+using RequestId = Strong<struct RequestIdTag, std::string>;
+/// Made by the operator's client; a resend carries the same one.
+using CommandId = Strong<struct CommandIdTag, std::string>;
+/// Lower-case hexadecimal SHA-256 of an API key.
+using KeyHash = Strong<struct KeyHashTag, std::string>;
+
+/// 0 is the highest tier.
+using TierRank = Strong<struct TierRankTag, std::uint8_t>;
+/// Counts accepted changes of the declarations, from 1; 0 is "nothing declared yet".
+using Revision = Strong<struct RevisionTag, std::uint64_t>;
+/// Counts the holders of a lease; the fencing number on orders to upstreams.
+using Epoch = Strong<struct EpochTag, std::uint64_t>;
+using TokenCount = Strong<struct TokenCountTag, std::uint32_t>;
+
+/// A monotonic clock whose readings are passed as arguments; in experiments they are virtual.
+struct SchedulerClock
+{
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<SchedulerClock>;
+    static constexpr bool is_steady = true;
+};
+using Duration = SchedulerClock::duration;
+using TimePoint = SchedulerClock::time_point;
+
+/// Milliseconds since 1970 by the wall clock: only for what people declare and read, never for leases.
+using WallTime = Strong<struct WallTimeTag, std::int64_t>;
+
+/// An IPv4 address in dotted form and a TCP port.
+struct Address
+{
+    std::string host;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Address &) const = default;
+};
+
+/// "host:port", as in settings and declarations.
+inline std::string toString(const Address &address)
+{
+    return address.host + ":" + std::to_string(address.port);
+}
+
+}
+
+template<typename Tag, typename Rep>
+struct std::hash<cumindyke::Strong<Tag, Rep>>
+{
+    std::size_t operator()(const cumindyke::Strong<Tag, Rep> &strong) const noexcept
+    {
+        return std::hash<Rep>{}(strong.value);
+    }
+};
--- /dev/null
+++ b/src/control/statemachine.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "domain/declarations.h"
+
+#include "control.pb.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace cumindyke
+{
+
+/// What the replicated log adds up to: the declarations, moves, claims and the answers given to commands.
+/// Deterministic: every replica that applies the same commands in the same order holds the same state, and no clock is read here.
+class StateMachine
+{
+public:
+    /// Applies one command of the log and returns its answer. A command id seen before gets its first answer and changes nothing.
+    v1::ProposeReply apply(const v1::Command &command);
+
+    const Declarations &declarations() const
+    {
+        return m_declarations;
+    }
+    /// Moves by name, in every state; a finished one stays until a newer move of its service starts.
+    const std::map<std::string, v1::Move> &moves() const
+    {
+        return m_moves;
+    }
+    /// Accepted changes after a revision, oldest first; empty when they are older than what is kept.
+    std::vector<v1::HistoryEntry> historyAfter(Revision revision) const;
+
+    /// The whole state as bytes, and back. Errors: Storage, when the bytes are not a snapshot.
+    std::string snapshot() const;
+    Result<Done> restore(const std::string &bytes);
+
+private:
+    v1::CommandReply applyChanges(const v1::Command &command, const v1::ApplyRequest &request);
+    v1::CommandReply startMove(const v1::Command &command, const v1::StartMoveRequest &request);
+    v1::CommandReply abortMove(const v1::Command &command, const v1::AbortMoveRequest &request);
+    void remember(const std::string &commandId, const v1::ProposeReply &reply);
+
+    Declarations m_declarations;
+    std::map<std::string, v1::Move> m_moves;
+    std::deque<v1::HistoryEntry> m_history;
+    /// Answers by command id, and the ids in the order they came, so that the oldest go first.
+    std::map<std::string, v1::ProposeReply> m_answers;
+    std::deque<std::string> m_answerOrder;
+};
+
+}
--- /dev/null
+++ b/src/ctl/client.cpp
@@ -0,0 +1,121 @@
+#include "ctl/client.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+Error toError(const grpc::Status &status, const std::string &server)
+{
+    const std::string message = status.error_message();
+    switch (status.error_code()) {
+    case grpc::StatusCode::INVALID_ARGUMENT:
+        return {ErrorKind::Invalid, message};
+    case grpc::StatusCode::NOT_FOUND:
+        return {ErrorKind::NotFound, message};
+    case grpc::StatusCode::ABORTED:
+        return {ErrorKind::Conflict, message};
+    case grpc::StatusCode::PERMISSION_DENIED:
+        return {ErrorKind::Forbidden, message};
+    case grpc::StatusCode::UNIMPLEMENTED:
+        return {ErrorKind::NotFound, message};
+    case grpc::StatusCode::DEADLINE_EXCEEDED:
+        return {ErrorKind::OutcomeUnknown,
+                "no reply from " + server + " in time: run the same command again with the same --command-id, it changes nothing twice"};
+    case grpc::StatusCode::UNAVAILABLE:
+        return {ErrorKind::Unavailable, "can't reach " + server + " (" + message + "): check --server, or name another VM"};
+    default:
+        return {ErrorKind::Internal, message};
+    }
+}
+
+}
+
+OperatorClient::OperatorClient(const std::string &server, std::chrono::milliseconds timeout)
+    : m_server(server)
+    , m_timeout(timeout)
+    , m_stub(v1::Operator::NewStub(grpc::CreateChannel(server, grpc::InsecureChannelCredentials())))
+{
+}
+
+template<typename Reply, typename Request, typename Method>
+Result<Reply> OperatorClient::call(Method method, const Request &request)
+{
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + m_timeout);
+    Reply reply;
+    const grpc::Status status = (m_stub.get()->*method)(&context, request, &reply);
+    if (!status.ok()) {
+        return toError(status, m_server);
+    }
+    return reply;
+}
+
+Result<v1::CommandReply> OperatorClient::apply(const v1::ApplyRequest &request)
+{
+    return call<v1::CommandReply>(&v1::Operator::Stub::Apply, request);
+}
+
+Result<v1::Declarations> OperatorClient::get()
+{
+    return call<v1::Declarations>(&v1::Operator::Stub::Get, v1::GetRequest());
+}
+
+Result<v1::HistoryReply> OperatorClient::history(const v1::HistoryRequest &request)
+{
+    return call<v1::HistoryReply>(&v1::Operator::Stub::History, request);
+}
+
+Result<v1::CommandReply> OperatorClient::startMove(const v1::StartMoveRequest &request)
+{
+    return call<v1::CommandReply>(&v1::Operator::Stub::StartMove, request);
+}
+
+Result<v1::CommandReply> OperatorClient::abortMove(const v1::AbortMoveRequest &request)
+{
+    return call<v1::CommandReply>(&v1::Operator::Stub::AbortMove, request);
+}
+
+Result<v1::MovesReply> OperatorClient::moves()
+{
+    return call<v1::MovesReply>(&v1::Operator::Stub::Moves, v1::MovesRequest());
+}
+
+Result<v1::MembersReply> OperatorClient::members()
+{
+    return call<v1::MembersReply>(&v1::Operator::Stub::Members, v1::MembersRequest());
+}
+
+Result<v1::CommandReply> OperatorClient::changeMembers(const v1::ChangeMembersRequest &request)
+{
+    return call<v1::CommandReply>(&v1::Operator::Stub::ChangeMembers, request);
+}
+
+Result<v1::ReportReply> OperatorClient::report()
+{
+    return call<v1::ReportReply>(&v1::Operator::Stub::Report, v1::ReportRequest());
+}
+
+Result<Done> OperatorClient::watch(const v1::WatchRequest &request, const std::function<bool(const v1::Event &)> &handler)
+{
+    grpc::ClientContext context;
+    const auto reader = m_stub->Watch(&context, request);
+    v1::Event event;
+    while (reader->Read(&event)) {
+        if (!handler(event)) {
+            context.TryCancel();
+            reader->Finish();
+            return Done{};
+        }
+    }
+    const grpc::Status status = reader->Finish();
+    if (!status.ok()) {
+        return toError(status, m_server);
+    }
+    return Done{};
+}
+
+}
--- /dev/null
+++ b/src/ctl/client.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "common/result.h"
+
+#include "operator.grpc.pb.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace cumindyke
+{
+
+/// Operators' calls to one daemon. Each blocks until the reply or the timeout. Error kinds follow from the gRPC status.
+class OperatorClient
+{
+public:
+    OperatorClient(const std::string &server, std::chrono::milliseconds timeout);
+
+    Result<v1::CommandReply> apply(const v1::ApplyRequest &request);
+    Result<v1::Declarations> get();
+    Result<v1::HistoryReply> history(const v1::HistoryRequest &request);
+    Result<v1::CommandReply> startMove(const v1::StartMoveRequest &request);
+    Result<v1::CommandReply> abortMove(const v1::AbortMoveRequest &request);
+    Result<v1::MovesReply> moves();
+    Result<v1::MembersReply> members();
+    Result<v1::CommandReply> changeMembers(const v1::ChangeMembersRequest &request);
+    Result<v1::ReportReply> report();
+    /// Calls the handler for each event until it returns false or the stream ends.
+    Result<Done> watch(const v1::WatchRequest &request, const std::function<bool(const v1::Event &)> &handler);
+
+private:
+    template<typename Reply, typename Request, typename Method>
+    Result<Reply> call(Method method, const Request &request);
+
+    std::string m_server;
+    std::chrono::milliseconds m_timeout;
+    std::unique_ptr<v1::Operator::Stub> m_stub;
+};
+
+}
--- /dev/null
+++ b/src/ctl/commands.cpp
@@ -0,0 +1,334 @@
+#include "ctl/commands.h"
+
+#include "common/hash.h"
+#include "control/convert.h"
+#include "ctl/client.h"
+#include "ctl/output.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <span>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+constexpr const char *DefaultServer = "127.0.0.1:8081";
+
+/// What every subcommand is given.
+struct Context
+{
+    const cxxopts::ParseResult &options;
+    OutputForm form;
+    std::vector<std::string> arguments;
+
+    OperatorClient client() const
+    {
+        return OperatorClient(options["server"].as<std::string>(), std::chrono::milliseconds(options["timeout-ms"].as<int>()));
+    }
+    std::string author() const
+    {
+        const char *user = std::getenv("USER");
+        return options.count("author") ? options["author"].as<std::string>() : (user ? user : "");
+    }
+    /// The operator's own id, for a resend, or a new one.
+    std::string commandId() const
+    {
+        if (options.count("command-id")) {
+            return options["command-id"].as<std::string>();
+        }
+        std::random_device device;
+        return fingerprint(std::to_string(device()) + std::to_string(device()) + std::to_string(device())).substr(0, 24);
+    }
+};
+
+struct Command
+{
+    const char *name;
+    const char *arguments;
+    const char *summary;
+    std::size_t least;
+    std::size_t most;
+    ExitCode (*run)(const Context &);
+};
+
+/// The declarations of a folder, checked as a whole.
+Result<Declarations> loadFolder(const std::string &folder)
+{
+    const auto changes = readDeclarations(folder);
+    if (!ok(changes)) {
+        return errorOf(changes);
+    }
+    return Declarations().apply(valueOf(changes));
+}
+
+/// What the daemon has in force, and the changes that would turn it into the folder's declarations.
+struct Difference
+{
+    Revision base;
+    std::vector<Change> changes;
+};
+
+Result<Difference> differenceTo(const std::string &folder, OperatorClient &client)
+{
+    const Result<Declarations> target = loadFolder(folder);
+    if (!ok(target)) {
+        return errorOf(target);
+    }
+    const Result<v1::Declarations> wire = client.get();
+    if (!ok(wire)) {
+        return errorOf(wire);
+    }
+    const Result<Declarations> current = fromWire(valueOf(wire));
+    if (!ok(current)) {
+        return errorOf(current);
+    }
+    return Difference{.base = valueOf(current).revision(), .changes = valueOf(current).changesTo(valueOf(target))};
+}
+
+ExitCode check(const Context &context)
+{
+    const Result<Declarations> loaded = loadFolder(context.arguments[0]);
+    if (!ok(loaded)) {
+        return printError(errorOf(loaded));
+    }
+    const Declarations &declarations = valueOf(loaded);
+    std::cout << "valid: " << declarations.tiers().size() << " tiers, " << declarations.organisations().size() << " organisations, "
+              << declarations.services().size() << " services, " << declarations.upstreams().size() << " upstreams\n";
+    return ExitOk;
+}
+
+ExitCode diff(const Context &context)
+{
+    OperatorClient client = context.client();
+    const Result<Difference> difference = differenceTo(context.arguments[0], client);
+    if (!ok(difference)) {
+        return printError(errorOf(difference));
+    }
+    for (const Change &change : valueOf(difference).changes) {
+        std::cout << describe(change) << "\n";
+    }
+    if (valueOf(difference).changes.empty()) {
+        std::cout << "no difference from revision " << valueOf(difference).base.value << "\n";
+        return ExitOk;
+    }
+    return ExitDifferent;
+}
+
+ExitCode apply(const Context &context)
+{
+    OperatorClient client = context.client();
+    const Result<Difference> difference = differenceTo(context.arguments[0], client);
+    if (!ok(difference)) {
+        return printError(errorOf(difference));
+    }
+    const Difference &found = valueOf(difference);
+    if (found.changes.empty()) {
+        v1::CommandReply unchanged;
+        unchanged.set_outcome(v1::CommandReply::ACCEPTED);
+        unchanged.set_revision(found.base.value);
+        unchanged.set_message("nothing to change");
+        return printReply(unchanged, context.form);
+    }
+    v1::ApplyRequest request;
+    request.set_command_id(context.commandId());
+    request.set_base_revision(context.options.count("base-revision") ? context.options["base-revision"].as<std::uint64_t>() : found.base.value);
+    request.set_author(context.author());
+    request.set_wait(context.options["wait"].as<bool>());
+    for (const Change &change : found.changes) {
+        *request.add_changes() = toWire(change);
+    }
+    const Result<v1::CommandReply> reply = client.apply(request);
+    return ok(reply) ? printReply(valueOf(reply), context.form) : printError(errorOf(reply));
+}
+
+ExitCode get(const Context &context)
+{
+    const Result<v1::Declarations> reply = context.client().get();
+    if (!ok(reply)) {
+        return printError(errorOf(reply));
+    }
+    if (context.form == OutputForm::Json) {
+        printJson(valueOf(reply));
+        return ExitOk;
+    }
+    const v1::Declarations &declarations = valueOf(reply);
+    std::cout << "revision " << declarations.revision() << "\n";
+    for (const v1::Tier &tier : declarations.tiers()) {
+        std::cout << "tier " << tier.name() << " rank " << tier.rank() << "\n";
+    }
+    for (const v1::Organisation &organisation : declarations.organisations()) {
+        std::cout << "organisation " << organisation.name() << " highest tier " << organisation.highest_tier() << "\n";
+    }
+    for (const v1::Service &service : declarations.services()) {
+        std::cout << "service " << service.name() << " version " << service.version() << "\n";
+    }
+    for (const v1::Upstream &upstream : declarations.upstreams()) {
+        std::cout << "upstream " << upstream.name() << " of " << upstream.service() << " version " << upstream.version() << " at " << upstream.address()
+                  << " in " << upstream.data_centre() << "\n";
+    }
+    return ExitOk;
+}
+
+ExitCode history(const Context &context)
+{
+    v1::HistoryRequest request;
+    request.set_after_revision(context.options["after"].as<std::uint64_t>());
+    const Result<v1::HistoryReply> reply = context.client().history(request);
+    if (!ok(reply)) {
+        return printError(errorOf(reply));
+    }
+    if (context.form == OutputForm::Json) {
+        printJson(valueOf(reply));
+        return ExitOk;
+    }
+    for (const v1::HistoryEntry &entry : valueOf(reply).entries()) {
+        std::cout << describe(entry) << "\n";
+    }
+    return ExitOk;
+}
+
+ExitCode members(const Context &context)
+{
+    const Result<v1::MembersReply> reply = context.client().members();
+    if (!ok(reply)) {
+        return printError(errorOf(reply));
+    }
+    if (context.form == OutputForm::Json) {
+        printJson(valueOf(reply));
+        return ExitOk;
+    }
+    for (const v1::Member &member : valueOf(reply).members()) {
+        std::cout << member.vm() << " in " << member.data_centre() << " at " << member.peer_address() << (member.replica() ? " replica" : "")
+                  << (member.learner() ? " learner" : "") << (member.leader() ? " leader" : "") << (member.live() ? " live" : " lost") << " revision "
+                  << member.revision() << "\n";
+    }
+    return ExitOk;
+}
+
+ExitCode report(const Context &context)
+{
+    const Result<v1::ReportReply> reply = context.client().report();
+    if (!ok(reply)) {
+        return printError(errorOf(reply));
+    }
+    if (context.form == OutputForm::Json) {
+        printJson(valueOf(reply));
+        return ExitOk;
+    }
+    for (const v1::TierReport &tier : valueOf(reply).tiers()) {
+        std::cout << tier.service() << " " << tier.tier() << ": " << tier.on_time() << " on time, " << tier.late() << " late, " << tier.failed() << " failed, "
+                  << tier.refused() << " refused, " << tier.unknown() << " unknown\n";
+    }
+    return ExitOk;
+}
+
+ExitCode hashKeyCommand(const Context & /*context*/)
+{
+    std::string key;
+    if (!std::getline(std::cin, key) || key.empty()) {
+        std::cerr << "cumindykectl: no key on standard input: pipe one in, for example from a password manager\n";
+        return ExitUsage;
+    }
+    std::cout << hashKey(key).value << "\n";
+    return ExitOk;
+}
+
+constexpr Command Commands[] = {
+    {"check", "DIR", "check the declarations of a folder, without a daemon", 1, 1, check},
+    {"diff", "DIR", "show what apply would change; exit 5 when there is something", 1, 1, diff},
+    {"apply", "DIR", "make the declarations of a folder the ones in force", 1, 1, apply},
+    {"get", "", "show the declarations in force", 0, 0, get},
+    {"history", "", "show accepted changes (--after REVISION)", 0, 0, history},
+    {"members", "", "show the VMs, the replicas and the leader", 0, 0, members},
+    {"report", "", "show how requests ended, by service and tier", 0, 0, report},
+    {"hash-key", "", "read an API key from standard input and print its hash for a declaration", 0, 0, hashKeyCommand},
+};
+
+cxxopts::Options makeOptions(const std::string &name)
+{
+    cxxopts::Options options(name, "Operators' tool of cumindyke.");
+    options.add_options()("server", "daemon's rpc address", cxxopts::value<std::string>()->default_value(DefaultServer), "IP:PORT")(
+        "timeout-ms", "longest wait for a reply", cxxopts::value<int>()->default_value("15000"), "N")(
+        "output", "text or json", cxxopts::value<std::string>()->default_value("text"), "FORM")(
+        "command-id", "id of the command; give the first one again to resend safely", cxxopts::value<std::string>(), "ID")(
+        "base-revision", "revision the change was made against, if not the present one", cxxopts::value<std::uint64_t>(), "N")(
+        "author", "who makes the change; $USER if not given", cxxopts::value<std::string>(), "NAME")(
+        "after", "history: only later revisions", cxxopts::value<std::uint64_t>()->default_value("0"), "REVISION")(
+        "wait", "apply: answer when the change is in force on every live VM")("help", "print this help");
+    return options;
+}
+
+void printHelp()
+{
+    std::cout << "Usage: cumindykectl COMMAND [ARGUMENTS] [OPTIONS]\n\nCommands:\n";
+    for (const Command &command : Commands) {
+        std::string usage = std::string(command.name) + " " + command.arguments;
+        usage.resize(std::max<std::size_t>(usage.size(), 20), ' ');
+        std::cout << "  " << usage << command.summary << "\n";
+    }
+    std::cout << "\nRun 'cumindykectl COMMAND --help' for the options.\n";
+}
+
+ExitCode runCommand(const Command &command, int argc, char **argv)
+{
+    cxxopts::Options options = makeOptions(std::string("cumindykectl ") + command.name);
+    options.positional_help(command.arguments);
+    options.custom_help("[OPTIONS]");
+    options.add_options("arguments")("arguments", "", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"arguments"});
+    try {
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help")) {
+            std::cout << command.summary << "\n" << options.help({""});
+            return ExitOk;
+        }
+        const auto form = parsed["output"].as<std::string>();
+        if (form != "text" && form != "json") {
+            std::cerr << "cumindykectl: --output must be text or json\n";
+            return ExitUsage;
+        }
+        Context context{.options = parsed, .form = form == "json" ? OutputForm::Json : OutputForm::Text, .arguments = {}};
+        if (parsed.count("arguments")) {
+            context.arguments = parsed["arguments"].as<std::vector<std::string>>();
+        }
+        if (context.arguments.size() < command.least || context.arguments.size() > command.most) {
+            std::cerr << "cumindykectl: usage: cumindykectl " << command.name << " " << command.arguments << "\n";
+            return ExitUsage;
+        }
+        return command.run(context);
+    } catch (const cxxopts::exceptions::exception &wrong) {
+        std::cerr << "cumindykectl: " << wrong.what() << ": see cumindykectl " << command.name << " --help\n";
+        return ExitUsage;
+    }
+}
+
+}
+
+int runCommandLine(int argc, char **argv)
+{
+    const std::span<char *> words(argv, static_cast<std::size_t>(argc));
+    if (words.size() < 2 || std::string_view(words[1]) == "--help" || std::string_view(words[1]) == "help") {
+        printHelp();
+        return words.size() < 2 ? ExitUsage : ExitOk;
+    }
+    if (std::string_view(words[1]) == "--version") {
+        std::cout << "cumindykectl " CUMINDYKE_VERSION "\n";
+        return ExitOk;
+    }
+    for (const Command &command : Commands) {
+        if (std::string_view(words[1]) == command.name) {
+            return runCommand(command, argc - 1, argv + 1);
+        }
+    }
+    std::cerr << "cumindykectl: no command '" << words[1] << "': see cumindykectl --help\n";
+    return ExitUsage;
+}
+
+}
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,58 @@
+#include "daemon/settings.h"
+
+#include "common/address.h"
+#include "common/tomlreader.h"
+
+namespace cumindyke
+{
+
+namespace
+{
+
+constexpr std::int64_t MaxDrainMs = 24 * 3'600'000;
+
+Address readAddress(TomlTable &table, std::string_view key, const Address &fallback)
+{
+    const std::string text = table.text(key, toString(fallback));
+    const Result<Address> address = parseAddress(text);
+    if (!ok(address)) {
+        table.reject(key, errorOf(address).message);
+        return fallback;
+    }
+    return valueOf(address);
+}
+
+}
+
+Result<Settings> parseSettings(std::string_view toml, const std::string &fileName)
+{
+    auto parsed = TomlDocument::parse(toml, fileName);
+    if (!ok(parsed)) {
+        return errorOf(parsed);
+    }
+    TomlDocument &document = *valueOf(parsed);
+    TomlTable root = document.root();
+    Settings settings;
+    settings.vm = VmName{root.text("vm", settings.vm.value)};
+    settings.dataCentre = DataCentreName{root.text("data_centre", settings.dataCentre.value)};
+    settings.httpAddress = readAddress(root, "http_address", settings.httpAddress);
+    settings.rpcAddress = readAddress(root, "rpc_address", settings.rpcAddress);
+    settings.dataFolder = root.text("data_folder", settings.dataFolder);
+    if (root.has("drain_limit_ms")) {
+        settings.drainLimit = std::chrono::milliseconds(root.integer("drain_limit_ms", 0, 0, MaxDrainMs));
+    }
+    for (TomlTable &peer : root.tables("peer")) {
+        const VmName name{peer.requiredText("vm")};
+        if (!peer.has("rpc_address")) {
+            peer.reject("rpc_address", "missing: add it, for example \"10.0.0.4:8081\"");
+            continue;
+        }
+        settings.peers[name] = readAddress(peer, "rpc_address", {});
+    }
+    if (const std::optional<Error> broken = document.finish()) {
+        return *broken;
+    }
+    return settings;
+}
+
+}
--- /dev/null
+++ b/src/daemon/settings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "common/result.h"
+#include "common/types.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cumindyke
+{
+
+/// What one VM is told at its start. docs/SETTINGS.md describes the file.
+struct Settings
+{
+    VmName vm{"local"};
+    DataCentreName dataCentre{"local"};
+    /// For callers and the balancer.
+    Address httpAddress{.host = "127.0.0.1", .port = 8080};
+    /// For operators and peers.
+    Address rpcAddress{.host = "127.0.0.1", .port = 8081};
+    /// Empty on a VM without a disk.
+    std::string dataFolder = "run/cumindyked";
+    /// The other VMs' rpc addresses.
+    std::map<VmName, Address> peers;
+    /// How long a graceful shutdown may last; none is no limit.
+    std::optional<std::chrono::milliseconds> drainLimit;
+};
+
+/// Checks and reads settings. Error: Invalid, one line for each problem with file, line, key and remedy.
+Result<Settings> parseSettings(std::string_view toml, const std::string &fileName);
+
+}
--- /dev/null
+++ b/src/entry/answers.cpp
@@ -0,0 +1,176 @@
+#include "entry/answers.h"
+
+#include "entry/headers.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cumindyke
+{
+
+static_assert(AnswerSink<StreamedAnswer> && AnswerSink<AssembledAnswer> && AnswerSink<PlainAnswer>);
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::string_view EndMarker = "[DONE]";
+constexpr std::size_t MaxPlainAnswerBytes = 16U << 20;
+
+void addRunHeaders(Exchange &exchange, const RequestId &id)
+{
+    exchange.addHeader(headers::RequestId, id.value);
+    exchange.addHeader(headers::Outcome, toString(RunOutcome::Ran));
+}
+
+}
+
+StreamedAnswer::StreamedAnswer(std::shared_ptr<Exchange> exchange, RequestId id)
+    : m_exchange(std::move(exchange))
+    , m_id(std::move(id))
+{
+}
+
+void StreamedAnswer::head(const AnswerHead & /*head*/)
+{
+    addRunHeaders(*m_exchange, m_id);
+    m_exchange->startStream(200, "text/event-stream");
+}
+
+void StreamedAnswer::data(std::string_view bytes)
+{
+    for (const StreamEvent &event : m_parser.feed(bytes)) {
+        if (event.data == EndMarker) {
+            m_ended = true;
+            continue;
+        }
+        if (!m_ended) {
+            m_exchange->streamData(serialized(event));
+        }
+    }
+}
+
+bool StreamedAnswer::finish()
+{
+    if (!m_ended) {
+        return false;
+    }
+    m_exchange->streamData(serialized(StreamEvent{.id = {}, .name = {}, .data = std::string(EndMarker)}));
+    m_exchange->endStream();
+    return true;
+}
+
+AssembledAnswer::AssembledAnswer(std::shared_ptr<Exchange> exchange, RequestId id, bool chat)
+    : m_exchange(std::move(exchange))
+    , m_id(std::move(id))
+    , m_chat(chat)
+{
+}
+
+void AssembledAnswer::head(const AnswerHead & /*head*/)
+{
+}
+
+void AssembledAnswer::data(std::string_view bytes)
+{
+    for (const StreamEvent &event : m_parser.feed(bytes)) {
+        take(event);
+    }
+}
+
+void AssembledAnswer::take(const StreamEvent &event)
+{
+    if (event.data == EndMarker) {
+        m_ended = true;
+        return;
+    }
+    const json body = json::parse(event.data, nullptr, false);
+    if (!body.is_object()) {
+        return;
+    }
+    if (body.contains("usage") && body["usage"].is_object()) {
+        m_usage = body["usage"].dump();
+    }
+    if (!body.contains("choices") || !body["choices"].is_array() || body["choices"].empty()) {
+        return;
+    }
+    const json &choice = body["choices"][0];
+    if (!choice.is_object()) {
+        return;
+    }
+    const json delta = choice.value("delta", json::object());
+    const json &textHolder = m_chat ? delta : choice;
+    const char *textKey = m_chat ? "content" : "text";
+    if (textHolder.is_object() && textHolder.contains(textKey) && textHolder[textKey].is_string()) {
+        m_text += textHolder[textKey].get<std::string>();
+    }
+    if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
+        m_finishReason = choice["finish_reason"].get<std::string>();
+    }
+}
+
+bool AssembledAnswer::finish()
+{
+    if (!m_ended) {
+        return false;
+    }
+    nlohmann::ordered_json choice{{"index", 0}};
+    if (m_chat) {
+        choice["message"] = {{"role", "assistant"}, {"content", m_text}};
+    } else {
+        choice["text"] = m_text;
+    }
+    choice["finish_reason"] = m_finishReason;
+    nlohmann::ordered_json body{{"id", m_id.value}, {"object", m_chat ? "chat.completion" : "text_completion"}, {"choices", {choice}}};
+    if (!m_usage.empty()) {
+        body["usage"] = nlohmann::ordered_json::parse(m_usage);
+    }
+    addRunHeaders(*m_exchange, m_id);
+    m_exchange->reply(200, "application/json", body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n");
+    return true;
+}
+
+PlainAnswer::PlainAnswer(std::shared_ptr<Exchange> exchange, RequestId id)
+    : m_exchange(std::move(exchange))
+    , m_id(std::move(id))
+{
+}
+
+void PlainAnswer::head(const AnswerHead &head)
+{
+    m_head = head;
+}
+
+void PlainAnswer::data(std::string_view bytes)
+{
+    if (m_body.size() + bytes.size() > MaxPlainAnswerBytes) {
+        m_tooLarge = true;
+        return;
+    }
+    m_body += bytes;
+}
+
+bool PlainAnswer::finish()
+{
+    if (m_tooLarge) {
+        return false;
+    }
+    addRunHeaders(*m_exchange, m_id);
+    m_exchange->reply(m_head.status, m_head.contentType.empty() ? "application/octet-stream" : m_head.contentType, m_body);
+    return true;
+}
+
+Answering makeAnswering(const CallerRequest &request, const std::shared_ptr<Exchange> &exchange)
+{
+    switch (request.form) {
+    case AnswerForm::Streamed:
+        return StreamedAnswer(exchange, request.id);
+    case AnswerForm::Assembled:
+        return AssembledAnswer(exchange, request.id, request.route == "chat");
+    case AnswerForm::Plain:
+        break;
+    }
+    return PlainAnswer(exchange, request.id);
+}
+
+}
--- /dev/null
+++ b/src/entry/exchange.cpp
@@ -0,0 +1,234 @@
+#include "entry/exchange.h"
+
+#include "entry/headers.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <nlohmann/json.hpp>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+const char *methodName(evhttp_cmd_type command)
+{
+    switch (command) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+        return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+        return "PATCH";
+    default:
+        return "";
+    }
+}
+
+std::string contentOf(evbuffer *buffer)
+{
+    std::string content(evbuffer_get_length(buffer), '\0');
+    evbuffer_copyout(buffer, content.data(), content.size());
+    return content;
+}
+
+bool mayPassLater(ErrorKind kind)
+{
+    return kind == ErrorKind::Overloaded || kind == ErrorKind::Unavailable;
+}
+
+}
+
+int httpStatus(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::BadRequest:
+    case ErrorKind::Invalid:
+        return 400;
+    case ErrorKind::Unauthorised:
+        return 401;
+    case ErrorKind::Forbidden:
+        return 403;
+    case ErrorKind::NotFound:
+        return 404;
+    case ErrorKind::TooLarge:
+        return 413;
+    case ErrorKind::Conflict:
+        return 409;
+    case ErrorKind::Overloaded:
+        return 429;
+    case ErrorKind::Unavailable:
+    case ErrorKind::Storage:
+        return 503;
+    case ErrorKind::DeadlinePassed:
+        return 504;
+    case ErrorKind::OutcomeUnknown:
+    case ErrorKind::UpstreamFailed:
+        return 502;
+    case ErrorKind::Internal:
+        return 500;
+    }
+    return 500;
+}
+
+std::string errorJson(const Error &error, RunOutcome outcome)
+{
+    const nlohmann::ordered_json json{{"error", {{"kind", toString(error.kind)}, {"message", error.message}, {"outcome", toString(outcome)}}}};
+    // A caller's bad bytes may stand in the message: replace what is not UTF-8 rather than throw.
+    return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+Exchange::Exchange(EventLoop &loop, evhttp_request *request)
+    : m_loop(loop)
+    , m_request(request)
+    , m_method(methodName(evhttp_request_get_command(request)))
+    , m_target(evhttp_request_get_uri(request))
+    , m_body(contentOf(evhttp_request_get_input_buffer(request)))
+{
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+    m_path = path ? path : "";
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    evhttp_connection_set_closecb(connection, &Exchange::connectionFreed, this);
+    // libevent does not read while an answer is due, so it would notice a caller's departure only when a write fails: after the
+    // upstream did the work. The event watches for the caller's end of the connection without reading.
+    const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    m_closedEvent = event_new(loop.base(), socket, EV_CLOSED, &Exchange::peerClosed, this);
+    event_add(m_closedEvent, nullptr);
+}
+
+Exchange::~Exchange()
+{
+    if (m_request) {
+        replyError(Error{ErrorKind::Internal, "the request was dropped: report this as a fault"}, RunOutcome::Unknown);
+    }
+}
+
+std::string Exchange::header(const char *name) const
+{
+    const char *value = m_request ? evhttp_find_header(evhttp_request_get_input_headers(m_request), name) : nullptr;
+    return value ? value : "";
+}
+
+void Exchange::addHeader(const std::string &name, const std::string &value)
+{
+    if (m_request) {
+        evhttp_add_header(evhttp_request_get_output_headers(m_request), name.c_str(), value.c_str());
+    }
+}
+
+void Exchange::reply(int status, const std::string &contentType, std::string_view body)
+{
+    if (!m_request) {
+        return;
+    }
+    addHeader("Content-Type", contentType);
+    evhttp_request *request = m_request;
+    detach();
+    evbuffer *content = evbuffer_new();
+    evbuffer_add(content, body.data(), body.size());
+    evhttp_send_reply(request, status, nullptr, content);
+    evbuffer_free(content);
+}
+
+void Exchange::replyError(const Error &error, RunOutcome outcome, std::chrono::seconds retryAfter)
+{
+    addHeader(headers::Outcome, toString(outcome));
+    if (mayPassLater(error.kind)) {
+        addHeader(headers::RetryAfter, std::to_string(retryAfter.count()));
+    }
+    reply(httpStatus(error.kind), "application/json", errorJson(error, outcome) + "\n");
+}
+
+void Exchange::startStream(int status, const std::string &contentType)
+{
+    if (!m_request || m_streamStarted) {
+        return;
+    }
+    m_streamStarted = true;
+    addHeader("Content-Type", contentType);
+    evhttp_send_reply_start(m_request, status, nullptr);
+}
+
+void Exchange::streamData(std::string_view bytes)
+{
+    if (!m_request || m_connectionLost || bytes.empty()) {
+        return;
+    }
+    evbuffer *chunk = evbuffer_new();
+    evbuffer_add(chunk, bytes.data(), bytes.size());
+    evhttp_send_reply_chunk_with_cb(m_request, chunk, &Exchange::written, this);
+    evbuffer_free(chunk);
+}
+
+void Exchange::endStream()
+{
+    if (!m_request) {
+        return;
+    }
+    evhttp_request *request = m_request;
+    detach();
+    evhttp_send_reply_end(request);
+}
+
+std::size_t Exchange::unreadBytes() const
+{
+    if (!m_request || m_connectionLost) {
+        return 0;
+    }
+    evhttp_connection *connection = evhttp_request_get_connection(m_request);
+    return connection ? evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(connection))) : 0;
+}
+
+void Exchange::peerClosed(int /*fd*/, short /*what*/, void *self)
+{
+    static_cast<Exchange *>(self)->left();
+}
+
+void Exchange::connectionFreed(evhttp_connection * /*connection*/, void *self)
+{
+    auto *exchange = static_cast<Exchange *>(self);
+    exchange->m_connectionLost = true;
+    exchange->left();
+}
+
+void Exchange::written(evhttp_connection * /*connection*/, void *self)
+{
+    static_cast<Exchange *>(self)->m_drained.emit();
+}
+
+void Exchange::left()
+{
+    if (m_closedEvent) {
+        event_free(m_closedEvent);
+        m_closedEvent = nullptr;
+        m_callerLeft.emit();
+    }
+}
+
+/// Gives the request back to libevent, which sends what is due and frees it; nothing of libevent calls here any more.
+void Exchange::detach()
+{
+    if (m_closedEvent) {
+        event_free(m_closedEvent);
+        m_closedEvent = nullptr;
+    }
+    evhttp_connection *connection = m_connectionLost ? nullptr : evhttp_request_get_connection(m_request);
+    if (connection) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
+    m_request = nullptr;
+}
+
+}
--- /dev/null
+++ b/src/main/cumindykebench.cpp
@@ -0,0 +1,7 @@
+#include <iostream>
+
+int main()
+{
+    std::cout << "cumindyke-bench: no scenario ships yet\n";
+    return 2;
+}
--- /dev/null
+++ b/src/peer/peertransport.cpp
@@ -0,0 +1,159 @@
+#include "peer/peertransport.h"
+
+#include "peer.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <mutex>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+/// Longer than any healthy round trip between data centres; shorter than a lease.
+constexpr std::chrono::milliseconds CallDeadline{1000};
+/// A connection with this many passed deadlines in a row is taken for silent.
+constexpr int DeadlinesBeforeReconnect = 2;
+/// What waits for an unreachable peer is bounded; the oldest goes first, since every sender resends.
+constexpr std::size_t MaxWaiting = 4096;
+constexpr std::size_t MaxBatch = 256;
+constexpr int MaxMessageBytes = 64 << 20;
+
+std::shared_ptr<grpc::Channel> connectTo(const Address &address, int attempt)
+{
+    grpc::ChannelArguments arguments;
+    // Without an argument that differs, gRPC would share the old, silent connection with the new channel.
+    arguments.SetInt("cumindyke.attempt", attempt);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, 10'000);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, 2'000);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1'000);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+    arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
+    return grpc::CreateCustomChannel(toString(address), grpc::InsecureChannelCredentials(), arguments);
+}
+
+}
+
+/// The state of sending to one peer. Calls end on gRPC's threads, so everything is under the lock.
+class PeerTransport::Link : public std::enable_shared_from_this<PeerTransport::Link>
+{
+public:
+    Link(VmName self, VmName peer, Address address)
+        : m_self(std::move(self))
+        , m_peer(std::move(peer))
+        , m_address(std::move(address))
+    {
+    }
+
+    const Address &address() const
+    {
+        return m_address;
+    }
+
+    void send(v1::Envelope envelope)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_waiting.size() >= MaxWaiting) {
+            m_waiting.erase(m_waiting.begin());
+        }
+        m_waiting.push_back(std::move(envelope));
+        startCall();
+    }
+
+private:
+    struct Call
+    {
+        grpc::ClientContext context;
+        v1::PeerBatch batch;
+        v1::PeerAck ack;
+    };
+
+    void startCall()
+    {
+        if (m_underWay || m_waiting.empty()) {
+            return;
+        }
+        if (!m_stub) {
+            m_stub = v1::Peer::NewStub(connectTo(m_address, m_attempt++));
+        }
+        m_underWay = true;
+        auto call = std::make_shared<Call>();
+        call->batch.set_from(m_self.value);
+        call->batch.set_to(m_peer.value);
+        const std::size_t count = std::min(m_waiting.size(), MaxBatch);
+        for (std::size_t i = 0; i < count; ++i) {
+            *call->batch.add_envelopes() = std::move(m_waiting[i]);
+        }
+        m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(count));
+        call->context.set_deadline(std::chrono::system_clock::now() + CallDeadline);
+        m_stub->async()->Deliver(
+            &call->context, &call->batch, &call->ack, [self = shared_from_this(), call](const grpc::Status &status) { self->callEnded(status); });
+    }
+
+    void callEnded(const grpc::Status &status)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_underWay = false;
+        m_passedDeadlines = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ? m_passedDeadlines + 1 : 0;
+        if (m_passedDeadlines >= DeadlinesBeforeReconnect) {
+            m_passedDeadlines = 0;
+            m_stub.reset();
+        }
+        startCall();
+    }
+
+    const VmName m_self;
+    const VmName m_peer;
+    const Address m_address;
+    std::mutex m_mutex;
+    std::unique_ptr<v1::Peer::Stub> m_stub;
+    std::vector<v1::Envelope> m_waiting;
+    bool m_underWay = false;
+    int m_passedDeadlines = 0;
+    int m_attempt = 0;
+};
+
+struct PeerTransport::Private
+{
+    std::mutex mutex;
+    std::map<VmName, std::shared_ptr<Link>> links;
+};
+
+PeerTransport::PeerTransport(VmName self)
+    : m_self(std::move(self))
+    , d(std::make_shared<Private>())
+{
+}
+
+PeerTransport::~PeerTransport() = default;
+
+void PeerTransport::setPeers(const std::map<VmName, Address> &peers)
+{
+    const std::lock_guard lock(d->mutex);
+    std::map<VmName, std::shared_ptr<Link>> links;
+    for (const auto &[peer, address] : peers) {
+        const auto known = d->links.find(peer);
+        const bool same = known != d->links.end() && known->second->address() == address;
+        links.emplace(peer, same ? known->second : std::make_shared<Link>(m_self, peer, address));
+    }
+    d->links.swap(links);
+}
+
+void PeerTransport::send(const VmName &to, v1::Envelope envelope)
+{
+    std::shared_ptr<Link> link;
+    {
+        const std::lock_guard lock(d->mutex);
+        const auto known = d->links.find(to);
+        if (known == d->links.end()) {
+            return;
+        }
+        link = known->second;
+    }
+    link->send(std::move(envelope));
+}
+
+}
--- /dev/null
+++ b/src/peer/peertransport.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "common/types.h"
+
+#include "peer.pb.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace cumindyke
+{
+
+/// Sends envelopes to other VMs. Messages may be lost, repeated or late, never damaged: every sender resends what it needs.
+///
+/// One call to a peer is under way at a time; what is sent meanwhile waits and goes as one batch, so the number of calls grows
+/// with round trips, not with messages. Each call has a deadline. A connection that went silent for good shows as passed deadlines,
+/// and is replaced by a new one after two in a row.
+class PeerTransport
+{
+public:
+    explicit PeerTransport(VmName self);
+    ~PeerTransport();
+    PeerTransport(const PeerTransport &) = delete;
+    PeerTransport &operator=(const PeerTransport &) = delete;
+
+    /// The peers that can be reached from now on. Safe from any thread.
+    void setPeers(const std::map<VmName, Address> &peers);
+    /// Safe from any thread. To an unknown peer: dropped.
+    void send(const VmName &to, v1::Envelope envelope);
+
+private:
+    class Link;
+    VmName m_self;
+    struct Private;
+    std::shared_ptr<Private> d;
+};
+
+/// Takes an envelope that arrived; called from gRPC's threads, so it only posts to a mailbox.
+using PeerReceiver = std::function<void(const VmName &from, v1::Envelope &&envelope)>;
+
+}
--- /dev/null
+++ b/src/peer/rpcserver.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "common/result.h"
+#include "common/types.h"
+#include "peer/peertransport.h"
+
+#include "operator.pb.h"
+
+#include <functional>
+#include <memory>
+
+namespace cumindyke
+{
+
+/// Ends an operator's call; call it once, from any thread.
+template<typename Reply>
+using Answer = std::function<void(const Result<Reply> &)>;
+
+/// A stream of events to one operator's watch. Safe from any thread.
+class EventSink
+{
+public:
+    virtual ~EventSink() = default;
+    virtual void send(const v1::Event &event) = 0;
+    virtual void end(const Error &why) = 0;
+    /// True once the operator has left or the stream has ended.
+    virtual bool closed() const = 0;
+};
+
+/// What serves operators' calls. Called from gRPC's threads: an implementation posts to its task and answers from there.
+struct OperatorHandlers
+{
+    std::function<void(const v1::ApplyRequest &, Answer<v1::CommandReply>)> apply;
+    std::function<void(const v1::GetRequest &, Answer<v1::Declarations>)> get;
+    std::function<void(const v1::WatchRequest &, std::shared_ptr<EventSink>)> watch;
+    std::function<void(const v1::HistoryRequest &, Answer<v1::HistoryReply>)> history;
+    std::function<void(const v1::StartMoveRequest &, Answer<v1::CommandReply>)> startMove;
+    std::function<void(const v1::AbortMoveRequest &, Answer<v1::CommandReply>)> abortMove;
+    std::function<void(const v1::MovesRequest &, Answer<v1::MovesReply>)> moves;
+    std::function<void(const v1::MembersRequest &, Answer<v1::MembersReply>)> members;
+    std::function<void(const v1::ChangeMembersRequest &, Answer<v1::CommandReply>)> changeMembers;
+    std::function<void(const v1::ReportRequest &, Answer<v1::ReportReply>)> report;
+    std::function<void(const v1::SaveSnapshotRequest &, Answer<v1::SaveSnapshotReply>)> saveSnapshot;
+    std::function<void(const v1::RestoreSnapshotRequest &, Answer<v1::CommandReply>)> restoreSnapshot;
+};
+
+/// The gRPC server of one daemon: operators' calls and peers' messages on one address.
+class RpcServer
+{
+public:
+    /// Error: Unavailable, when the address can't be bound. A port of 0 lets the kernel choose: see port().
+    static Result<std::unique_ptr<RpcServer>> start(const Address &address, OperatorHandlers handlers, PeerReceiver receiver);
+    ~RpcServer();
+    RpcServer(const RpcServer &) = delete;
+    RpcServer &operator=(const RpcServer &) = delete;
+
+    std::uint16_t port() const;
+    /// Takes no new calls and waits for those under way, at most for the grace.
+    void stop(std::chrono::milliseconds grace);
+
+private:
+    struct Private;
+    RpcServer();
+
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/upstream/upstreamcall.cpp
@@ -0,0 +1,294 @@
+#include "upstream/upstreamcall.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <map>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+constexpr int MaxHeaderBytes = 64 << 10;
+
+evhttp_cmd_type commandOf(const std::string &method)
+{
+    static const std::map<std::string, evhttp_cmd_type> Commands{
+        {"GET", EVHTTP_REQ_GET},
+        {"HEAD", EVHTTP_REQ_HEAD},
+        {"POST", EVHTTP_REQ_POST},
+        {"PUT", EVHTTP_REQ_PUT},
+        {"PATCH", EVHTTP_REQ_PATCH},
+        {"DELETE", EVHTTP_REQ_DELETE},
+        {"OPTIONS", EVHTTP_REQ_OPTIONS},
+    };
+    const auto found = Commands.find(method);
+    return found == Commands.end() ? EVHTTP_REQ_GET : found->second;
+}
+
+std::string headerOf(evhttp_request *request, const char *name)
+{
+    const char *value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
+    return value ? value : "";
+}
+
+}
+
+/// libevent frees requests and connections inside its own callbacks, so this state holds itself alive until libevent is done
+/// with it: closing only detaches it, and the connection is freed from the loop, outside of any callback.
+class UpstreamCall::Private : public std::enable_shared_from_this<UpstreamCall::Private>
+{
+public:
+    Private(EventLoop &loop, UpstreamRequest request, ProgressTimeouts timeouts)
+        : m_loop(loop)
+        , m_request(std::move(request))
+        , m_timeouts(timeouts)
+        , m_timer(loop, [this] { timedOut(); })
+    {
+    }
+
+    ~Private()
+    {
+        if (m_connection) {
+            evhttp_connection_free(m_connection);
+        }
+    }
+
+    void start();
+    void close();
+    void setPaused(bool paused);
+
+    sigc::signal<void, const AnswerHead &> m_headSignal;
+    sigc::signal<void, std::string_view> m_dataSignal;
+    sigc::signal<void> m_finishedSignal;
+    sigc::signal<void, CallFailure> m_failedSignal;
+
+private:
+    enum class Phase { Connecting, AwaitingHead, ReadingBody };
+
+    static void sent(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
+    static int headCame(evhttp_request *request, void *self);
+    static void dataCame(evhttp_request *request, void *self);
+    static void ended(evhttp_request *request, void *self);
+
+    void takeHead(evhttp_request *request);
+    void takeEnd(evhttp_request *request);
+    void timedOut();
+    void fail(CallFailure failure);
+
+    EventLoop &m_loop;
+    UpstreamRequest m_request;
+    ProgressTimeouts m_timeouts;
+    Timer m_timer;
+    evhttp_connection *m_connection = nullptr;
+    Phase m_phase = Phase::Connecting;
+    bool m_byteSent = false;
+    bool m_closed = false;
+    bool m_paused = false;
+    /// Whether the head tells where the body ends. One that ends with the connection can't be known to be whole.
+    bool m_endIsMarked = false;
+};
+
+void UpstreamCall::Private::start()
+{
+    m_connection = evhttp_connection_base_new(m_loop.base(), nullptr, m_request.address.host.c_str(), m_request.address.port);
+    evhttp_connection_set_max_headers_size(m_connection, MaxHeaderBytes);
+    // The phases below have their own timeouts; libevent's would end a paused call.
+    evhttp_connection_set_timeout(m_connection, 24 * 3600);
+    evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)), &Private::sent, this);
+
+    evhttp_request *request = evhttp_request_new(&Private::ended, this);
+    evhttp_request_set_header_cb(request, &Private::headCame);
+    evhttp_request_set_chunked_cb(request, &Private::dataCame);
+    evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", toString(m_request.address).c_str());
+    evhttp_add_header(headers, "X-Request-Id", m_request.id.value.c_str());
+    evhttp_add_header(headers, "Connection", "close");
+    for (const auto &[name, value] : m_request.headers) {
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+    if (!m_request.body.empty()) {
+        evbuffer_add(evhttp_request_get_output_buffer(request), m_request.body.data(), m_request.body.size());
+    }
+    m_timer.startOnce(m_timeouts.connect);
+    const auto self = shared_from_this();
+    if (evhttp_make_request(m_connection, request, commandOf(m_request.method), m_request.target.c_str()) != 0 && !m_closed) {
+        fail(m_byteSent ? CallFailure::Lost : CallFailure::NotSent);
+    }
+}
+
+void UpstreamCall::Private::close()
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    m_timer.stop();
+    // Held by the loop until the present callback has returned; then the last reference frees the connection.
+    const timeval atOnce{.tv_sec = 0, .tv_usec = 0};
+    auto *held = new std::shared_ptr<Private>(shared_from_this());
+    event_base_once(
+        m_loop.base(), -1, EV_TIMEOUT, [](int, short, void *last) { delete static_cast<std::shared_ptr<Private> *>(last); }, held, &atOnce);
+}
+
+void UpstreamCall::Private::setPaused(bool paused)
+{
+    if (m_closed || m_paused == paused || m_phase != Phase::ReadingBody) {
+        return;
+    }
+    m_paused = paused;
+    bufferevent *connection = evhttp_connection_get_bufferevent(m_connection);
+    if (paused) {
+        bufferevent_disable(connection, EV_READ);
+        m_timer.stop();
+    } else {
+        bufferevent_enable(connection, EV_READ);
+        m_timer.startOnce(m_timeouts.betweenBytes);
+    }
+}
+
+void UpstreamCall::Private::sent(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+{
+    auto *call = static_cast<Private *>(self);
+    if (info->n_deleted == 0 || call->m_byteSent) {
+        return;
+    }
+    call->m_byteSent = true;
+    if (call->m_phase == Phase::Connecting && !call->m_closed) {
+        call->m_phase = Phase::AwaitingHead;
+        call->m_timer.startOnce(call->m_timeouts.firstByte);
+    }
+}
+
+int UpstreamCall::Private::headCame(evhttp_request *request, void *self)
+{
+    static_cast<Private *>(self)->takeHead(request);
+    return 0;
+}
+
+void UpstreamCall::Private::dataCame(evhttp_request *request, void *self)
+{
+    const auto call = static_cast<Private *>(self)->shared_from_this();
+    if (call->m_closed) {
+        return;
+    }
+    call->m_timer.startOnce(call->m_timeouts.betweenBytes);
+    evbuffer *body = evhttp_request_get_input_buffer(request);
+    const std::size_t length = evbuffer_get_length(body);
+    const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(body, -1));
+    call->m_dataSignal.emit(std::string_view(bytes, length));
+}
+
+void UpstreamCall::Private::ended(evhttp_request *request, void *self)
+{
+    const auto call = static_cast<Private *>(self)->shared_from_this();
+    if (!call->m_closed) {
+        call->takeEnd(request);
+    }
+}
+
+void UpstreamCall::Private::takeHead(evhttp_request *request)
+{
+    if (m_closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    // An upstream that mixes up its connections answers with somebody else's words: never pass them on.
+    const std::string echoed = headerOf(request, "X-Request-Id");
+    if (!echoed.empty() && echoed != m_request.id.value) {
+        fail(CallFailure::WrongAnswer);
+        return;
+    }
+    m_phase = Phase::ReadingBody;
+    m_timer.startOnce(m_timeouts.betweenBytes);
+    AnswerHead head{.status = evhttp_request_get_response_code(request), .contentType = headerOf(request, "Content-Type"), .headers = {}};
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next) {
+        head.headers.emplace_back(header->key, header->value);
+    }
+    const bool hasNoBody = head.status == 204 || head.status == 304 || m_request.method == "HEAD";
+    m_endIsMarked = hasNoBody || !headerOf(request, "Content-Length").empty() || !headerOf(request, "Transfer-Encoding").empty();
+    m_headSignal.emit(head);
+}
+
+void UpstreamCall::Private::takeEnd(evhttp_request *request)
+{
+    const bool answered = request && evhttp_request_get_response_code(request) != 0;
+    if (!answered) {
+        fail(m_byteSent ? CallFailure::Lost : CallFailure::NotSent);
+        return;
+    }
+    if (!m_endIsMarked) {
+        fail(CallFailure::Lost);
+        return;
+    }
+    close();
+    m_finishedSignal.emit();
+}
+
+void UpstreamCall::Private::timedOut()
+{
+    if (!m_closed) {
+        fail(m_byteSent ? CallFailure::TimedOut : CallFailure::NotSent);
+    }
+}
+
+void UpstreamCall::Private::fail(CallFailure failure)
+{
+    const auto self = shared_from_this();
+    close();
+    m_failedSignal.emit(failure);
+}
+
+UpstreamCall::UpstreamCall(EventLoop &loop, UpstreamRequest request, ProgressTimeouts timeouts)
+    : d(std::make_shared<Private>(loop, std::move(request), timeouts))
+{
+}
+
+UpstreamCall::~UpstreamCall()
+{
+    cancel();
+}
+
+void UpstreamCall::start()
+{
+    d->start();
+}
+
+void UpstreamCall::cancel()
+{
+    d->close();
+}
+
+void UpstreamCall::setPaused(bool paused)
+{
+    d->setPaused(paused);
+}
+
+sigc::signal<void, const AnswerHead &> &UpstreamCall::head()
+{
+    return d->m_headSignal;
+}
+
+sigc::signal<void, std::string_view> &UpstreamCall::data()
+{
+    return d->m_dataSignal;
+}
+
+sigc::signal<void> &UpstreamCall::finished()
+{
+    return d->m_finishedSignal;
+}
+
+sigc::signal<void, CallFailure> &UpstreamCall::failed()
+{
+    return d->m_failedSignal;
+}
+
+}
