--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -5,10 +5,10 @@
 namespace cumindyke
 {
 
-Result<std::unique_ptr<ControlTask>> ControlTask::start(const std::string &dataFolder)
+Result<std::unique_ptr<ControlTask>> ControlTask::start(ControlOptions options)
 {
-    std::unique_ptr<ControlTask> task(new ControlTask);
-    auto journal = Journal::open(dataFolder, [&state = task->m_state](std::string_view record) {
+    std::unique_ptr<ControlTask> task(new ControlTask(std::move(options)));
+    auto journal = Journal::open(task->m_options.dataFolder, [&state = task->m_state](std::string_view record) {
         v1::Command command;
         if (command.ParseFromArray(record.data(), static_cast<int>(record.size()))) {
             state.apply(command);
@@ -23,8 +23,9 @@
     return task;
 }
 
-ControlTask::ControlTask()
-    : m_mailbox(m_loop, [this](ControlMessage &&message) { handle(std::move(message)); })
+ControlTask::ControlTask(ControlOptions options)
+    : m_options(std::move(options))
+    , m_mailbox(m_loop, [this](ControlMessage &&message) { handle(std::move(message)); })
 {
 }
 
@@ -76,6 +77,7 @@
     Configuration configuration{
         .declarations = std::make_shared<const Declarations>(m_state.declarations()),
         .moves = {},
+        .cells = {},
         .admitUntil = TimePoint::max(),
     };
     for (const auto &[name, move] : m_state.moves()) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,38 +10,94 @@
 
 Result<std::unique_ptr<Daemon>> Daemon::start(const Settings &settings)
 {
-    std::unique_ptr<Daemon> daemon(new Daemon);
-    auto control = ControlTask::start(settings.dataFolder);
+    std::unique_ptr<Daemon> daemon(new Daemon(settings));
+    if (const auto error = daemon->startControl(settings)) {
+        return *error;
+    }
+    if (const auto error = daemon->startEntry(settings)) {
+        return *error;
+    }
+    if (const auto error = daemon->startRpc(settings)) {
+        return *error;
+    }
+    return daemon;
+}
+
+Daemon::Daemon(const Settings &settings)
+    : m_vm(settings.vm)
+    , m_transport(settings.vm)
+{
+    m_transport.setPeers(settings.peers);
+    m_router.control = [this](PeerMessage message) { m_control->post(std::move(message)); };
+    m_router.entry = [this](PeerMessage message) { m_entry->post(std::move(message)); };
+}
+
+Daemon::~Daemon()
+{
+    // Calls from outside end first, then the control task, which posts to the entry task, which goes last.
+    m_rpc.reset();
+    m_control.reset();
+    m_entry.reset();
+}
+
+std::optional<Error> Daemon::startControl(const Settings &settings)
+{
+    auto control = ControlTask::start(ControlOptions{
+        .vm = settings.vm,
+        .dataCentre = settings.dataCentre,
+        .dataFolder = settings.dataFolder,
+        .replicas = settings.replicas,
+        .peers = settings.peers,
+        .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
+    });
     if (!ok(control)) {
         return errorOf(control);
     }
-    daemon->m_control = std::move(valueOf(control));
-    auto entry = EntryTask::start(settings.vm, settings.httpAddress, daemon->m_metrics);
+    m_control = std::move(valueOf(control));
+    return {};
+}
+
+std::optional<Error> Daemon::startEntry(const Settings &settings)
+{
+    auto entry = EntryTask::start(EntryOptions{
+                                      .vm = settings.vm,
+                                      .dataCentre = settings.dataCentre,
+                                      .address = settings.httpAddress,
+                                      .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
+                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
+                                  },
+                                  m_metrics);
     if (!ok(entry)) {
         return errorOf(entry);
     }
-    daemon->m_entry = std::move(valueOf(entry));
-    daemon->m_control->post(Subscription{[entry = daemon->m_entry.get()](const Configuration &configuration) { entry->post(configuration); }});
-    OperatorHandlers handlers = operatorHandlers(*daemon->m_control);
-    handlers.report = [entry = daemon->m_entry.get()](const v1::ReportRequest & /*request*/, const Answer<v1::ReportReply> &answer) {
+    m_entry = std::move(valueOf(entry));
+    m_control->post(Subscription{[entry = m_entry.get()](const Configuration &configuration) { entry->post(configuration); }});
+    return {};
+}
+
+std::optional<Error> Daemon::startRpc(const Settings &settings)
+{
+    OperatorHandlers handlers = operatorHandlers(*m_control);
+    handlers.report = [entry = m_entry.get()](const v1::ReportRequest & /*request*/, const Answer<v1::ReportReply> &answer) {
         entry->post(ReportQuery{[answer](const v1::ReportReply &reply) { answer(reply); }});
     };
-    auto rpc = RpcServer::start(settings.rpcAddress, std::move(handlers), [](const VmName & /*from*/, v1::Envelope && /*envelope*/) {});
+    auto rpc = RpcServer::start(
+        settings.rpcAddress, std::move(handlers), [this](const VmName &from, v1::Envelope &&envelope) { m_router.deliver(from, std::move(envelope)); });
     if (!ok(rpc)) {
         return errorOf(rpc);
     }
-    daemon->m_rpc = std::move(valueOf(rpc));
-    return daemon;
+    m_rpc = std::move(valueOf(rpc));
+    return {};
 }
 
-Daemon::Daemon() = default;
-
-Daemon::~Daemon()
+/// A task may send to the VM it runs on without knowing it.
+void Daemon::send(const VmName &to, v1::Envelope &&envelope)
 {
-    // Operators' calls end first, then the control task, which posts to the entry task, which goes last.
-    m_rpc.reset();
-    m_control.reset();
-    m_entry.reset();
+    if (to == m_vm) {
+        m_router.deliver(m_vm, std::move(envelope));
+        return;
+    }
+    m_transport.send(to, std::move(envelope));
 }
 
 std::uint16_t Daemon::httpPort() const
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "common/metrics.h"
+#include "daemon/peerrouter.h"
 #include "daemon/settings.h"
 
+#include <functional>
 #include <memory>
 
 namespace cumindyke
@@ -28,9 +30,16 @@
     void drain(std::function<void()> drained);
 
 private:
-    Daemon();
+    explicit Daemon(const Settings &settings);
+    std::optional<Error> startControl(const Settings &settings);
+    std::optional<Error> startEntry(const Settings &settings);
+    std::optional<Error> startRpc(const Settings &settings);
+    void send(const VmName &to, v1::Envelope &&envelope);
 
+    const VmName m_vm;
     Metrics m_metrics;
+    PeerTransport m_transport;
+    PeerRouter m_router;
     std::unique_ptr<ControlTask> m_control;
     std::unique_ptr<EntryTask> m_entry;
     std::unique_ptr<RpcServer> m_rpc;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -41,6 +41,12 @@
     if (root.has("drain_limit_ms")) {
         settings.drainLimit = std::chrono::milliseconds(root.integer("drain_limit_ms", 0, 0, MaxDrainMs));
     }
+    for (const std::string &replica : root.texts("replicas")) {
+        settings.replicas.push_back(VmName{replica});
+    }
+    if (settings.replicas.empty()) {
+        settings.replicas.push_back(settings.vm);
+    }
     for (TomlTable &peer : root.tables("peer")) {
         const VmName name{peer.requiredText("vm")};
         if (!peer.has("rpc_address")) {
@@ -49,6 +55,11 @@
         }
         settings.peers[name] = readAddress(peer, "rpc_address", {});
     }
+    for (const VmName &replica : settings.replicas) {
+        if (replica != settings.vm && !settings.peers.contains(replica)) {
+            root.reject("replicas", "'" + replica.value + "' is neither this VM nor a peer: add a [[peer]] for it or mend its spelling");
+        }
+    }
     if (const std::optional<Error> broken = document.finish()) {
         return *broken;
     }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cumindyke
 {
@@ -24,6 +25,8 @@
     std::string dataFolder = "run/cumindyked";
     /// The other VMs' rpc addresses.
     std::map<VmName, Address> peers;
+    /// The VMs that hold the first replicas of the control log; this VM alone when none are named.
+    std::vector<VmName> replicas;
     /// How long a graceful shutdown may last; none is no limit.
     std::optional<std::chrono::milliseconds> drainLimit;
 };
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -56,10 +56,10 @@
 
 }
 
-Result<std::unique_ptr<EntryTask>> EntryTask::start(const VmName &vm, const Address &address, Metrics &metrics)
+Result<std::unique_ptr<EntryTask>> EntryTask::start(EntryOptions options, Metrics &metrics)
 {
-    std::unique_ptr<EntryTask> task(new EntryTask(vm, metrics));
-    auto door = FrontDoor::listen(task->m_loop, address);
+    std::unique_ptr<EntryTask> task(new EntryTask(std::move(options), metrics));
+    auto door = FrontDoor::listen(task->m_loop, task->m_options.address);
     if (!ok(door)) {
         return errorOf(door);
     }
@@ -70,14 +70,14 @@
     return task;
 }
 
-EntryTask::EntryTask(VmName vm, Metrics &metrics)
-    : m_vm(std::move(vm))
+EntryTask::EntryTask(EntryOptions options, Metrics &metrics)
+    : m_options(std::move(options))
     , m_incarnation(makeIncarnation())
     , m_metrics(metrics)
     , m_mailbox(m_loop, [this](EntryMessage &&message) { handle(std::move(message)); })
     , m_sweep(m_loop, [this] { expireWaiting(); })
     , m_cleanUp(m_loop, [this] { cleanUp(); })
-    , m_configuration{.declarations = std::make_shared<const Declarations>(), .moves = {}, .admitUntil = {}}
+    , m_configuration{.declarations = std::make_shared<const Declarations>(), .moves = {}, .cells = {}, .admitUntil = {}}
 {
 }
 
@@ -222,11 +222,13 @@
     const std::shared_ptr<const Declarations> declarations = m_configuration.declarations;
     const Service *declared = declarations->service(service);
     while (const PendingRequest *first = queue.first()) {
-        const Upstream *upstream = declared ? m_placement.choose(*declarations, service, declared->version) : nullptr;
+        const std::optional<Slot> slot = declared ? m_capacity.acquire(*first, *declarations, declared->version, EventLoop::now()) : std::nullopt;
+        const Upstream *upstream = slot ? declarations->upstream(slot->upstream) : nullptr;
         if (!upstream) {
             return;
         }
         ActiveRequest &active = *m_active.at(first->id);
+        active.slot = slot;
         queue.remove(first->id);
         dispatch(active, *upstream);
     }
@@ -247,7 +249,6 @@
     if (!active.life.dispatch(upstream.name)) {
         return;
     }
-    m_placement.started(upstream.name);
     const RequestId id = active.request.id;
     UpstreamRequest call{
         .id = id,
@@ -317,9 +318,7 @@
         giveUp(id, Error{ErrorKind::OutcomeUnknown, "the connection to the upstream was lost before the answer was whole: check before you send it again"});
         return;
     }
-    if (active.life.upstream()) {
-        m_placement.ended(*active.life.upstream());
-    }
+    releaseSlot(active);
     active.life.provedNotRun();
     active.call.reset();
     if (active.life.failedDispatches() >= MaxFailedDispatches) {
@@ -375,9 +374,7 @@
                  {{"service", request.service.value}, {"tier", request.tier.value}, {"end", toString(end)}})
         .add();
     m_queues[request.service].remove(id);
-    if (ended->life.upstream()) {
-        m_placement.ended(*ended->life.upstream());
-    }
+    releaseSlot(*ended);
     ended->life.ended();
     if (ended->call) {
         ended->call->cancel();
@@ -386,6 +383,14 @@
     m_cleanUp.startOnce(Duration::zero());
 }
 
+void EntryTask::releaseSlot(ActiveRequest &active)
+{
+    if (active.slot) {
+        m_capacity.release(*active.slot, EventLoop::now());
+        active.slot.reset();
+    }
+}
+
 void EntryTask::cleanUp()
 {
     m_endedRequests.clear();
@@ -403,7 +408,7 @@
 
 RequestId EntryTask::nextRequestId()
 {
-    return RequestId{m_vm.value + "-" + m_incarnation + "-" + std::to_string(++m_requestCount)};
+    return RequestId{m_options.vm.value + "-" + m_incarnation + "-" + std::to_string(++m_requestCount)};
 }
 
 }
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -31,14 +31,25 @@
     std::function<void(const v1::ReportReply &)> answer;
 };
 
-using EntryMessage = std::variant<Configuration, DrainRequest, ReportQuery>;
+using EntryMessage = std::variant<Configuration, DrainRequest, ReportQuery, PeerMessage>;
+
+struct EntryOptions
+{
+    VmName vm;
+    DataCentreName dataCentre;
+    /// Where callers and the balancer connect.
+    Address address;
+    /// Proposes a command to the control replicas, through the control task.
+    std::function<void(Proposal)> propose;
+    PeerSender send;
+};
 
 /// Owns the callers' connections and every request's life from its arrival to the last byte of its answer.
 class EntryTask
 {
 public:
     /// Error: Unavailable, when the address can't be bound.
-    static Result<std::unique_ptr<EntryTask>> start(const VmName &vm, const Address &address, Metrics &metrics);
+    static Result<std::unique_ptr<EntryTask>> start(EntryOptions options, Metrics &metrics);
     ~EntryTask();
     EntryTask(const EntryTask &) = delete;
     EntryTask &operator=(const EntryTask &) = delete;
@@ -48,7 +59,7 @@
     void post(EntryMessage message);
 
 private:
-    EntryTask(VmName vm, Metrics &metrics);
+    EntryTask(EntryOptions options, Metrics &metrics);
     void handle(EntryMessage &&message);
 
     void arrived(const std::shared_ptr<Exchange> &exchange);
@@ -66,11 +77,12 @@
     void callerLeft(const RequestId &id);
     void giveUp(const RequestId &id, const Error &error);
     void finish(const RequestId &id, RequestEnd end);
+    void releaseSlot(ActiveRequest &active);
     void cleanUp();
     void finishDrainIfIdle();
     RequestId nextRequestId();
 
-    const VmName m_vm;
+    const EntryOptions m_options;
     const std::string m_incarnation;
     Metrics &m_metrics;
     EventLoop m_loop;
@@ -83,7 +95,7 @@
     /// Ended requests whose signals may still be under way; freed by the loop.
     std::vector<std::unique_ptr<ActiveRequest>> m_endedRequests;
     std::map<ServiceName, PendingQueue> m_queues;
-    LeastOutstanding m_placement;
+    LeastOutstanding m_capacity;
     OutcomeTally m_tally;
     std::uint64_t m_requestCount = 0;
     std::function<void()> m_drained;
--- a/src/peer/peertransport.h
+++ b/src/peer/peertransport.h
@@ -36,6 +36,16 @@
     std::shared_ptr<Private> d;
 };
 
+/// An envelope that came from another VM.
+struct PeerMessage
+{
+    VmName from;
+    v1::Envelope envelope;
+};
+
+/// Sends an envelope to another VM, or to this one. Safe from any thread.
+using PeerSender = std::function<void(const VmName &to, v1::Envelope envelope)>;
+
 /// Takes an envelope that arrived; called from gRPC's threads, so it only posts to a mailbox.
 using PeerReceiver = std::function<void(const VmName &from, v1::Envelope &&envelope)>;
 
--- a/src/policy/leastoutstanding.cpp
+++ b/src/policy/leastoutstanding.cpp
@@ -3,12 +3,12 @@
 namespace cumindyke
 {
 
-const Upstream *LeastOutstanding::choose(const Declarations &declarations, const ServiceName &service, const VersionName &version) const
+std::optional<Slot> LeastOutstanding::acquire(const PendingRequest &request, const Declarations &declarations, const VersionName &version, TimePoint /*now*/)
 {
     const Upstream *best = nullptr;
     double bestShare = 1;
     for (const auto &[name, upstream] : declarations.upstreams()) {
-        if (upstream.service != service || upstream.version != version) {
+        if (upstream.service != request.service || upstream.version != version) {
             continue;
         }
         const double share = static_cast<double>(inFlight(name)) / upstream.slots;
@@ -17,17 +17,16 @@
             bestShare = share;
         }
     }
-    return best;
-}
-
-void LeastOutstanding::started(const UpstreamName &upstream)
-{
-    ++m_inFlight[upstream];
+    if (!best) {
+        return {};
+    }
+    ++m_inFlight[best->name];
+    return Slot{.upstream = best->name};
 }
 
-void LeastOutstanding::ended(const UpstreamName &upstream)
+void LeastOutstanding::release(const Slot &slot, TimePoint /*now*/)
 {
-    const auto found = m_inFlight.find(upstream);
+    const auto found = m_inFlight.find(slot.upstream);
     if (found != m_inFlight.end() && --found->second == 0) {
         m_inFlight.erase(found);
     }
--- a/src/policy/leastoutstanding.h
+++ b/src/policy/leastoutstanding.h
@@ -1,20 +1,19 @@
 #pragma once
 
-#include "domain/declarations.h"
+#include "policy/capacity.h"
 
 #include <map>
 
 namespace cumindyke
 {
 
-/// Requests in flight per upstream, as this VM knows them, and the choice of the upstream with the smallest part of its slots in use.
+/// Requests in flight per upstream, as this VM knows them; gives a slot on the upstream with the smallest part of its slots in use.
+/// The baseline that needs no coordination.
 class LeastOutstanding
 {
 public:
-    /// The upstream of the service and version with a free slot and the smallest share in use, or null.
-    const Upstream *choose(const Declarations &declarations, const ServiceName &service, const VersionName &version) const;
-    void started(const UpstreamName &upstream);
-    void ended(const UpstreamName &upstream);
+    std::optional<Slot> acquire(const PendingRequest &request, const Declarations &declarations, const VersionName &version, TimePoint now);
+    void release(const Slot &slot, TimePoint now);
 
 private:
     std::uint32_t inFlight(const UpstreamName &upstream) const;
@@ -22,4 +21,6 @@
     std::map<UpstreamName, std::uint32_t> m_inFlight;
 };
 
+static_assert(CapacitySource<LeastOutstanding>);
+
 }
