Split the entry task: admission, dispatcher, request store, upstream run, pages

The task had every matter of a request's life in one file, so that the choice of version, the source of capacity and the resume of streams would all have met there. Ruled out: a base class for runs, since there is one kind of run and the answers' forms are already a variant.

--- a/src/entry/activerequest.h
+++ b/src/entry/activerequest.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "entry/answers.h"
 #include "entry/callerrequest.h"
 #include "entry/requestlife.h"
+#include "entry/upstreamrun.h"
 #include "policy/capacity.h"
-#include "upstream/upstreamcall.h"
 
 #include <memory>
 #include <optional>
@@ -20,11 +19,7 @@
     std::shared_ptr<Exchange> exchange;
     /// Held from the dispatch to the end, or until the dispatch is proved not to have run.
     std::optional<Slot> slot;
-    std::optional<Answering> answering;
-    std::unique_ptr<UpstreamCall> call;
-    AnswerHead head;
-    /// Body of an upstream's refusal or failure, bounded.
-    std::string failureBody;
+    std::unique_ptr<UpstreamRun> run;
 };
 
 }
--- /dev/null
+++ b/src/entry/admission.cpp
@@ -0,0 +1,69 @@
+#include "entry/admission.h"
+
+#include "common/hash.h"
+
+#include <random>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+/// Requests that one VM holds; more are refused, so that memory is bounded.
+constexpr std::size_t MaxHeld = 20'000;
+
+/// Differs at every start, so that request ids never repeat.
+std::string makeIncarnation()
+{
+    std::random_device device;
+    const std::uint64_t bits = (static_cast<std::uint64_t>(device()) << 32) | device();
+    return fingerprint(std::to_string(bits)).substr(0, 8);
+}
+
+}
+
+Admission::Admission(VmName vm)
+    : m_vm(std::move(vm))
+    , m_incarnation(makeIncarnation())
+    , m_configuration{.declarations = std::make_shared<const Declarations>(), .moves = {}, .cells = {}, .admitUntil = {}}
+{
+}
+
+void Admission::setConfiguration(Configuration configuration)
+{
+    m_configuration = std::move(configuration);
+}
+
+std::optional<Error> Admission::unready(TimePoint now) const
+{
+    if (m_draining) {
+        return Error{ErrorKind::Unavailable, "this VM is shutting down: send the request again, the balancer picks another VM"};
+    }
+    if (m_configuration.declarations->revision() == Revision{0}) {
+        return Error{ErrorKind::Unavailable, "nothing is declared yet: an operator must apply declarations first"};
+    }
+    if (now >= m_configuration.admitUntil) {
+        return Error{ErrorKind::Unavailable, "this VM is cut off from the control replicas: send the request again, the balancer picks another VM"};
+    }
+    return {};
+}
+
+Result<CallerRequest> Admission::admit(const Exchange &exchange, std::size_t held, TimePoint now)
+{
+    if (std::optional<Error> refusal = unready(now)) {
+        return *std::move(refusal);
+    }
+    Result<CallerRequest> parsed = parseCallerRequest(exchange, *m_configuration.declarations, nextRequestId(), now);
+    if (ok(parsed) && held >= MaxHeld) {
+        return Error{ErrorKind::Overloaded, "this VM holds too many requests: try again later"};
+    }
+    return parsed;
+}
+
+RequestId Admission::nextRequestId()
+{
+    return RequestId{m_vm.value + "-" + m_incarnation + "-" + std::to_string(++m_requestCount)};
+}
+
+}
--- /dev/null
+++ b/src/entry/admission.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "control/controltask.h"
+#include "entry/callerrequest.h"
+
+#include <optional>
+
+namespace cumindyke
+{
+
+/// Decides whether this VM takes a request: its readiness, the caller's rights, and the bounds on what the VM holds.
+class Admission
+{
+public:
+    explicit Admission(VmName vm);
+
+    void setConfiguration(Configuration configuration);
+    const Configuration &configuration() const
+    {
+        return m_configuration;
+    }
+    void beginDrain()
+    {
+        m_draining = true;
+    }
+    bool isDraining() const
+    {
+        return m_draining;
+    }
+    /// Why this VM takes no request at all now, if so: what the balancer is told.
+    std::optional<Error> unready(TimePoint now) const;
+    /// The request, with an id of its own, or why it is refused. "held" is the number of requests that this VM holds.
+    Result<CallerRequest> admit(const Exchange &exchange, std::size_t held, TimePoint now);
+
+private:
+    RequestId nextRequestId();
+
+    const VmName m_vm;
+    const std::string m_incarnation;
+    Configuration m_configuration;
+    std::uint64_t m_requestCount = 0;
+    bool m_draining = false;
+};
+
+}
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -1,12 +1,7 @@
 #include "entry/entrytask.h"
 
-#include "common/hash.h"
 #include "common/log.h"
-#include "entry/headers.h"
-
-#include <nlohmann/json.hpp>
-
-#include <random>
+#include "entry/pages.h"
 
 namespace cumindyke
 {
@@ -15,21 +10,8 @@
 {
 
 constexpr Duration SweepInterval = std::chrono::milliseconds(10);
-/// Requests that wait on one VM; more are refused, so that memory is bounded.
-constexpr std::size_t MaxWaiting = 20'000;
 /// Dispatches that were proved not to have run before the request is given up.
 constexpr int MaxFailedDispatches = 3;
-/// A caller with more unread bytes than this makes us stop reading from its upstream, so that memory is bounded.
-constexpr std::size_t MaxUnreadBytes = 256 << 10;
-constexpr std::size_t MaxFailureBodyBytes = 16 << 10;
-
-/// Differs at every start, so that request ids never repeat.
-std::string makeIncarnation()
-{
-    std::random_device device;
-    const std::uint64_t bits = (static_cast<std::uint64_t>(device()) << 32) | device();
-    return fingerprint(std::to_string(bits)).substr(0, 8);
-}
 
 RequestEnd endOf(RunOutcome outcome)
 {
@@ -44,16 +26,6 @@
     return RequestEnd::Unknown;
 }
 
-std::string headerIn(const AnswerHead &head, const std::string &name)
-{
-    for (const auto &[key, value] : head.headers) {
-        if (key.size() == name.size() && strcasecmp(key.c_str(), name.c_str()) == 0) {
-            return value;
-        }
-    }
-    return {};
-}
-
 }
 
 Result<std::unique_ptr<EntryTask>> EntryTask::start(EntryOptions options, Metrics &metrics)
@@ -72,13 +44,17 @@
 
 EntryTask::EntryTask(EntryOptions options, Metrics &metrics)
     : m_options(std::move(options))
-    , m_incarnation(makeIncarnation())
     , m_metrics(metrics)
     , m_mailbox(m_loop, [this](EntryMessage &&message) { handle(std::move(message)); })
     , m_sweep(m_loop, [this] { expireWaiting(); })
-    , m_cleanUp(m_loop, [this] { cleanUp(); })
-    , m_configuration{.declarations = std::make_shared<const Declarations>(), .moves = {}, .cells = {}, .admitUntil = {}}
+    , m_admission(m_options.vm)
+    , m_requests(m_loop)
 {
+    m_dispatcher.granted().connect(sigc::mem_fun(*this, &EntryTask::dispatch));
+    m_requests.cleaned().connect([this] {
+        m_dispatcher.serveAll(EventLoop::now());
+        finishDrainIfIdle();
+    });
 }
 
 EntryTask::~EntryTask()
@@ -87,7 +63,7 @@
     if (m_thread.joinable()) {
         m_thread.join();
     }
-    m_active.clear();
+    m_requests.clear();
 }
 
 std::uint16_t EntryTask::port() const
@@ -102,254 +78,132 @@
 
 void EntryTask::handle(EntryMessage &&message)
 {
-    if (auto *configuration = std::get_if<Configuration>(&message)) {
-        if (configuration->declarations->revision() != m_configuration.declarations->revision()) {
-            logChange("entry", "configuration-in-force", {{"revision", std::to_string(configuration->declarations->revision().value)}});
-        }
-        m_configuration = std::move(*configuration);
-        serveQueues();
-    } else if (auto *drain = std::get_if<DrainRequest>(&message)) {
-        m_draining = true;
-        m_drained = std::move(drain->drained);
-        logChange("entry", "draining", {{"requests", std::to_string(m_active.size())}});
-        finishDrainIfIdle();
-    } else if (auto *query = std::get_if<ReportQuery>(&message)) {
-        query->answer(m_tally.report());
-    }
+    std::visit([this](auto &&kind) { handle(std::move(kind)); }, std::move(message));
 }
 
-void EntryTask::arrived(const std::shared_ptr<Exchange> &exchange)
+void EntryTask::handle(Configuration &&configuration)
 {
-    const std::string &path = exchange->path();
-    if (path == "/healthz") {
-        exchange->reply(200, "text/plain", "alive\n");
-    } else if (path == "/readyz") {
-        answerReadiness(*exchange);
-    } else if (path == "/metrics") {
-        exchange->reply(200, "text/plain; version=0.0.4", m_metrics.text());
-    } else if (path == "/v1/models") {
-        answerModels(*exchange);
-    } else if (path == "/v1/completions" || path == "/v1/chat/completions" || path.starts_with("/services/")) {
-        admit(exchange);
-    } else {
-        exchange->replyError(Error{ErrorKind::NotFound, "no such path: use /v1/completions, /v1/chat/completions, /v1/models or /services/NAME/..."},
-                             RunOutcome::NotRun);
+    if (configuration.declarations->revision() != m_admission.configuration().declarations->revision()) {
+        logChange("entry", "configuration-in-force", {{"revision", std::to_string(configuration.declarations->revision().value)}});
     }
+    m_admission.setConfiguration(std::move(configuration));
+    m_dispatcher.setDeclarations(m_admission.configuration().declarations, EventLoop::now());
 }
 
-void EntryTask::answerModels(Exchange &exchange)
+void EntryTask::handle(DrainRequest &&drain)
 {
-    const auto organisation = authenticate(exchange, *m_configuration.declarations);
-    if (!ok(organisation)) {
-        exchange.replyError(errorOf(organisation), RunOutcome::NotRun);
-        return;
-    }
-    nlohmann::ordered_json models = nlohmann::ordered_json::array();
-    for (const auto &[name, service] : m_configuration.declarations->services()) {
-        if (service.kind == ServiceKind::Model) {
-            models.push_back({{"id", name.value}, {"object", "model"}, {"version", service.version.value}});
-        }
-    }
-    exchange.reply(200, "application/json", nlohmann::ordered_json{{"object", "list"}, {"data", models}}.dump() + "\n");
+    m_admission.beginDrain();
+    m_drained = std::move(drain.drained);
+    logChange("entry", "draining", {{"requests", std::to_string(m_requests.size())}});
+    finishDrainIfIdle();
 }
 
-void EntryTask::answerReadiness(Exchange &exchange)
+void EntryTask::handle(const ReportQuery &query)
 {
-    const std::optional<Error> refusal = refusalBeforeParsing(EventLoop::now());
-    exchange.reply(refusal ? 503 : 200, "text/plain", refusal ? refusal->message + "\n" : "ready\n");
+    query.answer(m_tally.report());
 }
 
-std::optional<Error> EntryTask::refusalBeforeParsing(TimePoint now) const
+void EntryTask::handle(PeerMessage && /*message*/)
 {
-    if (m_draining) {
-        return Error{ErrorKind::Unavailable, "this VM is shutting down: send the request again, the balancer picks another VM"};
-    }
-    if (m_configuration.declarations->revision() == Revision{0}) {
-        return Error{ErrorKind::Unavailable, "nothing is declared yet: an operator must apply declarations first"};
-    }
-    if (now >= m_configuration.admitUntil) {
-        return Error{ErrorKind::Unavailable, "this VM is cut off from the control replicas: send the request again, the balancer picks another VM"};
-    }
-    return {};
 }
 
-void EntryTask::admit(const std::shared_ptr<Exchange> &exchange)
+void EntryTask::arrived(const std::shared_ptr<Exchange> &exchange)
 {
-    const TimePoint now = EventLoop::now();
-    if (const std::optional<Error> refusal = refusalBeforeParsing(now)) {
-        exchange->replyError(*refusal, RunOutcome::NotRun);
-        return;
-    }
-    Result<CallerRequest> parsed = parseCallerRequest(*exchange, *m_configuration.declarations, nextRequestId(), now);
-    if (!ok(parsed)) {
-        m_metrics.counter("cumindyke_rejected_requests_total", "Requests refused as wrong", {{"kind", toString(errorOf(parsed).kind)}}).add();
-        exchange->replyError(errorOf(parsed), RunOutcome::NotRun);
-        return;
-    }
-    CallerRequest &request = valueOf(parsed);
-    if (m_active.size() >= MaxWaiting) {
-        exchange->replyError(Error{ErrorKind::Overloaded, "this VM holds too many requests: try again later"}, RunOutcome::NotRun);
+    const std::string &path = exchange->path();
+    if (answerPage(*exchange, m_admission, m_metrics, EventLoop::now())) {
         return;
     }
-    const RequestId id = request.id;
-    const ServiceName service = request.service;
-    m_queues[service].add(PendingRequest{
-        .id = id,
-        .tier = request.rank,
-        .organisation = request.organisation,
-        .service = service,
-        .arrival = now,
-        .deadline = request.deadline,
-        .work = TokenCount{request.promptTokens.value + request.answerTokens.value},
-    });
-    auto active = std::make_unique<ActiveRequest>();
-    active->request = std::move(request);
-    active->exchange = exchange;
-    exchange->callerLeft().connect([this, id] { callerLeft(id); });
-    m_active.emplace(id, std::move(active));
-    serveQueue(service, m_queues[service]);
-}
-
-void EntryTask::serveQueues()
-{
-    for (auto &[service, queue] : m_queues) {
-        serveQueue(service, queue);
+    if (path == "/v1/completions" || path == "/v1/chat/completions" || path.starts_with("/services/")) {
+        admit(exchange);
+    } else {
+        exchange->replyError(Error{ErrorKind::NotFound, "no such path: use /v1/completions, /v1/chat/completions, /v1/models or /services/NAME/..."},
+                             RunOutcome::NotRun);
     }
 }
 
-void EntryTask::serveQueue(const ServiceName &service, PendingQueue &queue)
+void EntryTask::admit(const std::shared_ptr<Exchange> &exchange)
 {
-    const std::shared_ptr<const Declarations> declarations = m_configuration.declarations;
-    const Service *declared = declarations->service(service);
-    while (const PendingRequest *first = queue.first()) {
-        const std::optional<Slot> slot = declared ? m_capacity.acquire(*first, *declarations, declared->version, EventLoop::now()) : std::nullopt;
-        const Upstream *upstream = slot ? declarations->upstream(slot->upstream) : nullptr;
-        if (!upstream) {
-            return;
-        }
-        ActiveRequest &active = *m_active.at(first->id);
-        active.slot = slot;
-        queue.remove(first->id);
-        dispatch(active, *upstream);
+    const TimePoint now = EventLoop::now();
+    Result<CallerRequest> admitted = m_admission.admit(*exchange, m_requests.size(), now);
+    if (!ok(admitted)) {
+        m_metrics.counter("cumindyke_rejected_requests_total", "Requests refused at their arrival", {{"kind", toString(errorOf(admitted).kind)}}).add();
+        exchange->replyError(errorOf(admitted), RunOutcome::NotRun);
+        return;
     }
+    const ActiveRequest &active = m_requests.add(std::move(valueOf(admitted)), exchange);
+    const ServiceName service = active.request.service;
+    exchange->callerLeft().connect([this, id = active.request.id] { callerLeft(id); });
+    m_dispatcher.add(active.request);
+    m_dispatcher.serve(service, now);
 }
 
 void EntryTask::expireWaiting()
 {
-    const TimePoint now = EventLoop::now();
-    for (auto &[service, queue] : m_queues) {
-        for (const PendingRequest &expired : queue.takeExpired(now)) {
-            giveUp(expired.id, Error{ErrorKind::DeadlinePassed, "no upstream had room before the deadline: allow more time or try again later"});
-        }
+    for (const RequestId &id : m_dispatcher.takeExpired(EventLoop::now())) {
+        giveUp(id, Error{ErrorKind::DeadlinePassed, "no upstream had room before the deadline: allow more time or try again later"});
     }
 }
 
-void EntryTask::dispatch(ActiveRequest &active, const Upstream &upstream)
+void EntryTask::dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream)
 {
-    if (!active.life.dispatch(upstream.name)) {
+    ActiveRequest *active = m_requests.find(id);
+    if (!active || !active->life.dispatch(upstream.name)) {
+        m_dispatcher.release(slot, EventLoop::now());
         return;
     }
-    const RequestId id = active.request.id;
-    UpstreamRequest call{
-        .id = id,
-        .address = upstream.address,
-        .method = active.request.method,
-        .target = active.request.target,
-        .headers = {},
-        .body = active.request.body,
-    };
-    if (!active.request.contentType.empty()) {
-        call.headers.emplace_back("Content-Type", active.request.contentType);
-    }
-    active.answering = makeAnswering(active.request, active.exchange);
-    active.head = {};
-    active.failureBody.clear();
-    active.call = std::make_unique<UpstreamCall>(m_loop, std::move(call), ProgressTimeouts{});
-    ActiveRequest *held = &active;
-    active.call->head().connect([held](const AnswerHead &head) {
-        held->head = head;
-        if (head.status < 400 || held->request.form == AnswerForm::Plain) {
-            held->life.answerBegan();
-            std::visit([&head](auto &sink) { sink.head(head); }, *held->answering);
-        }
-    });
-    active.call->data().connect([held](std::string_view bytes) {
-        if (held->life.isDispatched() && (held->head.status < 400 || held->request.form == AnswerForm::Plain)) {
-            std::visit([bytes](auto &sink) { sink.data(bytes); }, *held->answering);
-        } else if (held->failureBody.size() < MaxFailureBodyBytes) {
-            held->failureBody += bytes;
-        }
-        if (held->exchange->unreadBytes() > MaxUnreadBytes) {
-            held->call->setPaused(true);
-        }
-    });
-    active.exchange->drained().connect([held] {
-        if (held->call) {
-            held->call->setPaused(false);
-        }
-    });
-    active.call->finished().connect([this, id] { callFinished(id); });
-    active.call->failed().connect([this, id](CallFailure failure) { callFailed(id, failure); });
-    active.call->start();
+    active->slot = slot;
+    active->run = std::make_unique<UpstreamRun>(m_loop, active->request, upstream, active->exchange);
+    active->run->began().connect([active] { active->life.answerBegan(); });
+    active->run->ended().connect([this, id](const RunResult &result) { runEnded(id, result); });
+    active->run->start();
 }
 
-void EntryTask::callFinished(const RequestId &id)
+void EntryTask::runEnded(const RequestId &id, const RunResult &result)
 {
-    ActiveRequest &active = *m_active.at(id);
-    if (!headerIn(active.head, headers::UpstreamNotRun).empty()) {
-        callFailed(id, CallFailure::NotSent);
+    ActiveRequest *active = m_requests.find(id);
+    if (!active) {
         return;
     }
-    if (active.head.status >= 400 && active.request.form != AnswerForm::Plain) {
-        giveUp(id, Error{ErrorKind::UpstreamFailed, "the upstream answered " + std::to_string(active.head.status) + ": " + active.failureBody});
-        return;
-    }
-    if (!std::visit([](auto &sink) { return sink.finish(); }, *active.answering)) {
-        callFailed(id, CallFailure::Lost);
-        return;
+    switch (result.kind) {
+    case RunResult::Kind::Whole:
+        finish(id, EventLoop::now() <= active->request.deadline ? RequestEnd::OnTime : RequestEnd::Late);
+        break;
+    case RunResult::Kind::NotRun:
+        tryElsewhere(*active);
+        break;
+    case RunResult::Kind::Failed:
+        giveUp(id, Error{ErrorKind::UpstreamFailed, "the upstream answered " + std::to_string(result.status) + ": " + result.failureBody});
+        break;
+    case RunResult::Kind::Lost:
+        giveUp(id, Error{ErrorKind::OutcomeUnknown, "the connection to the upstream was lost before the answer was whole: check before you send it again"});
+        break;
     }
-    finish(id, EventLoop::now() <= active.request.deadline ? RequestEnd::OnTime : RequestEnd::Late);
 }
 
-void EntryTask::callFailed(const RequestId &id, CallFailure failure)
+/// The dispatch is proved not to have run: the only state in which another upstream may be tried.
+void EntryTask::tryElsewhere(ActiveRequest &active)
 {
-    ActiveRequest &active = *m_active.at(id);
-    if (failure != CallFailure::NotSent) {
-        giveUp(id, Error{ErrorKind::OutcomeUnknown, "the connection to the upstream was lost before the answer was whole: check before you send it again"});
-        return;
-    }
     releaseSlot(active);
     active.life.provedNotRun();
-    active.call.reset();
     if (active.life.failedDispatches() >= MaxFailedDispatches) {
-        giveUp(id, Error{ErrorKind::Unavailable, "no upstream could be reached: try again later"});
+        giveUp(active.request.id, Error{ErrorKind::Unavailable, "no upstream could be reached: try again later"});
         return;
     }
-    const CallerRequest &request = active.request;
-    PendingQueue &queue = m_queues[request.service];
-    queue.add(PendingRequest{
-        .id = id,
-        .tier = request.rank,
-        .organisation = request.organisation,
-        .service = request.service,
-        .arrival = request.arrival,
-        .deadline = request.deadline,
-        .work = TokenCount{request.promptTokens.value + request.answerTokens.value},
-    });
-    serveQueue(request.service, queue);
+    const ServiceName service = active.request.service;
+    m_dispatcher.add(active.request);
+    m_dispatcher.serve(service, EventLoop::now());
 }
 
 void EntryTask::callerLeft(const RequestId &id)
 {
-    if (!m_active.contains(id)) {
-        return;
+    if (m_requests.find(id)) {
+        giveUp(id, Error{ErrorKind::BadRequest, "the caller left"});
     }
-    giveUp(id, Error{ErrorKind::BadRequest, "the caller left"});
 }
 
 void EntryTask::giveUp(const RequestId &id, const Error &error)
 {
-    ActiveRequest &active = *m_active.at(id);
+    ActiveRequest &active = *m_requests.find(id);
     const RunOutcome outcome = active.life.outcomeIfGivenUp();
     if (active.exchange->streamStarted()) {
         active.exchange->streamData(serialized(StreamEvent{.id = {}, .name = "error", .data = errorJson(error, outcome)}));
@@ -362,10 +216,7 @@
 
 void EntryTask::finish(const RequestId &id, RequestEnd end)
 {
-    const auto found = m_active.find(id);
-    // Signals of this request may be under way: it is destroyed by the loop after they have returned.
-    std::unique_ptr<ActiveRequest> ended = std::move(found->second);
-    m_active.erase(found);
+    const std::shared_ptr<ActiveRequest> ended = m_requests.take(id);
     const CallerRequest &request = ended->request;
     m_tally.add(request.service, request.tier, end);
     m_metrics
@@ -373,42 +224,28 @@
                  "Requests by how they ended",
                  {{"service", request.service.value}, {"tier", request.tier.value}, {"end", toString(end)}})
         .add();
-    m_queues[request.service].remove(id);
+    m_dispatcher.remove(request);
     releaseSlot(*ended);
     ended->life.ended();
-    if (ended->call) {
-        ended->call->cancel();
+    if (ended->run) {
+        ended->run->cancel();
     }
-    m_endedRequests.push_back(std::move(ended));
-    m_cleanUp.startOnce(Duration::zero());
 }
 
 void EntryTask::releaseSlot(ActiveRequest &active)
 {
     if (active.slot) {
-        m_capacity.release(*active.slot, EventLoop::now());
+        m_dispatcher.release(*active.slot, EventLoop::now());
         active.slot.reset();
     }
 }
 
-void EntryTask::cleanUp()
-{
-    m_endedRequests.clear();
-    serveQueues();
-    finishDrainIfIdle();
-}
-
 void EntryTask::finishDrainIfIdle()
 {
-    if (m_draining && m_active.empty() && m_drained) {
+    if (m_admission.isDraining() && m_requests.size() == 0 && m_drained) {
         logChange("entry", "drained");
         std::exchange(m_drained, nullptr)();
     }
 }
 
-RequestId EntryTask::nextRequestId()
-{
-    return RequestId{m_options.vm.value + "-" + m_incarnation + "-" + std::to_string(++m_requestCount)};
-}
-
 }
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -4,14 +4,13 @@
 #include "common/mailbox.h"
 #include "common/metrics.h"
 #include "control/controltask.h"
-#include "entry/activerequest.h"
+#include "entry/admission.h"
+#include "entry/dispatcher.h"
 #include "entry/frontdoor.h"
-#include "policy/leastoutstanding.h"
-#include "policy/pendingqueue.h"
+#include "entry/requeststore.h"
 #include "report/outcometally.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <thread>
 #include <variant>
@@ -61,45 +60,34 @@
 private:
     EntryTask(EntryOptions options, Metrics &metrics);
     void handle(EntryMessage &&message);
+    void handle(Configuration &&configuration);
+    void handle(DrainRequest &&drain);
+    void handle(const ReportQuery &query);
+    void handle(PeerMessage &&message);
 
     void arrived(const std::shared_ptr<Exchange> &exchange);
-    void answerModels(Exchange &exchange);
-    void answerReadiness(Exchange &exchange);
     void admit(const std::shared_ptr<Exchange> &exchange);
-    std::optional<Error> refusalBeforeParsing(TimePoint now) const;
-
-    void serveQueues();
-    void serveQueue(const ServiceName &service, PendingQueue &queue);
     void expireWaiting();
-    void dispatch(ActiveRequest &active, const Upstream &upstream);
-    void callFinished(const RequestId &id);
-    void callFailed(const RequestId &id, CallFailure failure);
+    void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
+    void runEnded(const RequestId &id, const RunResult &result);
+    void tryElsewhere(ActiveRequest &active);
     void callerLeft(const RequestId &id);
     void giveUp(const RequestId &id, const Error &error);
     void finish(const RequestId &id, RequestEnd end);
     void releaseSlot(ActiveRequest &active);
-    void cleanUp();
     void finishDrainIfIdle();
-    RequestId nextRequestId();
 
     const EntryOptions m_options;
-    const std::string m_incarnation;
     Metrics &m_metrics;
     EventLoop m_loop;
     Mailbox<EntryMessage> m_mailbox;
     Timer m_sweep;
-    Timer m_cleanUp;
     std::unique_ptr<FrontDoor> m_door;
-    Configuration m_configuration;
-    std::map<RequestId, std::unique_ptr<ActiveRequest>> m_active;
-    /// Ended requests whose signals may still be under way; freed by the loop.
-    std::vector<std::unique_ptr<ActiveRequest>> m_endedRequests;
-    std::map<ServiceName, PendingQueue> m_queues;
-    LeastOutstanding m_capacity;
+    Admission m_admission;
+    Dispatcher m_dispatcher;
+    RequestStore m_requests;
     OutcomeTally m_tally;
-    std::uint64_t m_requestCount = 0;
     std::function<void()> m_drained;
-    bool m_draining = false;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/src/entry/pages.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "entry/admission.h"
+#include "entry/exchange.h"
+
+namespace cumindyke
+{
+
+class Metrics;
+
+/// Answers the paths that need no upstream: health, readiness, metrics and the list of models. False when the path is none of them.
+bool answerPage(Exchange &exchange, const Admission &admission, const Metrics &metrics, TimePoint now);
+
+}
