--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -78,7 +78,7 @@
 
 void EntryTask::handle(EntryMessage &&message)
 {
-    std::visit([this](auto &&kind) { handle(std::move(kind)); }, std::move(message));
+    std::visit([this](auto &&kind) { handle(std::forward<decltype(kind)>(kind)); }, std::move(message));
 }
 
 void EntryTask::handle(Configuration &&configuration)
--- a/src/entry/requeststore.cpp
+++ b/src/entry/requeststore.cpp
@@ -31,7 +31,7 @@
     if (found == m_active.end()) {
         return nullptr;
     }
-    const std::shared_ptr<ActiveRequest> ended = std::move(found->second);
+    std::shared_ptr<ActiveRequest> ended = std::move(found->second);
     m_active.erase(found);
     m_ended.push_back(ended);
     m_cleanUp.startOnce(Duration::zero());
--- /dev/null
+++ b/tests/upstream/eventstreamtest.cpp
@@ -0,0 +1,50 @@
+#include "upstream/eventstream.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cumindyke;
+
+namespace
+{
+
+const std::string Body = "id: 0\ndata: {\"a\":1}\n\nid: 1\r\nevent: note\r\ndata: one\r\ndata: two\r\n\r\n: a comment\n\ndata: [DONE]\n\n";
+const std::vector<StreamEvent> Events{
+    {.id = "0", .name = "", .data = "{\"a\":1}"},
+    {.id = "1", .name = "note", .data = "one\ntwo"},
+    {.id = "", .name = "", .data = "[DONE]"},
+};
+
+}
+
+TEST_CASE("events are the same wherever the body is split")
+{
+    for (std::size_t length = 1; length <= Body.size(); ++length) {
+        EventStreamParser parser;
+        std::vector<StreamEvent> events;
+        for (std::size_t start = 0; start < Body.size(); start += length) {
+            for (const StreamEvent &event : parser.feed(std::string_view(Body).substr(start, length))) {
+                events.push_back(event);
+            }
+        }
+        REQUIRE(events == Events);
+    }
+}
+
+TEST_CASE("an event goes out as it came in")
+{
+    for (const StreamEvent &event : Events) {
+        EventStreamParser parser;
+        CHECK(parser.feed(serialized(event)) == std::vector<StreamEvent>{event});
+    }
+}
+
+TEST_CASE("an event without end breaks the stream instead of filling the memory")
+{
+    EventStreamParser parser;
+    const std::string piece(64 << 10, 'x');
+    for (int i = 0; i < 100 && !parser.broken(); ++i) {
+        CHECK(parser.feed(i == 0 ? "data: " + piece : piece).empty());
+    }
+    CHECK(parser.broken());
+    CHECK(parser.feed("\n\ndata: late\n\n").empty());
+}
