--- /dev/null
+++ b/src/bench/benchcommand.cpp
@@ -0,0 +1,180 @@
+#include "bench/benchcommand.h"
+
+#include "bench/report.h"
+#include "common/hash.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+constexpr int Failed = 1;
+constexpr int WrongUsage = 2;
+constexpr std::uint64_t MaxSeeds = 100'000;
+/// The fixed set behind the signature.
+constexpr std::uint64_t SignatureSeeds = 3;
+constexpr std::array SignaturePolicies{"baseline", "oracle", "cumindyke"};
+
+struct Options
+{
+    std::string command;
+    std::string target;
+    std::string folder;
+    std::string policy;
+    std::uint64_t firstSeed = 1;
+    std::uint64_t lastSeed = 1;
+    bool json = false;
+};
+
+std::optional<std::uint64_t> number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return problem == std::errc() && end == text.data() + text.size() ? std::optional(value) : std::nullopt;
+}
+
+/// "A..B", or "A" alone.
+std::optional<Error> parseSeeds(const std::string &text, Options &options)
+{
+    const std::size_t dots = text.find("..");
+    const auto first = number(std::string_view(text).substr(0, dots));
+    const auto last = dots == std::string::npos ? first : number(std::string_view(text).substr(dots + 2));
+    if (!first || !last || *last < *first || *last - *first >= MaxSeeds) {
+        return Error{ErrorKind::BadRequest, "--seeds " + text + ": write A..B with A not after B, at most 100000 seeds"};
+    }
+    options.firstSeed = *first;
+    options.lastSeed = *last;
+    return {};
+}
+
+cxxopts::Options makeParser()
+{
+    cxxopts::Options parser("cumindyke-bench", "Measures cumindyke's decisions in virtual time, and drives a running daemon.");
+    parser.positional_help("list | run NAME|FILE.toml | signature | load URL");
+    // clang-format off
+    parser.add_options()
+        ("command", "", cxxopts::value<std::string>()->default_value(""))
+        ("target", "", cxxopts::value<std::string>()->default_value(""))
+        ("seeds", "Seeds A..B", cxxopts::value<std::string>()->default_value("1..1"))
+        ("policy", "Only this policy (default: all)", cxxopts::value<std::string>()->default_value(""))
+        ("json", "Print one JSON object")
+        ("scenarios", "Folder of the scenarios that ship", cxxopts::value<std::string>()->default_value(CUMINDYKE_SCENARIOS))
+        ("help", "Print this");
+    // clang-format on
+    parser.parse_positional({"command", "target"});
+    return parser;
+}
+
+int runScenario(const Options &options, std::ostream &out, std::ostream &err)
+{
+    const bool isFile = options.target.ends_with(".toml");
+    const Result<Scenario> scenario = readScenario(isFile ? options.target : options.folder + "/" + options.target + ".toml");
+    if (!ok(scenario)) {
+        err << "cumindyke-bench: " << errorOf(scenario).message << "\n";
+        return Failed;
+    }
+    const std::vector<std::string> known = policyNames();
+    if (!options.policy.empty() && std::ranges::find(known, options.policy) == known.end()) {
+        err << "cumindyke-bench: no policy '" << options.policy << "': choose one of";
+        for (const std::string &name : known) {
+            err << " " << name;
+        }
+        err << "\n";
+        return WrongUsage;
+    }
+    ScenarioReport report{.scenario = valueOf(scenario).name, .firstSeed = options.firstSeed, .lastSeed = options.lastSeed, .policies = {}};
+    for (const std::string &name : known) {
+        if (options.policy.empty() || options.policy == name) {
+            report.policies.emplace(name, runSeeds(valueOf(scenario), name, options.firstSeed, options.lastSeed));
+        }
+    }
+    options.json ? printJson(out, report) : printTable(out, report);
+    return 0;
+}
+
+int listAll(const Options &options, std::ostream &out, std::ostream &err)
+{
+    const auto names = listScenarios(options.folder);
+    if (!ok(names)) {
+        err << "cumindyke-bench: " << errorOf(names).message << "\n";
+        return Failed;
+    }
+    for (const std::string &name : valueOf(names)) {
+        const Result<Scenario> scenario = readScenario(options.folder + "/" + name + ".toml");
+        out << name << "\t" << (ok(scenario) ? valueOf(scenario).description : errorOf(scenario).message) << "\n";
+    }
+    return 0;
+}
+
+/// One number over every shipped scenario, some seeds, and the policies that drive shipped decisions.
+int printSignature(const Options &options, std::ostream &out, std::ostream &err)
+{
+    const auto names = listScenarios(options.folder);
+    if (!ok(names)) {
+        err << "cumindyke-bench: " << errorOf(names).message << "\n";
+        return Failed;
+    }
+    const std::vector<std::string> known = policyNames();
+    std::string text;
+    for (const std::string &name : valueOf(names)) {
+        const Result<Scenario> scenario = readScenario(options.folder + "/" + name + ".toml");
+        if (!ok(scenario)) {
+            err << "cumindyke-bench: " << errorOf(scenario).message << "\n";
+            return Failed;
+        }
+        for (const char *policy : SignaturePolicies) {
+            if (std::ranges::find(known, policy) != known.end()) {
+                text += name + " " + policy + " " + std::to_string(runSeeds(valueOf(scenario), policy, 1, SignatureSeeds).signature) + "\n";
+            }
+        }
+    }
+    out << checksum(text) << "\n";
+    return 0;
+}
+
+}
+
+int runBenchCommand(int argc, const char *const *argv, std::ostream &out, std::ostream &err)
+{
+    cxxopts::Options parser = makeParser();
+    Options options;
+    try {
+        const cxxopts::ParseResult parsed = parser.parse(argc, argv);
+        if (parsed.count("help") > 0) {
+            out << parser.help();
+            return 0;
+        }
+        options.command = parsed["command"].as<std::string>();
+        options.target = parsed["target"].as<std::string>();
+        options.folder = parsed["scenarios"].as<std::string>();
+        options.policy = parsed["policy"].as<std::string>();
+        options.json = parsed.count("json") > 0;
+        if (const auto error = parseSeeds(parsed["seeds"].as<std::string>(), options)) {
+            err << "cumindyke-bench: " << error->message << "\n";
+            return WrongUsage;
+        }
+    } catch (const cxxopts::exceptions::exception &problem) {
+        err << "cumindyke-bench: " << problem.what() << ": see --help\n";
+        return WrongUsage;
+    }
+    if (options.command == "list") {
+        return listAll(options, out, err);
+    }
+    if (options.command == "run" && !options.target.empty()) {
+        return runScenario(options, out, err);
+    }
+    if (options.command == "signature") {
+        return printSignature(options, out, err);
+    }
+    err << parser.help();
+    return WrongUsage;
+}
+
+}
--- /dev/null
+++ b/src/bench/report.cpp
@@ -0,0 +1,105 @@
+#include "bench/report.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iomanip>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+using Json = nlohmann::ordered_json;
+
+double share(double part, double whole)
+{
+    return whole > 0 ? part / whole : 0;
+}
+
+Json spreadJson(const std::vector<double> &values)
+{
+    if (values.empty()) {
+        return Json::object();
+    }
+    const auto [least, greatest] = std::ranges::minmax(values);
+    return Json{{"min", least}, {"max", greatest}};
+}
+
+Json goodputJson(const ExperimentResult &result)
+{
+    Json tiers = Json::array();
+    for (const auto &[rank, tier] : result.tiers) {
+        const Json spread = spreadJson(result.tierShares.at(rank));
+        tiers.push_back(Json{{"tier", rank.value},
+                             {"share", share(static_cast<double>(tier.onTime), static_cast<double>(tier.requests))},
+                             {"requests", tier.requests},
+                             {"spread", spread}});
+    }
+    return tiers;
+}
+
+Json policyJson(const ExperimentResult &result)
+{
+    return Json{
+        {"goodput", goodputJson(result)},
+        {"goodput_all", share(result.workOnTime, result.work)},
+        {"goodput_all_spread", spreadJson(result.allShares)},
+        {"wasted_prefill", share(static_cast<double>(result.wastedPrefill), static_cast<double>(result.prefilled))},
+        {"tier_inversions", result.counters.tierInversions},
+        {"dispatched_twice", result.counters.dispatchedTwice},
+        {"late", result.late},
+        {"failed", result.failed},
+        {"shed", result.shed},
+        {"control_messages", result.counters.controlMessages},
+        {"control_bytes", result.counters.controlBytes},
+        {"moves_good", result.movesGood},
+        {"moves_good_in_time", result.movesGoodInTime},
+        {"moves_bad", result.movesBad},
+        {"moves_taken_back", result.movesTakenBack},
+        {"bad_share_max", result.badShareMax},
+        {"bad_seconds_max_fail", result.badSecondsMaxFail},
+        {"bad_seconds_max_slow", result.badSecondsMaxSlow},
+    };
+}
+
+}
+
+void printJson(std::ostream &out, const ScenarioReport &report)
+{
+    Json policies = Json::object();
+    for (const auto &[name, result] : report.policies) {
+        policies[name] = policyJson(result);
+    }
+    const Json json{
+        {"scenario", report.scenario},
+        {"seeds", std::to_string(report.firstSeed) + ".." + std::to_string(report.lastSeed)},
+        {"policies", policies},
+    };
+    out << json.dump(2) << "\n";
+}
+
+void printTable(std::ostream &out, const ScenarioReport &report)
+{
+    out << report.scenario << ", seeds " << report.firstSeed << ".." << report.lastSeed << "\n";
+    out << std::fixed << std::setprecision(2);
+    for (const auto &[name, result] : report.policies) {
+        out << "  " << std::left << std::setw(20) << name << std::right << " on time";
+        for (const auto &[rank, tier] : result.tiers) {
+            out << "  tier " << static_cast<int>(rank.value) << " " << std::setw(6)
+                << 100 * share(static_cast<double>(tier.onTime), static_cast<double>(tier.requests)) << "%";
+        }
+        out << "  all by work " << std::setw(6) << 100 * share(result.workOnTime, result.work) << "%  wasted prefill " << std::setw(5)
+            << 100 * share(static_cast<double>(result.wastedPrefill), static_cast<double>(result.prefilled)) << "%  inversions "
+            << result.counters.tierInversions << "  twice " << result.counters.dispatchedTwice << "  late " << result.late << " failed " << result.failed
+            << " shed " << result.shed << "  control MB " << static_cast<double>(result.counters.controlBytes) / 1e6 << "\n";
+        if (result.movesGood + result.movesBad > 0) {
+            out << "    moves: good " << result.movesGoodInTime << "/" << result.movesGood << " in time, bad " << result.movesTakenBack << "/"
+                << result.movesBad << " taken back, bad share at most " << 100 * result.badShareMax << "%, seconds at most " << result.badSecondsMaxFail
+                << " (fails) " << result.badSecondsMaxSlow << " (slows)\n";
+        }
+    }
+}
+
+}
--- a/src/main/cumindykebench.cpp
+++ b/src/main/cumindykebench.cpp
@@ -1,7 +1,8 @@
+#include "bench/benchcommand.h"
+
 #include <iostream>
 
-int main()
+int main(int argc, char *argv[])
 {
-    std::cout << "cumindyke-bench: no scenario ships yet\n";
-    return 2;
+    return cumindyke::runBenchCommand(argc, argv, std::cout, std::cerr);
 }
