--- a/src/bench/baselinepolicy.cpp
+++ b/src/bench/baselinepolicy.cpp
@@ -41,9 +41,8 @@
         m_versions.emplace(upstream.service, upstream.version);
     }
     world.arrived = [this](const BenchRequest &request, TimePoint now) { arrived(request, now); };
-    world.dispatchEnded = [this](const BenchRequest &request, const BenchUpstream &upstream, DispatchEnd end, TimePoint now) {
-        dispatchEnded(request, upstream, end, now);
-    };
+    world.dispatchEnded
+        = [this](const BenchRequest &request, const BenchUpstream &upstream, DispatchEnd end, TimePoint now) { dispatchEnded(request, upstream, end, now); };
 }
 
 void BaselinePolicy::arrived(const BenchRequest &request, TimePoint now)
--- a/src/bench/scenario.cpp
+++ b/src/bench/scenario.cpp
@@ -162,7 +162,7 @@
     const std::string site = root.text("site", "");
     if (!site.empty()) {
         const std::filesystem::path folder = std::filesystem::path(fileName).parent_path();
-        if (const auto error = readInto(scenario, (folder / "sites" / (site + ".toml")).string())) {
+        if (auto error = readInto(scenario, (folder / "sites" / (site + ".toml")).string())) {
             return error;
         }
     }
--- a/src/bench/workload.cpp
+++ b/src/bench/workload.cpp
@@ -65,7 +65,8 @@
     std::vector<BenchRequest> requests;
     for (std::size_t number = 0; number < scenario.arrivals.size(); ++number) {
         const ScenarioArrivals &arrivals = scenario.arrivals[number];
-        Stream stream{.scenario = scenario, .arrivals = arrivals, .number = number, .organisationShares = {}, .prefixWeights = harmonicWeights(arrivals.prefixes)};
+        Stream stream{
+            .scenario = scenario, .arrivals = arrivals, .number = number, .organisationShares = {}, .prefixWeights = harmonicWeights(arrivals.prefixes)};
         for (const ScenarioOrganisation &organisation : scenario.organisations) {
             stream.organisationShares.push_back(organisation.share);
         }
--- a/src/policy/pendingqueue.h
+++ b/src/policy/pendingqueue.h
@@ -22,6 +22,13 @@
     TimePoint deadline;
     /// Predicted prompt and answer tokens.
     TokenCount work;
+    /// The two parts of the work, when they are known apart.
+    TokenCount promptTokens;
+    TokenCount answerTokens;
+    /// Fingerprint of the prompt's beginning, which other requests may share; 0 when there is none.
+    std::uint64_t prefix = 0;
+    /// The version it is routed to; empty: the service's.
+    VersionName version;
 };
 
 /// Requests that wait on one entry VM for capacity of one service: the highest tier first, inside a tier the earliest deadline.
