Replicated log: pure Raft core, repair of the members, seeded histories

A replica whose data folder was lost has another incarnation and votes again only after its admission is committed.

--- /dev/null
+++ b/src/raft/core.cpp
@@ -0,0 +1,288 @@
+#include "raft/core.h"
+
+#include <algorithm>
+
+namespace cumindyke::raft
+{
+
+Core::Core(CoreOptions options, const Recovered &recovered, std::uint64_t seed, TimePoint now)
+    : m_options(std::move(options))
+    , m_random(seed)
+    , m_identity(recovered.identity)
+    , m_vote(recovered.vote)
+    , m_log(recovered.baseIndex, recovered.baseTerm, recovered.entries)
+    , m_snapshot(recovered.snapshot)
+    , m_commit(m_snapshot->index)
+    , m_handedOut(m_snapshot->index)
+    , m_written(m_log.last())
+    , m_durable(m_log.last())
+    // Before a restart this replica may have promised a leader not to vote for a while (heardLeader): it keeps to the longest it can
+    // have promised. Without that, a new leader could be chosen while the old one still reads under its lease.
+    , m_lastLeaderContact(now)
+{
+    refreshMembership();
+    resetElectionDeadline(now);
+    if (quorum() == 1 && isVoter(m_options.self)) {
+        m_electionDeadline = now;
+    }
+}
+
+bool Core::isVoter(const VmName &vm) const
+{
+    return std::ranges::find(m_membership.voters(), vm.value) != m_membership.voters().end();
+}
+
+std::size_t Core::quorum() const
+{
+    return static_cast<std::size_t>(m_membership.voters_size()) / 2 + 1;
+}
+
+void Core::resetElectionDeadline(TimePoint now)
+{
+    const auto spread = static_cast<std::uint64_t>(m_options.electionTimeout.count());
+    m_electionDeadline = now + m_options.electionTimeout + Duration(static_cast<Duration::rep>(m_random() % spread));
+}
+
+void Core::setVote(Term term, const VmName &votedFor)
+{
+    m_vote = Vote{.term = term, .votedFor = votedFor};
+    m_effects.writes.vote = m_vote;
+}
+
+void Core::becomeFollower(Term term, std::optional<VmName> leader, TimePoint now)
+{
+    if (term > m_vote.term) {
+        setVote(term, {});
+    }
+    m_role = Role::Follower;
+    m_leader = std::move(leader);
+    m_progress.clear();
+    m_transfer.reset();
+    m_votes.clear();
+    resetElectionDeadline(now);
+}
+
+v1::RaftMessage Core::message(v1::RaftMessage::Kind kind, const VmName &to) const
+{
+    v1::RaftMessage message;
+    message.set_kind(kind);
+    message.set_from(m_options.self.value);
+    message.set_to(to.value);
+    message.set_term(m_vote.term);
+    message.set_incarnation(m_identity.incarnation);
+    message.set_admitted(m_identity.admitted);
+    return message;
+}
+
+void Core::promise(v1::RaftMessage &&message)
+{
+    m_effects.promises.push_back(std::move(message));
+}
+
+void Core::append(v1::LogEntry &&entry)
+{
+    const Index index = entry.index();
+    std::vector<EntryPointer> &waiting = m_effects.writes.entries;
+    while (!waiting.empty() && waiting.back()->index() >= index) {
+        waiting.pop_back();
+    }
+    auto pointer = std::make_shared<const v1::LogEntry>(std::move(entry));
+    waiting.push_back(pointer);
+    m_log.append(pointer);
+    if (pointer->has_membership()) {
+        m_membership = pointer->membership();
+        m_membershipIndex = index;
+    }
+}
+
+/// After a restart, a truncation or a snapshot: the newest membership that the log still holds.
+void Core::refreshMembership()
+{
+    for (Index index = m_log.last(); index > std::max(m_snapshot->index, m_log.base()); --index) {
+        if (m_log.at(index)->has_membership()) {
+            m_membership = m_log.at(index)->membership();
+            m_membershipIndex = index;
+            return;
+        }
+    }
+    m_membership = m_snapshot->membership;
+    m_membershipIndex = m_snapshot->index;
+}
+
+v1::Membership Core::membershipAt(Index index) const
+{
+    for (; index > std::max(m_snapshot->index, m_log.base()); --index) {
+        if (m_log.at(index)->has_membership()) {
+            return m_log.at(index)->membership();
+        }
+    }
+    return m_snapshot->membership;
+}
+
+void Core::commitTo(Index index)
+{
+    m_commit = std::max(m_commit, std::min(index, m_log.last()));
+    // A replica with a new data folder may vote from the moment its admission is committed: the quorum that committed it
+    // counts no vote of the folder that was lost.
+    if (!m_identity.admitted && m_membershipIndex <= m_commit) {
+        const auto known = m_membership.incarnations().find(m_options.self.value);
+        if (known != m_membership.incarnations().end() && known->second == m_identity.incarnation) {
+            m_identity.admitted = true;
+            m_effects.writes.identity = m_identity;
+        }
+    }
+}
+
+std::optional<Index> Core::propose(std::string command, TimePoint now)
+{
+    if (m_role != Role::Leader || m_transfer) {
+        return {};
+    }
+    v1::LogEntry entry;
+    entry.set_term(m_vote.term);
+    entry.set_index(m_log.last() + 1);
+    entry.set_command(std::move(command));
+    append(std::move(entry));
+    syncProgress(now);
+    return m_log.last();
+}
+
+Result<Index> Core::changeMembership(const v1::Membership &next, TimePoint now)
+{
+    // A leader changes members only after it committed an entry of its own term: otherwise changes of two leaders could overlap
+    // without a common quorum (Ongaro's correction of 2015).
+    const bool ready = m_role == Role::Leader && !m_transfer && membershipCommitted() && m_commit >= m_termStart;
+    if (!ready) {
+        return Error{ErrorKind::Unavailable, "not the leader, or a change of the members is under way: try again in a second"};
+    }
+    const std::set<std::string> before(m_membership.voters().begin(), m_membership.voters().end());
+    const std::set<std::string> after(next.voters().begin(), next.voters().end());
+    std::vector<std::string> changed;
+    std::ranges::set_symmetric_difference(before, after, std::back_inserter(changed));
+    if (changed.size() > 1 || after.empty()) {
+        return Error{ErrorKind::Invalid, "more than one voter would change: change one at a time"};
+    }
+    if (!changed.empty() && after.contains(changed[0])) {
+        const auto learner = m_progress.find(VmName{changed[0]});
+        const bool known = learner != m_progress.end() && learner->second.state == Progress::State::Replicate && learner->second.admitted;
+        if (!known || learner->second.match + m_options.maxPromotionLag < m_log.last()) {
+            return Error{ErrorKind::Invalid, "'" + changed[0] + "' has not caught up: add it as a learner and wait"};
+        }
+    }
+    v1::LogEntry entry;
+    entry.set_term(m_vote.term);
+    entry.set_index(m_log.last() + 1);
+    *entry.mutable_membership() = next;
+    append(std::move(entry));
+    syncProgress(now);
+    return m_log.last();
+}
+
+Effects Core::takeEffects()
+{
+    while (m_handedOut < m_commit) {
+        m_effects.committed.push_back(m_log.at(++m_handedOut));
+    }
+    m_written = m_log.last();
+    // A message names the term; a term that a crash could take back must not be heard of, or it would be used twice.
+    if (m_effects.writes.vote) {
+        m_effects.promises.insert(m_effects.promises.begin(), m_effects.messages.begin(), m_effects.messages.end());
+        m_effects.messages.clear();
+    }
+    Effects effects;
+    std::swap(effects, m_effects);
+    return effects;
+}
+
+void Core::synced(TimePoint now)
+{
+    m_durable = m_written;
+    if (m_role == Role::Leader) {
+        maybeCommit(now);
+    }
+}
+
+void Core::compact(SnapshotPointer snapshot, Index keepAfter)
+{
+    m_snapshot = std::move(snapshot);
+    m_log.compact(std::min(keepAfter, m_snapshot->index));
+}
+
+void Core::tick(TimePoint now)
+{
+    if (m_role == Role::Leader) {
+        tickLeader(now);
+        return;
+    }
+    if (now < m_electionDeadline) {
+        return;
+    }
+    resetElectionDeadline(now);
+    if (isVoter(m_options.self) && m_identity.admitted) {
+        campaign(quorum() > 1, false, now);
+    }
+}
+
+void Core::step(const v1::RaftMessage &message, TimePoint now)
+{
+    using Kind = v1::RaftMessage;
+    const VmName from{message.from()};
+    if (message.kind() == Kind::PRE_VOTE) {
+        handlePreVote(message, now);
+        return;
+    }
+    if (message.term() > m_vote.term) {
+        if (message.kind() == Kind::PRE_VOTE_REPLY && message.granted()) {
+            handleVoteReply(message, now);
+            return;
+        }
+        // A removed or cut-off replica's election must not end a healthy leader's term: its symptom would be a leader change each time
+        // the replica comes back. Only an election that the leader itself asked for passes.
+        if (message.kind() == Kind::VOTE && !message.forced() && heardLeader(now)) {
+            return;
+        }
+        const bool fromLeader = message.kind() == Kind::APPEND || message.kind() == Kind::SNAPSHOT;
+        becomeFollower(message.term(), fromLeader ? std::optional(from) : std::nullopt, now);
+    }
+    if (message.term() < m_vote.term) {
+        if (message.kind() == Kind::APPEND || message.kind() == Kind::SNAPSHOT) {
+            rejectAppend(message);
+        }
+        return;
+    }
+    stepCurrentTerm(message, now);
+}
+
+void Core::stepCurrentTerm(const v1::RaftMessage &message, TimePoint now)
+{
+    using Kind = v1::RaftMessage;
+    switch (message.kind()) {
+    case Kind::VOTE:
+        handleVote(message, now);
+        break;
+    case Kind::VOTE_REPLY:
+        handleVoteReply(message, now);
+        break;
+    case Kind::APPEND:
+        handleAppend(message, now);
+        break;
+    case Kind::SNAPSHOT:
+        handleSnapshot(message, now);
+        break;
+    case Kind::APPEND_REPLY:
+        handleAppendReply(message, now);
+        break;
+    case Kind::SNAPSHOT_REPLY:
+        handleSnapshotReply(message, now);
+        break;
+    case Kind::TIMEOUT_NOW:
+        if (m_role == Role::Follower && isVoter(m_options.self) && m_identity.admitted) {
+            campaign(false, true, now);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+}
