Resume lost, silent and crossed streams; cancel abandoned ones; keep new work from upstreams that refuse

Cause: after the first byte a lost or silent connection ended the request as unknown, and an upstream that refuses or is down has the fewest requests in flight, so least-outstanding chose it for every try: with one of two engines refusing, 6 of 6 requests failed. Ruled out: a second dispatch after the first byte (may run twice), and ejection without trial (a recovered upstream would get a burst of refusable work).

--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -7,7 +7,7 @@
 namespace cumindyke
 {
 
-static_assert(AnswerSink<StreamedAnswer> && AnswerSink<AssembledAnswer> && AnswerSink<PlainAnswer>);
+static_assert(ResumableSink<StreamedAnswer> && ResumableSink<AssembledAnswer> && AnswerSink<PlainAnswer>);
 
 namespace
 {
@@ -39,12 +39,8 @@
 
 void StreamedAnswer::data(std::string_view bytes)
 {
-    for (const StreamEvent &event : m_parser.feed(bytes)) {
-        if (event.data == EndMarker) {
-            m_ended = true;
-            continue;
-        }
-        if (!m_ended) {
+    for (const StreamEvent &event : m_stream.feed(bytes)) {
+        if (event.data != EndMarker) {
             m_exchange->streamData(serialized(event));
         }
     }
@@ -52,7 +48,7 @@
 
 bool StreamedAnswer::finish()
 {
-    if (!m_ended) {
+    if (!m_stream.ended()) {
         return false;
     }
     m_exchange->streamData(serialized(StreamEvent{.id = {}, .name = {}, .data = std::string(EndMarker)}));
@@ -73,17 +69,13 @@
 
 void AssembledAnswer::data(std::string_view bytes)
 {
-    for (const StreamEvent &event : m_parser.feed(bytes)) {
+    for (const StreamEvent &event : m_stream.feed(bytes)) {
         take(event);
     }
 }
 
 void AssembledAnswer::take(const StreamEvent &event)
 {
-    if (event.data == EndMarker) {
-        m_ended = true;
-        return;
-    }
     const json body = json::parse(event.data, nullptr, false);
     if (!body.is_object()) {
         return;
@@ -111,7 +103,7 @@
 
 bool AssembledAnswer::finish()
 {
-    if (!m_ended) {
+    if (!m_stream.ended()) {
         return false;
     }
     nlohmann::ordered_json choice{{"index", 0}};
@@ -160,6 +152,19 @@
     return true;
 }
 
+ResumableStream *streamOf(Answering &answering)
+{
+    return std::visit(
+        [](auto &sink) -> ResumableStream * {
+            if constexpr (ResumableSink<std::remove_reference_t<decltype(sink)>>) {
+                return &sink.stream();
+            } else {
+                return nullptr;
+            }
+        },
+        answering);
+}
+
 Answering makeAnswering(const CallerRequest &request, const std::shared_ptr<Exchange> &exchange)
 {
     switch (request.form) {
--- a/src/entry/answers.h
+++ b/src/entry/answers.h
@@ -2,7 +2,7 @@
 
 #include "entry/callerrequest.h"
 #include "entry/exchange.h"
-#include "upstream/eventstream.h"
+#include "upstream/resumablestream.h"
 #include "upstream/upstreamcall.h"
 
 #include <concepts>
@@ -24,6 +24,15 @@
         } -> std::same_as<bool>;
 };
 
+/// An answer that can be continued on another connection.
+template<typename T>
+concept ResumableSink = AnswerSink<T> && requires(T sink)
+{
+    {
+        sink.stream()
+        } -> std::same_as<ResumableStream &>;
+};
+
 /// Passes a model's events on as they come. Whole when the end marker came.
 class StreamedAnswer
 {
@@ -32,12 +41,15 @@
     void head(const AnswerHead &head);
     void data(std::string_view bytes);
     bool finish();
+    ResumableStream &stream()
+    {
+        return m_stream;
+    }
 
 private:
     std::shared_ptr<Exchange> m_exchange;
     RequestId m_id;
-    EventStreamParser m_parser;
-    bool m_ended = false;
+    ResumableStream m_stream;
 };
 
 /// Collects a model's events into one JSON object. Whole when the end marker came.
@@ -48,6 +60,10 @@
     void head(const AnswerHead &head);
     void data(std::string_view bytes);
     bool finish();
+    ResumableStream &stream()
+    {
+        return m_stream;
+    }
 
 private:
     void take(const StreamEvent &event);
@@ -55,11 +71,10 @@
     std::shared_ptr<Exchange> m_exchange;
     RequestId m_id;
     bool m_chat;
-    EventStreamParser m_parser;
+    ResumableStream m_stream;
     std::string m_text;
     std::string m_finishReason;
     std::string m_usage;
-    bool m_ended = false;
 };
 
 /// Collects a plain service's answer and passes it on when it is complete, so that a cut answer never looks whole.
@@ -81,6 +96,9 @@
 
 using Answering = std::variant<StreamedAnswer, AssembledAnswer, PlainAnswer>;
 
+/// The stream behind a resumable answer, or null.
+ResumableStream *streamOf(Answering &answering);
+
 Answering makeAnswering(const CallerRequest &request, const std::shared_ptr<Exchange> &exchange);
 
 }
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -6,9 +6,51 @@
 void Dispatcher::setDeclarations(std::shared_ptr<const Declarations> declarations, TimePoint now)
 {
     m_declarations = std::move(declarations);
+    rebuildUsable();
     serveAll(now);
 }
 
+void Dispatcher::upstreamRefused(const UpstreamName &upstream, TimePoint now)
+{
+    m_availability.refused(upstream, now);
+    refresh(now);
+}
+
+void Dispatcher::upstreamTook(const UpstreamName &upstream, TimePoint now)
+{
+    m_availability.took(upstream);
+    refresh(now);
+}
+
+void Dispatcher::setLeaving(std::set<UpstreamName> leaving, TimePoint now)
+{
+    m_availability.setLeaving(std::move(leaving));
+    refresh(now);
+}
+
+void Dispatcher::refresh(TimePoint now)
+{
+    std::set<UpstreamName> unusable = m_availability.unusable(now);
+    if (unusable != m_unusable) {
+        m_unusable = std::move(unusable);
+        rebuildUsable();
+    }
+}
+
+void Dispatcher::rebuildUsable()
+{
+    if (m_unusable.empty()) {
+        m_usable = m_declarations;
+        return;
+    }
+    std::vector<Change> puts = Declarations().changesTo(*m_declarations);
+    std::erase_if(puts, [this](const Change &change) {
+        const auto *upstream = std::get_if<Upstream>(&change);
+        return upstream && m_unusable.contains(upstream->name);
+    });
+    m_usable = std::make_shared<const Declarations>(Declarations::restored(m_declarations->revision(), puts));
+}
+
 void Dispatcher::add(const CallerRequest &request)
 {
     m_queues[request.service].add(PendingRequest{
@@ -46,15 +88,21 @@
 
 void Dispatcher::serveQueue(const Service &service, PendingQueue &queue, TimePoint now)
 {
-    const std::shared_ptr<const Declarations> declarations = m_declarations;
     while (const PendingRequest *first = queue.first()) {
+        const std::shared_ptr<const Declarations> declarations = m_usable;
         const std::optional<Slot> slot = m_capacity.acquire(*first, *declarations, versionFor(service, *first), now);
-        const Upstream *upstream = slot ? declarations->upstream(slot->upstream) : nullptr;
+        if (!slot) {
+            return;
+        }
+        const Upstream *upstream = declarations->upstream(slot->upstream);
         if (!upstream) {
+            m_capacity.release(*slot, now);
             return;
         }
         const RequestId id = first->id;
         queue.remove(id);
+        m_availability.granted(upstream->name, now);
+        refresh(now);
         m_granted.emit(id, *slot, *upstream);
     }
 }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -4,6 +4,7 @@
 #include "entry/callerrequest.h"
 #include "policy/leastoutstanding.h"
 #include "policy/pendingqueue.h"
+#include "upstream/availability.h"
 
 #include <sigc++/sigc++.h>
 
@@ -28,6 +29,13 @@
     /// Lets go what there is capacity for.
     void serve(const ServiceName &service, TimePoint now);
     void serveAll(TimePoint now);
+    /// What was seen of an upstream: it refused a request unrun, or can't be reached.
+    void upstreamRefused(const UpstreamName &upstream, TimePoint now);
+    /// It took a request.
+    void upstreamTook(const UpstreamName &upstream, TimePoint now);
+    void setLeaving(std::set<UpstreamName> leaving, TimePoint now);
+    /// Lets upstreams whose pause is over back in. Call it often.
+    void refresh(TimePoint now);
     /// Takes out the requests whose deadline is not after now.
     std::vector<RequestId> takeExpired(TimePoint now);
     void release(const Slot &slot, TimePoint now);
@@ -45,7 +53,13 @@
     void serveQueue(const Service &service, PendingQueue &queue, TimePoint now);
     VersionName versionFor(const Service &service, const PendingRequest &request) const;
 
+    void rebuildUsable();
+
     std::shared_ptr<const Declarations> m_declarations = std::make_shared<const Declarations>();
+    /// The declarations without the upstreams that get no new work now.
+    std::shared_ptr<const Declarations> m_usable = m_declarations;
+    std::set<UpstreamName> m_unusable;
+    Availability m_availability;
     std::map<ServiceName, PendingQueue> m_queues;
     Capacity m_capacity;
     sigc::signal<void, const RequestId &, const Slot &, const Upstream &> m_granted;
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -26,6 +26,14 @@
     return RequestEnd::Unknown;
 }
 
+Error lostAnswer(const RequestLife &life)
+{
+    if (life.outcomeIfGivenUp() == RunOutcome::Ran) {
+        return Error{ErrorKind::UpstreamFailed, "the upstream ran the request in part and the rest of its answer is lost: send it again if it may run twice"};
+    }
+    return Error{ErrorKind::OutcomeUnknown, "the connection to the upstream was lost before the answer was whole: check before you send it again"};
+}
+
 }
 
 Result<std::unique_ptr<EntryTask>> EntryTask::start(EntryOptions options, Metrics &metrics)
@@ -48,6 +56,8 @@
     , m_mailbox(m_loop, [this](EntryMessage &&message) { handle(std::move(message)); })
     , m_sweep(m_loop, [this] { expireWaiting(); })
     , m_admission(m_options.vm)
+    , m_runCounters(metrics)
+    , m_canceller(m_loop)
     , m_requests(m_loop)
 {
     m_dispatcher.granted().connect(sigc::mem_fun(*this, &EntryTask::dispatch));
@@ -139,7 +149,10 @@
 
 void EntryTask::expireWaiting()
 {
-    for (const RequestId &id : m_dispatcher.takeExpired(EventLoop::now())) {
+    const TimePoint now = EventLoop::now();
+    m_dispatcher.refresh(now);
+    m_dispatcher.serveAll(now);
+    for (const RequestId &id : m_dispatcher.takeExpired(now)) {
         giveUp(id, Error{ErrorKind::DeadlinePassed, "no upstream had room before the deadline: allow more time or try again later"});
     }
 }
@@ -152,8 +165,11 @@
         return;
     }
     active->slot = slot;
-    active->run = std::make_unique<UpstreamRun>(m_loop, active->request, upstream, active->exchange);
-    active->run->began().connect([active] { active->life.answerBegan(); });
+    active->run = std::make_unique<UpstreamRun>(m_loop, active->request, upstream, active->exchange, m_runCounters);
+    active->run->began().connect([this, active, name = upstream.name] {
+        active->life.answerBegan();
+        m_dispatcher.upstreamTook(name, EventLoop::now());
+    });
     active->run->ended().connect([this, id](const RunResult &result) { runEnded(id, result); });
     active->run->start();
 }
@@ -175,7 +191,7 @@
         giveUp(id, Error{ErrorKind::UpstreamFailed, "the upstream answered " + std::to_string(result.status) + ": " + result.failureBody});
         break;
     case RunResult::Kind::Lost:
-        giveUp(id, Error{ErrorKind::OutcomeUnknown, "the connection to the upstream was lost before the answer was whole: check before you send it again"});
+        giveUp(id, lostAnswer(active->life));
         break;
     }
 }
@@ -183,7 +199,11 @@
 /// The dispatch is proved not to have run: the only state in which another upstream may be tried.
 void EntryTask::tryElsewhere(ActiveRequest &active)
 {
+    const TimePoint now = EventLoop::now();
     releaseSlot(active);
+    if (active.life.upstream()) {
+        m_dispatcher.upstreamRefused(*active.life.upstream(), now);
+    }
     active.life.provedNotRun();
     if (active.life.failedDispatches() >= MaxFailedDispatches) {
         giveUp(active.request.id, Error{ErrorKind::Unavailable, "no upstream could be reached: try again later"});
@@ -191,7 +211,7 @@
     }
     const ServiceName service = active.request.service;
     m_dispatcher.add(active.request);
-    m_dispatcher.serve(service, EventLoop::now());
+    m_dispatcher.serve(service, now);
 }
 
 void EntryTask::callerLeft(const RequestId &id)
@@ -227,8 +247,9 @@
     m_dispatcher.remove(request);
     releaseSlot(*ended);
     ended->life.ended();
-    if (ended->run) {
-        ended->run->cancel();
+    if (ended->run && ended->run->cancel()) {
+        m_runCounters.cancels.add();
+        m_canceller.cancel(ended->run->address(), request.id);
     }
 }
 
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -9,6 +9,7 @@
 #include "entry/frontdoor.h"
 #include "entry/requeststore.h"
 #include "report/outcometally.h"
+#include "upstream/streamcanceller.h"
 
 #include <functional>
 #include <memory>
@@ -85,6 +86,8 @@
     std::unique_ptr<FrontDoor> m_door;
     Admission m_admission;
     Dispatcher m_dispatcher;
+    RunCounters m_runCounters;
+    StreamCanceller m_canceller;
     RequestStore m_requests;
     OutcomeTally m_tally;
     std::function<void()> m_drained;
--- /dev/null
+++ b/tests/support/office.cpp
@@ -0,0 +1,136 @@
+#include "support/office.h"
+
+#include "common/hash.h"
+#include "fakeupstream/faketoken.h"
+#include "upstream/eventstream.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+
+namespace cumindyke::test
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr const char *Declared = R"(
+[[tier]]
+name = "committee"
+rank = 0
+[[tier]]
+name = "routine"
+rank = 1
+[[organisation]]
+name = "egbe-ijo"
+highest_tier = "committee"
+key_sha256 = ["571274b591a1ba94546ad75705fcbee335ad25bb1cbfea93c6649e48cda8097b"]
+[[service]]
+name = "drafting"
+kind = "model"
+version = "v1"
+default_deadline_ms = 60000
+[[service]]
+name = "booking"
+kind = "plain"
+version = "v1"
+default_deadline_ms = 30000
+non_idempotent = ["POST /deposits"]
+)";
+
+std::string upstreamDeclaration(const std::string &name, const std::string &service, const Address &address, int slots)
+{
+    return "[[upstream]]\nname = \"" + name + "\"\nservice = \"" + service + "\"\nversion = \"v1\"\ndata_centre = \"local\"\naddress = \"" + toString(address)
+        + "\"\nslots = " + std::to_string(slots) + "\n";
+}
+
+}
+
+Office::Office(const OfficeOptions &options, const std::string &moreSettings)
+{
+    std::string declared = Declared + options.moreDeclarations;
+    int host = 11;
+    for (int i = 1; i <= options.draftingUpstreams; ++i) {
+        const std::string name = "drafting-" + std::to_string(i);
+        m_drafting.push_back(std::make_unique<FakeUpstreamProcess>(m_folder, name, m_network.host(host++), options.upstreamArguments));
+        declared += upstreamDeclaration(name, "drafting", m_drafting.back()->address(), options.slots);
+    }
+    for (int i = 1; i <= options.bookingUpstreams; ++i) {
+        const std::string name = "booking-" + std::to_string(i);
+        m_booking.push_back(std::make_unique<FakeUpstreamProcess>(m_folder, name, m_network.host(host++), options.upstreamArguments));
+        declared += upstreamDeclaration(name, "booking", m_booking.back()->address(), options.slots);
+    }
+    writeFile(m_declarations.file("office.toml"), declared);
+    m_daemon = std::make_unique<DaemonProcess>(m_folder, "vm-1", m_network.host(1), moreSettings);
+    const Finished applied = m_daemon->ctl({"apply", m_declarations.path()});
+    INFO(applied.out + applied.error);
+    REQUIRE(applied.exitCode == 0);
+    REQUIRE(m_daemon->waitReady());
+}
+
+HttpAnswer Office::draft(const std::string &prompt, int tokens, const HeaderList &more) const
+{
+    HeaderList headers = OfficeKey;
+    headers.insert(headers.end(), more.begin(), more.end());
+    return http(m_daemon->http(), "POST", "/v1/completions", headers, draftBody(prompt, tokens));
+}
+
+HttpAnswer Office::deposit(const std::string &key, const std::string &body) const
+{
+    HeaderList headers = OfficeKey;
+    headers.emplace_back("Idempotency-Key", key);
+    return http(m_daemon->http(), "POST", "/services/booking/deposits", headers, body);
+}
+
+std::string Office::metrics() const
+{
+    return http(m_daemon->http(), "GET", "/metrics").body;
+}
+
+std::string draftBody(const std::string &prompt, int tokens)
+{
+    return json{{"model", "drafting"}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", true}}.dump();
+}
+
+std::string expectedText(const std::string &prompt, int tokens)
+{
+    std::string text;
+    for (int i = 0; i < tokens; ++i) {
+        text += fakeToken(checksum(prompt), static_cast<std::uint32_t>(i));
+    }
+    return text;
+}
+
+StreamedText streamedText(const std::string &body)
+{
+    StreamedText result;
+    EventStreamParser parser;
+    for (const StreamEvent &event : parser.feed(body)) {
+        result.whole = event.data == "[DONE]";
+        if (event.name == "error") {
+            result.error = event.data;
+            continue;
+        }
+        const json data = json::parse(event.data, nullptr, false);
+        if (data.is_object() && data.contains("choices") && data["choices"][0].contains("text")) {
+            result.text += data["choices"][0]["text"].get<std::string>();
+        }
+    }
+    return result;
+}
+
+int countOf(const std::string &log, const std::string &event)
+{
+    int count = 0;
+    std::istringstream lines(log);
+    for (std::string line; std::getline(lines, line);) {
+        const json entry = json::parse(line, nullptr, false);
+        count += entry.is_object() && entry.value("event", "") == event ? 1 : 0;
+    }
+    return count;
+}
+
+}
