Answer callers and the balancer only when operators' calls are served too

Ruled out: a slow control task; the refusal came from the kernel. The callers' address is bound first and its loop starts last.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -14,12 +14,14 @@
     if (const auto error = daemon->startControl(settings)) {
         return *error;
     }
-    if (const auto error = daemon->startEntry(settings)) {
+    if (const auto error = daemon->openEntry(settings)) {
         return *error;
     }
     if (const auto error = daemon->startRpc(settings)) {
         return *error;
     }
+    // Last, so that a VM that answers /healthz answers operators too.
+    daemon->m_entry->start();
     return daemon;
 }
 
@@ -57,16 +59,16 @@
     return {};
 }
 
-std::optional<Error> Daemon::startEntry(const Settings &settings)
+std::optional<Error> Daemon::openEntry(const Settings &settings)
 {
-    auto entry = EntryTask::start(EntryOptions{
-                                      .vm = settings.vm,
-                                      .dataCentre = settings.dataCentre,
-                                      .address = settings.httpAddress,
-                                      .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
-                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
-                                  },
-                                  m_metrics);
+    auto entry = EntryTask::open(EntryOptions{
+                                     .vm = settings.vm,
+                                     .dataCentre = settings.dataCentre,
+                                     .address = settings.httpAddress,
+                                     .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
+                                     .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
+                                 },
+                                 m_metrics);
     if (!ok(entry)) {
         return errorOf(entry);
     }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -32,7 +32,7 @@
 private:
     explicit Daemon(const Settings &settings);
     std::optional<Error> startControl(const Settings &settings);
-    std::optional<Error> startEntry(const Settings &settings);
+    std::optional<Error> openEntry(const Settings &settings);
     std::optional<Error> startRpc(const Settings &settings);
     void send(const VmName &to, v1::Envelope &&envelope);
 
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -36,7 +36,7 @@
 
 }
 
-Result<std::unique_ptr<EntryTask>> EntryTask::start(EntryOptions options, Metrics &metrics)
+Result<std::unique_ptr<EntryTask>> EntryTask::open(EntryOptions options, Metrics &metrics)
 {
     std::unique_ptr<EntryTask> task(new EntryTask(std::move(options), metrics));
     auto door = FrontDoor::listen(task->m_loop, task->m_options.address);
@@ -46,10 +46,14 @@
     task->m_door = std::move(valueOf(door));
     task->m_door->arrived().connect(sigc::mem_fun(*task, &EntryTask::arrived));
     task->m_sweep.startEvery(SweepInterval);
-    task->m_thread = std::thread([loop = &task->m_loop] { loop->run(); });
     return task;
 }
 
+void EntryTask::start()
+{
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
 EntryTask::EntryTask(EntryOptions options, Metrics &metrics)
     : m_options(std::move(options))
     , m_metrics(metrics)
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -48,8 +48,10 @@
 class EntryTask
 {
 public:
-    /// Error: Unavailable, when the address can't be bound.
-    static Result<std::unique_ptr<EntryTask>> start(EntryOptions options, Metrics &metrics);
+    /// Binds the callers' address: connections wait until start(). Error: Unavailable, when it can't be bound.
+    static Result<std::unique_ptr<EntryTask>> open(EntryOptions options, Metrics &metrics);
+    /// Starts the task's thread, which answers callers and the balancer. Call once, when everything else of the VM is up.
+    void start();
     ~EntryTask();
     EntryTask(const EntryTask &) = delete;
     EntryTask &operator=(const EntryTask &) = delete;
