Configuration leases, distribution, cell assignment and forwarding as pure classes

A VM's lease counts from when it sent the beat, by its own clock; the leader counts it from the grant, with a clock-rate margin of 1%. A grant needs the versions older than the grace (1 s), and the newest for a VM without a running lease, so an accepted version is in force or the lease is over after 3.02 s of the leader's clock, and a restarted VM never goes back.

--- /dev/null
+++ b/src/control/distribution.cpp
@@ -0,0 +1,166 @@
+#include "control/distribution.h"
+
+#include <algorithm>
+
+namespace cumindyke
+{
+
+Distribution::Distribution(LeaseOptions options, const std::vector<VmName> &vms)
+    : m_options(options)
+{
+    for (const VmName &vm : vms) {
+        m_vms.emplace(vm, Vm{});
+    }
+}
+
+void Distribution::lead(std::uint64_t version, TimePoint now)
+{
+    m_leadSince = now;
+    // When the versions were accepted is unknown, so no grace: each VM needs the newest for its first lease.
+    m_published = {Published{.version = version, .at = now - m_options.grace}};
+    for (auto &[name, vm] : m_vms) {
+        vm.granted.reset();
+        vm.heard.reset();
+        vm.version = 0;
+    }
+}
+
+void Distribution::published(std::uint64_t version, TimePoint now)
+{
+    m_published.push_back(Published{.version = version, .at = now});
+    forgetOldVersions(now);
+}
+
+void Distribution::forgetOldVersions(TimePoint now)
+{
+    while (m_published.size() > 1 && m_published[1].at + m_options.grace <= now) {
+        m_published.pop_front();
+    }
+}
+
+TimePoint Distribution::leaseEnd(const Vm &vm) const
+{
+    return (vm.granted ? *vm.granted : m_leadSince) + m_options.longest();
+}
+
+/// A VM that goes on with a lease has the grace to take up new versions. Any other may have had a newer one in force before (in an
+/// earlier process, or under another leader) than the grace would ask for: it needs the newest, so that it never goes back.
+std::uint64_t Distribution::requiredVersion(const Vm &vm, TimePoint now) const
+{
+    const bool goesOn = vm.granted && vm.grantedIncarnation == vm.incarnation && now < leaseEnd(vm);
+    if (!goesOn) {
+        return m_published.back().version;
+    }
+    std::uint64_t required = 0;
+    for (const Published &published : m_published) {
+        if (published.at + m_options.grace <= now) {
+            required = published.version;
+        }
+    }
+    return required;
+}
+
+std::optional<v1::ConfigLease> Distribution::heartbeat(const v1::ConfigHeartbeat &beat, bool hasQuorum, TimePoint now)
+{
+    Vm &vm = m_vms[VmName{beat.vm()}];
+    if (vm.incarnation == beat.incarnation() && beat.beat() <= vm.lastBeat) {
+        return {};
+    }
+    vm.incarnation = beat.incarnation();
+    vm.lastBeat = beat.beat();
+    vm.version = beat.version();
+    vm.revision = Revision{beat.revision()};
+    vm.dataCentre = DataCentreName{beat.data_centre()};
+    vm.draining = beat.draining();
+    vm.keepAdmitting = std::chrono::milliseconds(beat.keep_admitting_ms());
+    vm.heard = now;
+    forgetOldVersions(now);
+    if (!hasQuorum || beat.version() < requiredVersion(vm, now)) {
+        return {};
+    }
+    vm.granted = now;
+    vm.grantedIncarnation = vm.incarnation;
+    v1::ConfigLease lease;
+    lease.set_beat(beat.beat());
+    lease.set_length_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.length).count()));
+    lease.set_version(m_published.back().version);
+    return lease;
+}
+
+bool Distribution::needsRepair(const VmName &name, TimePoint now) const
+{
+    const auto found = m_vms.find(name);
+    if (found == m_vms.end() || found->second.version >= m_published.back().version) {
+        return false;
+    }
+    const bool treeHadTime = m_published.back().at + m_options.repairAfter <= now;
+    return treeHadTime || found->second.version < m_published.front().version;
+}
+
+std::vector<std::string> Distribution::reachable(TimePoint now) const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, vm] : m_vms) {
+        if (vm.heard && now < *vm.heard + m_options.length) {
+            names.push_back(name.value);
+        }
+    }
+    return names;
+}
+
+bool Distribution::mayHoldLease(const VmName &name, TimePoint now) const
+{
+    const auto found = m_vms.find(name);
+    return now < (found == m_vms.end() ? m_leadSince + m_options.longest() : leaseEnd(found->second));
+}
+
+bool Distribution::hasInForce(const VmName &name, std::uint64_t version) const
+{
+    const auto found = m_vms.find(name);
+    return found != m_vms.end() && found->second.version >= version;
+}
+
+Distribution::Spread Distribution::spread(std::uint64_t version, TimePoint now) const
+{
+    Spread spread;
+    for (const auto &[name, vm] : m_vms) {
+        if (vm.version >= version) {
+            continue;
+        }
+        const bool mayAdmit = now < leaseEnd(vm) + vm.keepAdmitting;
+        (mayAdmit ? spread.pending : spread.lapsed).push_back(name.value);
+    }
+    return spread;
+}
+
+std::vector<VmStatus> Distribution::statuses(TimePoint now) const
+{
+    std::vector<VmStatus> statuses;
+    for (const auto &[name, vm] : m_vms) {
+        statuses.push_back(VmStatus{
+            .vm = name,
+            .dataCentre = vm.dataCentre,
+            .revision = vm.revision,
+            .version = vm.version,
+            .incarnation = vm.incarnation,
+            .draining = vm.draining,
+            .live = vm.granted && now < leaseEnd(vm),
+        });
+    }
+    return statuses;
+}
+
+std::vector<Branch> branches(const std::vector<std::string> &targets)
+{
+    std::vector<Branch> split;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (i < FanOut) {
+            split.push_back(Branch{.child = VmName{targets[i]}, .relay = {}});
+        } else {
+            split[i % FanOut].relay.push_back(targets[i]);
+        }
+    }
+    return split;
+}
+
+}
--- /dev/null
+++ b/src/control/leadersearch.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "common/types.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace cumindyke
+{
+
+/// Whom a VM takes for the leader of the control replicas: the last hint, or the candidates in turn.
+class LeaderSearch
+{
+public:
+    /// Every VM that may lead or know who does, the likeliest first; at least one.
+    explicit LeaderSearch(std::vector<VmName> candidates)
+        : m_candidates(std::move(candidates))
+        , m_asked(m_candidates.front())
+    {
+    }
+
+    const VmName &leader() const
+    {
+        return m_asked;
+    }
+
+    /// Somebody named the leader, or the leader itself answered.
+    void learned(const VmName &leader)
+    {
+        if (!leader.value.empty()) {
+            m_asked = leader;
+        }
+    }
+
+    /// The VM that was asked gave no answer: the next candidate is asked.
+    void gaveNoAnswer(const VmName &asked)
+    {
+        if (asked != m_asked) {
+            return;
+        }
+        auto next = std::ranges::find(m_candidates, m_asked);
+        if (next != m_candidates.end()) {
+            ++next;
+        }
+        m_asked = next == m_candidates.end() ? m_candidates.front() : *next;
+    }
+
+private:
+    std::vector<VmName> m_candidates;
+    VmName m_asked;
+};
+
+}
--- /dev/null
+++ b/src/control/leadership.cpp
@@ -0,0 +1,130 @@
+#include "control/leadership.h"
+
+#include "control/cellassigner.h"
+#include "control/follower.h"
+
+namespace cumindyke
+{
+
+namespace
+{
+
+std::vector<VmName> namesOf(const std::map<VmName, Address> &vms)
+{
+    std::vector<VmName> names;
+    for (const auto &[name, address] : vms) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+}
+
+Leadership::Leadership(LeadershipOptions options, const StateMachine &state)
+    : m_options(std::move(options))
+    , m_state(state)
+    , m_distribution(m_options.lease, namesOf(m_options.vms))
+{
+}
+
+void Leadership::lead(TimePoint now)
+{
+    m_leads = true;
+    m_pushedVersion = m_state.version();
+    m_pushedRevision = m_state.declarations().revision();
+    m_distribution.lead(m_pushedVersion, now);
+}
+
+void Leadership::stopLeading()
+{
+    m_leads = false;
+    // Their commands were accepted; whether they are in force everywhere, the next leader knows when the client asks it.
+    m_waits.clear();
+}
+
+void Leadership::applied(TimePoint now)
+{
+    if (!m_leads || m_state.version() == m_pushedVersion) {
+        return;
+    }
+    m_distribution.published(m_state.version(), now);
+    const std::vector<Branch> tree = branches(m_distribution.reachable(now));
+    v1::Envelope envelope;
+    *envelope.mutable_config_update() = makeConfigUpdate(m_state, m_pushedRevision);
+    for (const Branch &branch : tree) {
+        envelope.mutable_config_update()->mutable_relay()->Assign(branch.relay.begin(), branch.relay.end());
+        m_options.send(branch.child, envelope);
+    }
+    m_pushedVersion = m_state.version();
+    m_pushedRevision = m_state.declarations().revision();
+}
+
+void Leadership::heartbeat(const VmName &from, const v1::ConfigHeartbeat &beat, TimePoint now)
+{
+    v1::Envelope answer;
+    if (std::optional<v1::ConfigLease> lease = m_distribution.heartbeat(beat, m_options.hasQuorum(now), now)) {
+        *answer.mutable_config_lease() = std::move(*lease);
+        answer.mutable_config_lease()->set_leader(m_options.vm.value);
+    } else {
+        answer.mutable_config_lease()->set_leader(m_options.vm.value);
+        answer.mutable_config_lease()->set_beat(beat.beat());
+    }
+    m_options.send(from, std::move(answer));
+    if (m_distribution.needsRepair(from, now)) {
+        v1::Envelope repair;
+        *repair.mutable_config_update() = beat.whole() ? makeWholeConfigUpdate(m_state) : makeConfigUpdate(m_state, Revision{beat.revision()});
+        m_options.send(from, std::move(repair));
+    }
+    answerWaits(now);
+}
+
+void Leadership::waitUntilInForce(WaitAnswer answer, TimePoint now)
+{
+    m_waits.push_back(Wait{.version = m_state.version(), .answer = std::move(answer)});
+    answerWaits(now);
+}
+
+void Leadership::answerWaits(TimePoint now)
+{
+    std::vector<Wait> open;
+    std::vector<Wait> waits;
+    waits.swap(m_waits);
+    for (Wait &wait : waits) {
+        const Distribution::Spread spread = m_distribution.spread(wait.version, now);
+        if (spread.pending.empty()) {
+            wait.answer(spread.lapsed);
+        } else {
+            open.push_back(std::move(wait));
+        }
+    }
+    m_waits.insert(m_waits.end(), std::make_move_iterator(open.begin()), std::make_move_iterator(open.end()));
+}
+
+std::vector<v1::CellAssignment> Leadership::tick(TimePoint now)
+{
+    if (!m_leads) {
+        return {};
+    }
+    answerWaits(now);
+    return m_options.hasQuorum(now) ? nextCellAssignments(m_state, m_distribution, now) : std::vector<v1::CellAssignment>();
+}
+
+v1::MembersReply Leadership::members(TimePoint now) const
+{
+    v1::MembersReply reply;
+    for (const VmStatus &status : m_distribution.statuses(now)) {
+        v1::Member &member = *reply.add_members();
+        member.set_vm(status.vm.value);
+        member.set_data_centre(status.dataCentre.value);
+        member.set_live(status.live);
+        member.set_revision(status.revision.value);
+        member.set_leader(status.vm == m_options.vm);
+        const auto known = m_options.vms.find(status.vm);
+        if (known != m_options.vms.end()) {
+            member.set_peer_address(toString(known->second));
+        }
+    }
+    return reply;
+}
+
+}
--- /dev/null
+++ b/src/control/leadership.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "control/distribution.h"
+#include "control/forwarder.h"
+#include "control/statemachine.h"
+
+#include <functional>
+
+namespace cumindyke
+{
+
+struct LeadershipOptions
+{
+    VmName vm;
+    /// Every VM of the settings, this one too.
+    std::map<VmName, Address> vms;
+    LeaseOptions lease;
+    std::function<void(const VmName &to, v1::Envelope envelope)> send;
+    /// Whether this VM can prove at this time that no other leader has been elected.
+    std::function<bool(TimePoint now)> hasQuorum;
+};
+
+/// What the leader does besides the log: it brings each accepted version to every VM, grants configuration leases, and assigns cells.
+/// Lives as long as the task; begins anew with each lead().
+class Leadership
+{
+public:
+    using WaitAnswer = std::function<void(const std::vector<std::string> &lapsedVms)>;
+
+    Leadership(LeadershipOptions options, const StateMachine &state);
+
+    void lead(TimePoint now);
+    void stopLeading();
+    bool leads() const
+    {
+        return m_leads;
+    }
+
+    /// Call after every applied command: pushes the version when it is new.
+    void applied(TimePoint now);
+    /// A VM's beat: answers with a lease, a repair, or both.
+    void heartbeat(const VmName &from, const v1::ConfigHeartbeat &beat, TimePoint now);
+    /// Answers when every VM has the present version in force or has certainly stopped admitting work.
+    void waitUntilInForce(WaitAnswer answer, TimePoint now);
+    /// Answers waits, and returns the cell assignments to propose.
+    std::vector<v1::CellAssignment> tick(TimePoint now);
+    v1::MembersReply members(TimePoint now) const;
+
+private:
+    struct Wait
+    {
+        std::uint64_t version;
+        WaitAnswer answer;
+    };
+
+    void answerWaits(TimePoint now);
+
+    const LeadershipOptions m_options;
+    const StateMachine &m_state;
+    Distribution m_distribution;
+    bool m_leads = false;
+    std::uint64_t m_pushedVersion = 0;
+    Revision m_pushedRevision;
+    std::vector<Wait> m_waits;
+};
+
+}
--- a/src/control/statemachine.cpp
+++ b/src/control/statemachine.cpp
@@ -2,6 +2,8 @@
 
 #include "control/convert.h"
 
+#include <algorithm>
+
 namespace cumindyke
 {
 
@@ -39,10 +41,19 @@
     case v1::Command::kAbortMove:
         *reply.mutable_reply() = abortMove(command, command.abort_move());
         break;
+    case v1::Command::kAssignCell:
+        *reply.mutable_reply() = assignCell(command.assign_cell());
+        break;
+    case v1::Command::kRestore:
+        *reply.mutable_reply() = restoreDeclarations(command, command.restore());
+        break;
     default:
         *reply.mutable_reply() = invalid(m_declarations.revision(), "the command is not known to this version: upgrade this VM");
         break;
     }
+    if (reply.reply().outcome() == v1::CommandReply::ACCEPTED) {
+        ++m_version;
+    }
     remember(command.command_id(), reply);
     return reply;
 }
@@ -73,19 +84,30 @@
         return invalid(m_declarations.revision(), errorOf(next).message);
     }
     m_declarations = valueOf(next);
+    addHistory(command, request.author(), request.changes());
+    return accepted();
+}
+
+v1::CommandReply StateMachine::accepted() const
+{
+    v1::CommandReply reply;
+    reply.set_outcome(v1::CommandReply::ACCEPTED);
+    reply.set_revision(m_declarations.revision().value);
+    return reply;
+}
+
+void StateMachine::addHistory(const v1::Command &command, const std::string &author, const google::protobuf::RepeatedPtrField<v1::Change> &changes)
+{
     v1::HistoryEntry entry;
     entry.set_revision(m_declarations.revision().value);
     entry.set_command_id(command.command_id());
-    entry.set_author(request.author());
+    entry.set_author(author);
     entry.set_at_ms(command.at_ms());
-    *entry.mutable_changes() = request.changes();
-    m_history.push_back(entry);
+    *entry.mutable_changes() = changes;
+    m_history.push_back(std::move(entry));
     if (m_history.size() > MaxHistory) {
         m_history.pop_front();
     }
-    reply.set_outcome(v1::CommandReply::ACCEPTED);
-    reply.set_revision(m_declarations.revision().value);
-    return reply;
 }
 
 v1::CommandReply StateMachine::startMove(const v1::Command & /*command*/, const v1::StartMoveRequest & /*request*/)
@@ -108,15 +130,76 @@
     }
 }
 
-std::vector<v1::HistoryEntry> StateMachine::historyAfter(Revision revision) const
+v1::CommandReply StateMachine::assignCell(const v1::CellAssignment &assignment)
 {
-    std::vector<v1::HistoryEntry> entries;
+    v1::CellAssignment &cell = m_cells[assignment.cell()];
+    // Two leaders in turn may decide about the same epoch: the first in the log wins, and an epoch never has two holders.
+    if (assignment.epoch() != cell.epoch() + 1) {
+        return invalid(m_declarations.revision(), "the cell is at epoch " + std::to_string(cell.epoch()) + " already: look again before you assign it");
+    }
+    const std::string before = cell.vm();
+    cell = assignment;
+    cell.set_before(before);
+    cell.set_version(m_version + 1);
+    return accepted();
+}
+
+/// Makes the snapshot's declarations the newest revision. Nothing goes back: revisions, versions and epochs only grow, and answers
+/// given since the snapshot was taken stay.
+v1::CommandReply StateMachine::restoreDeclarations(const v1::Command &command, const v1::RestoreSnapshotRequest &request)
+{
+    v1::StateSnapshot snapshot;
+    StateMachine saved;
+    if (!snapshot.ParseFromString(request.snapshot()) || !ok(saved.restore(request.snapshot()))) {
+        return invalid(m_declarations.revision(), "the snapshot can't be read: give a file that 'snapshot save' wrote");
+    }
     for (const v1::HistoryEntry &entry : m_history) {
-        if (entry.revision() > revision.value) {
-            entries.push_back(entry);
+        const auto first = saved.m_history.empty() ? entry.revision() + 1 : saved.m_history.front().revision();
+        if (entry.revision() < first || entry.revision() - first >= saved.m_history.size()) {
+            continue;
+        }
+        const v1::HistoryEntry &other = saved.m_history[entry.revision() - first];
+        if (other.revision() == entry.revision() && other.command_id() != entry.command_id()) {
+            return invalid(m_declarations.revision(),
+                           "the snapshot is of another history: its revision " + std::to_string(entry.revision())
+                               + " was made by another command. Restore it into a new system, or apply the declarations from version control");
+        }
+    }
+    const std::vector<Change> changes = m_declarations.changesTo(saved.m_declarations);
+    if (changes.empty()) {
+        v1::CommandReply reply = accepted();
+        reply.set_message("nothing to change");
+        return reply;
+    }
+    const bool isNew = m_declarations.revision() == Revision{0};
+    const Revision next{std::max(m_declarations.revision().value, saved.m_declarations.revision().value) + 1};
+    m_declarations = Declarations::restored(next, Declarations().changesTo(saved.m_declarations));
+    m_version = std::max(m_version, saved.m_version);
+    for (const auto &[name, cell] : saved.m_cells) {
+        // Upstreams may remember the epochs of before: the next one must be higher than any of them.
+        v1::CellAssignment &held = m_cells[name];
+        held.set_cell(name);
+        held.set_epoch(std::max(held.epoch(), cell.epoch()));
+    }
+    if (isNew) {
+        m_history = saved.m_history;
+        m_moves = saved.m_moves;
+        for (const std::string &id : saved.m_answerOrder) {
+            remember(id, saved.m_answers.at(id));
         }
     }
-    return entries;
+    google::protobuf::RepeatedPtrField<v1::Change> wire;
+    for (const Change &change : changes) {
+        *wire.Add() = toWire(change);
+    }
+    addHistory(command, "snapshot restore", wire);
+    return accepted();
+}
+
+std::vector<v1::HistoryEntry> StateMachine::historyAfter(Revision revision) const
+{
+    const auto isLater = [](std::uint64_t after, const v1::HistoryEntry &entry) { return after < entry.revision(); };
+    return {std::upper_bound(m_history.begin(), m_history.end(), revision.value, isLater), m_history.end()};
 }
 
 std::string StateMachine::snapshot() const
@@ -129,6 +212,10 @@
     for (const v1::HistoryEntry &entry : m_history) {
         *snapshot.add_history() = entry;
     }
+    for (const auto &[name, cell] : m_cells) {
+        *snapshot.add_cells() = cell;
+    }
+    snapshot.set_version(m_version);
     for (const std::string &id : m_answerOrder) {
         v1::Answered &answered = *snapshot.add_answers();
         answered.set_command_id(id);
@@ -152,6 +239,10 @@
     for (const v1::Move &move : snapshot.moves()) {
         m_moves.emplace(move.name(), move);
     }
+    for (const v1::CellAssignment &cell : snapshot.cells()) {
+        m_cells.emplace(cell.cell(), cell);
+    }
+    m_version = snapshot.version();
     m_history.assign(snapshot.history().begin(), snapshot.history().end());
     for (const v1::Answered &answered : snapshot.answers()) {
         remember(answered.command_id(), answered.reply());
--- a/src/control/statemachine.h
+++ b/src/control/statemachine.h
@@ -28,6 +28,16 @@
     {
         return m_moves;
     }
+    /// Who schedules each cell, by the cell's name; a cell that ever had a holder keeps its epoch.
+    const std::map<std::string, v1::CellAssignment> &cells() const
+    {
+        return m_cells;
+    }
+    /// Counts every accepted change of declarations, moves and cells: what VMs must have in force.
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
     /// Accepted changes after a revision, oldest first; empty when they are older than what is kept.
     std::vector<v1::HistoryEntry> historyAfter(Revision revision) const;
 
@@ -39,10 +49,16 @@
     v1::CommandReply applyChanges(const v1::Command &command, const v1::ApplyRequest &request);
     v1::CommandReply startMove(const v1::Command &command, const v1::StartMoveRequest &request);
     v1::CommandReply abortMove(const v1::Command &command, const v1::AbortMoveRequest &request);
+    v1::CommandReply assignCell(const v1::CellAssignment &assignment);
+    v1::CommandReply restoreDeclarations(const v1::Command &command, const v1::RestoreSnapshotRequest &request);
+    v1::CommandReply accepted() const;
+    void addHistory(const v1::Command &command, const std::string &author, const google::protobuf::RepeatedPtrField<v1::Change> &changes);
     void remember(const std::string &commandId, const v1::ProposeReply &reply);
 
     Declarations m_declarations;
     std::map<std::string, v1::Move> m_moves;
+    std::map<std::string, v1::CellAssignment> m_cells;
+    std::uint64_t m_version = 0;
     std::deque<v1::HistoryEntry> m_history;
     /// Answers by command id, and the ids in the order they came, so that the oldest go first.
     std::map<std::string, v1::ProposeReply> m_answers;
