Every VM serves every operator call; the control task grants and holds configuration leases

What is in force on a VM comes from the leader's updates only, on the leader too. Settings with peers must name the replicas: without them each VM would lead a system of its own.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -2,30 +2,83 @@
 
 #include "common/log.h"
 
+#include <random>
+
 namespace cumindyke
 {
 
+namespace
+{
+
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
+constexpr Duration BeatInterval = std::chrono::milliseconds(500);
+/// Without a lease for this long, another VM is asked who leads.
+constexpr Duration LeaderSilence = std::chrono::seconds(1);
+
+/// Differs at every start of a process, and leaves room to count up from.
+std::uint64_t randomIncarnation()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 31) ^ device();
+}
+
+/// Replicas first: they know who leads.
+std::vector<VmName> leaderCandidates(const ControlOptions &options)
+{
+    std::vector<VmName> candidates = options.replicas;
+    for (const auto &[peer, address] : options.peers) {
+        if (std::ranges::find(candidates, peer) == candidates.end()) {
+            candidates.push_back(peer);
+        }
+    }
+    if (candidates.empty()) {
+        candidates.push_back(options.vm);
+    }
+    return candidates;
+}
+
+std::map<VmName, Address> allVms(const ControlOptions &options)
+{
+    std::map<VmName, Address> vms = options.peers;
+    vms[options.vm] = options.address;
+    return vms;
+}
+
+}
+
 Result<std::unique_ptr<ControlTask>> ControlTask::start(ControlOptions options)
 {
     std::unique_ptr<ControlTask> task(new ControlTask(std::move(options)));
-    auto journal = Journal::open(task->m_options.dataFolder, [&state = task->m_state](std::string_view record) {
-        v1::Command command;
-        if (command.ParseFromArray(record.data(), static_cast<int>(record.size()))) {
-            state.apply(command);
-        }
-    });
-    if (!ok(journal)) {
-        return errorOf(journal);
+    if (const std::optional<Error> error = task->recover()) {
+        return *error;
     }
-    task->m_journal = std::move(valueOf(journal));
-    logChange("control", "recovered", {{"revision", std::to_string(task->m_state.declarations().revision().value)}});
+    task->m_tick.startEvery(TickInterval);
     task->m_thread = std::thread([loop = &task->m_loop] { loop->run(); });
     return task;
 }
 
 ControlTask::ControlTask(ControlOptions options)
     : m_options(std::move(options))
-    , m_mailbox(m_loop, [this](ControlMessage &&message) { handle(std::move(message)); })
+    , m_mailbox(m_loop, [this](ControlMessage &&message) { std::visit([this](auto &held) { handle(held); }, message); })
+    , m_tick(m_loop, [this] { tick(); })
+    , m_leadership(
+          LeadershipOptions{
+              .vm = m_options.vm,
+              .vms = allVms(m_options),
+              .lease = {},
+              .send = m_options.send,
+              .hasQuorum = [this](TimePoint now) { return hasQuorum(now); },
+          },
+          m_state)
+    , m_search(leaderCandidates(m_options))
+    , m_forwarder({}, randomIncarnation())
+    , m_follower(FollowerOptions{
+          .vm = m_options.vm,
+          .dataCentre = m_options.dataCentre,
+          .incarnation = randomIncarnation(),
+          .keepAdmitting = m_options.keepAdmitting,
+      })
+    , m_leaderHeard(EventLoop::now())
 {
 }
 
@@ -37,53 +90,355 @@
     }
 }
 
+std::optional<Error> ControlTask::recover()
+{
+    if (m_options.replicas.empty() || m_options.replicas.front() != m_options.vm) {
+        return {};
+    }
+    auto journal = Journal::open(m_options.dataFolder, [&state = m_state](std::string_view record) {
+        v1::Command command;
+        if (command.ParseFromArray(record.data(), static_cast<int>(record.size()))) {
+            state.apply(command);
+        }
+    });
+    if (!ok(journal)) {
+        return errorOf(journal);
+    }
+    m_journal = std::move(valueOf(journal));
+    logChange("control", "recovered", {{"revision", std::to_string(m_state.declarations().revision().value)}});
+    m_leadership.lead(EventLoop::now());
+    return {};
+}
+
 void ControlTask::post(ControlMessage message)
 {
     m_mailbox.post(std::move(message));
 }
 
-void ControlTask::handle(ControlMessage &&message)
+void ControlTask::tick()
 {
-    if (auto *proposal = std::get_if<Proposal>(&message)) {
-        handle(*proposal);
-    } else if (auto *query = std::get_if<StateQuery>(&message)) {
-        query->look(m_state);
-    } else if (auto *subscription = std::get_if<Subscription>(&message)) {
-        subscription->changed(configuration());
-        m_configurationChanged.connect(subscription->changed);
+    const TimePoint now = EventLoop::now();
+    for (const v1::CellAssignment &assignment : m_leadership.tick(now)) {
+        v1::Command command;
+        // The same decision has the same id, so that a repeat while the first is on its way changes nothing.
+        command.set_command_id("assign-cell/" + assignment.cell() + "/" + std::to_string(assignment.epoch()) + "/" + m_options.vm.value);
+        *command.mutable_assign_cell() = assignment;
+        propose(std::move(command), [](const Result<v1::ProposeReply> &) {});
+    }
+    if (now >= m_leaderHeard + LeaderSilence) {
+        m_search.gaveNoAnswer(m_search.leader());
+        m_leaderHeard = now;
+    }
+    if (now >= m_nextBeat) {
+        beat(now);
     }
+    if (m_hadLease && now >= m_follower.admitUntil()) {
+        m_hadLease = false;
+        logChange("control", "lease-lapsed", {{"version", std::to_string(m_follower.version())}});
+    }
+    sendDue(now);
+    feedWatchers();
 }
 
 void ControlTask::handle(Proposal &proposal)
 {
-    proposal.command.set_at_ms(EventLoop::wallNow().value);
-    const Result<Done> written = m_journal->append(proposal.command.SerializeAsString());
+    // A wait outlasts changes of the leader, so it goes by the forwarder's resends also when this VM leads.
+    if (m_leadership.leads() && !proposal.command.apply().wait()) {
+        propose(std::move(proposal.command), proposal.answer);
+        return;
+    }
+    v1::ProposeRequest request;
+    request.set_command(proposal.command.SerializeAsString());
+    const TimePoint now = EventLoop::now();
+    m_forwarder.add(std::move(request), std::move(proposal.answer), now);
+    sendDue(now);
+}
+
+void ControlTask::handle(Question &question)
+{
+    v1::ProposeRequest request;
+    *request.mutable_question() = std::move(question.question);
+    const TimePoint now = EventLoop::now();
+    const auto answer = [answer = std::move(question.answer)](const Result<v1::ProposeReply> &reply) {
+        if (!ok(reply)) {
+            answer(errorOf(reply));
+            return;
+        }
+        answer(valueOf(reply).answer());
+    };
+    m_forwarder.add(std::move(request), answer, now);
+    sendDue(now);
+}
+
+void ControlTask::handle(StateQuery &query)
+{
+    query.look(m_state);
+}
+
+void ControlTask::handle(FollowerQuery &query)
+{
+    query.look(m_follower);
+}
+
+void ControlTask::handle(Watch &watch)
+{
+    m_watchers.add(watch.after, std::move(watch.sink));
+    feedWatchers();
+}
+
+void ControlTask::handle(Subscription &subscription)
+{
+    subscription.changed(configuration());
+    m_configurationChanged.connect(subscription.changed);
+}
+
+void ControlTask::handle(DrainNotice & /*notice*/)
+{
+    m_follower.setDraining(true);
+    beat(EventLoop::now());
+}
+
+void ControlTask::handle(PeerMessage &message)
+{
+    switch (message.envelope.body_case()) {
+    case v1::Envelope::kPropose:
+        proposeHere(message.from, message.envelope.propose());
+        break;
+    case v1::Envelope::kProposeReply:
+        m_forwarder.replied(message.from, message.envelope.propose_reply(), m_search, EventLoop::now());
+        break;
+    case v1::Envelope::kConfigHeartbeat:
+        takeBeat(message.from, message.envelope.config_heartbeat());
+        break;
+    case v1::Envelope::kConfigLease:
+        takeLease(message.from, message.envelope.config_lease());
+        break;
+    case v1::Envelope::kConfigUpdate:
+        takeUpdate(message.envelope.config_update());
+        break;
+    default:
+        break;
+    }
+}
+
+bool ControlTask::hasQuorum(TimePoint /*now*/) const
+{
+    return m_journal != nullptr;
+}
+
+void ControlTask::propose(v1::Command command, const std::function<void(const Result<v1::ProposeReply> &)> &answer)
+{
+    command.set_at_ms(EventLoop::wallNow().value);
+    const Result<Done> written = m_journal->append(command.SerializeAsString());
     if (!ok(written)) {
         logWarning("control", "storage-failed", {{"error", errorOf(written).message}});
-        proposal.answer(errorOf(written));
+        // Where the file ends now is unknown; a record written after a torn one would be lost at the next start.
+        m_leadership.stopLeading();
+        m_journal.reset();
+        answer(errorOf(written));
         return;
     }
     const Revision before = m_state.declarations().revision();
-    const v1::ProposeReply reply = m_state.apply(proposal.command);
+    const v1::ProposeReply reply = m_state.apply(command);
     if (m_state.declarations().revision() != before) {
         logChange("control", "revision-accepted", {{"revision", std::to_string(m_state.declarations().revision().value)}});
-        m_configurationChanged.emit(configuration());
     }
-    proposal.answer(reply);
+    m_leadership.applied(EventLoop::now());
+    answer(reply);
 }
 
-Configuration ControlTask::configuration() const
+void ControlTask::proposeHere(const VmName &from, const v1::ProposeRequest &request)
+{
+    const TimePoint now = EventLoop::now();
+    const std::uint64_t call = request.call();
+    if (!m_leadership.leads() || !hasQuorum(now)) {
+        v1::ProposeReply hint;
+        hint.set_leader(m_search.leader() == from || m_search.leader() == m_options.vm ? "" : m_search.leader().value);
+        sendReply(from, call, std::move(hint));
+        return;
+    }
+    if (request.has_question()) {
+        if (std::optional<v1::LeaderAnswer> answer = answerHere(request.question(), now)) {
+            v1::ProposeReply reply;
+            *reply.mutable_answer() = std::move(*answer);
+            sendReply(from, call, std::move(reply));
+        }
+        return;
+    }
+    v1::Command command;
+    if (!command.ParseFromString(request.command())) {
+        return;
+    }
+    const bool wait = command.apply().wait();
+    propose(std::move(command), [this, from, call, wait](const Result<v1::ProposeReply> &result) {
+        // Nothing is sent on a failure: whether the command is in the log is unknown, and the resend finds out.
+        if (!ok(result)) {
+            return;
+        }
+        if (wait && valueOf(result).reply().outcome() == v1::CommandReply::ACCEPTED) {
+            replyWhenInForce(from, call, valueOf(result));
+            return;
+        }
+        sendReply(from, call, valueOf(result));
+    });
+}
+
+void ControlTask::replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply)
 {
-    Configuration configuration{
-        .declarations = std::make_shared<const Declarations>(m_state.declarations()),
-        .moves = {},
-        .cells = {},
-        .admitUntil = TimePoint::max(),
+    const auto inForce = [this, from, call, reply](const std::vector<std::string> &lapsed) {
+        v1::ProposeReply waited = reply;
+        waited.mutable_reply()->mutable_lapsed_vms()->Assign(lapsed.begin(), lapsed.end());
+        sendReply(from, call, std::move(waited));
     };
-    for (const auto &[name, move] : m_state.moves()) {
-        configuration.moves.push_back(move);
+    m_leadership.waitUntilInForce(inForce, EventLoop::now());
+}
+
+void ControlTask::sendReply(const VmName &to, std::uint64_t call, v1::ProposeReply reply)
+{
+    v1::Envelope envelope;
+    reply.set_call(call);
+    *envelope.mutable_propose_reply() = std::move(reply);
+    m_options.send(to, std::move(envelope));
+}
+
+std::optional<v1::LeaderAnswer> ControlTask::answerHere(const v1::LeaderQuestion &question, TimePoint now) const
+{
+    v1::LeaderAnswer answer;
+    switch (question.question_case()) {
+    case v1::LeaderQuestion::kHistory:
+        answer.mutable_history();
+        for (const v1::HistoryEntry &entry : m_state.historyAfter(Revision{question.history().after_revision()})) {
+            *answer.mutable_history()->add_entries() = entry;
+        }
+        return answer;
+    case v1::LeaderQuestion::kMembers:
+        *answer.mutable_members() = m_leadership.members(now);
+        for (v1::Member &member : *answer.mutable_members()->mutable_members()) {
+            member.set_replica(m_options.replicas.front().value == member.vm());
+        }
+        return answer;
+    case v1::LeaderQuestion::kSaveSnapshot:
+        answer.mutable_save_snapshot()->set_revision(m_state.declarations().revision().value);
+        answer.mutable_save_snapshot()->set_snapshot(m_state.snapshot());
+        return answer;
+    case v1::LeaderQuestion::kChangeMembers:
+        answer.mutable_change_members()->set_outcome(v1::CommandReply::INVALID);
+        answer.mutable_change_members()->set_message("this system has a single replica: set replicas in the settings of every VM");
+        return answer;
+    case v1::LeaderQuestion::QUESTION_NOT_SET:
+        break;
+    }
+    return {};
+}
+
+void ControlTask::takeBeat(const VmName &from, const v1::ConfigHeartbeat &beat)
+{
+    if (m_leadership.leads()) {
+        m_leadership.heartbeat(from, beat, EventLoop::now());
+        return;
+    }
+    v1::Envelope hint;
+    hint.mutable_config_lease()->set_beat(beat.beat());
+    if (m_search.leader() != from && m_search.leader() != m_options.vm) {
+        hint.mutable_config_lease()->set_leader(m_search.leader().value);
+    }
+    m_options.send(from, std::move(hint));
+}
+
+void ControlTask::beat(TimePoint now)
+{
+    m_nextBeat = now + BeatInterval;
+    v1::Envelope envelope;
+    *envelope.mutable_config_heartbeat() = m_follower.beat(now);
+    m_options.send(m_search.leader(), std::move(envelope));
+}
+
+void ControlTask::sendDue(TimePoint now)
+{
+    for (Outgoing &outgoing : m_forwarder.due(m_search, now)) {
+        m_options.send(outgoing.to, std::move(outgoing.envelope));
+    }
+}
+
+void ControlTask::takeUpdate(const v1::ConfigUpdate &update)
+{
+    v1::Envelope relayed;
+    *relayed.mutable_config_update() = update;
+    const std::vector<std::string> targets(update.relay().begin(), update.relay().end());
+    for (const Branch &branch : branches(targets)) {
+        relayed.mutable_config_update()->mutable_relay()->Assign(branch.relay.begin(), branch.relay.end());
+        m_options.send(branch.child, relayed);
+    }
+    switch (m_follower.update(update)) {
+    case Follower::Taken::Old:
+        return;
+    case Follower::Taken::Applied:
+        configurationIsNew();
+        break;
+    case Follower::Taken::Gap:
+        break;
+    }
+    // At once, so that the leader knows that this VM has it in force, or repairs the gap.
+    beat(EventLoop::now());
+}
+
+void ControlTask::takeLease(const VmName &from, const v1::ConfigLease &lease)
+{
+    if (lease.length_ms() == 0) {
+        if (lease.leader() != m_search.leader().value) {
+            m_search.learned(VmName{lease.leader()});
+        }
+        return;
+    }
+    m_search.learned(from);
+    m_leaderHeard = EventLoop::now();
+    if (!m_follower.granted(lease)) {
+        return;
+    }
+    if (!m_hadLease) {
+        m_hadLease = true;
+        logChange("control", "lease-granted", {{"by", from.value}, {"version", std::to_string(m_follower.version())}});
     }
-    return configuration;
+    m_configurationChanged.emit(configuration());
+}
+
+void ControlTask::configurationIsNew()
+{
+    m_configurationChanged.emit(configuration());
+    feedWatchers();
+}
+
+/// Changes come from the leader's history, not from the updates of this VM: an update may carry whole declarations.
+void ControlTask::feedWatchers()
+{
+    if (!m_watchers.any()) {
+        return;
+    }
+    m_watchers.sendMoves(m_follower.moves(), m_follower.declarations()->revision());
+    if (m_watchersAsk || m_watchers.oldestSeen() >= m_follower.declarations()->revision()) {
+        return;
+    }
+    m_watchersAsk = true;
+    Question question;
+    question.question.mutable_history()->set_after_revision(m_watchers.oldestSeen().value);
+    question.answer = [this](const Result<v1::LeaderAnswer> &answer) {
+        m_watchersAsk = false;
+        if (ok(answer)) {
+            m_watchers.sendHistory(valueOf(answer).history());
+        }
+    };
+    handle(question);
+}
+
+Configuration ControlTask::configuration() const
+{
+    return Configuration{
+        .declarations = m_follower.declarations(),
+        .moves = m_follower.moves(),
+        .cells = m_follower.cells(),
+        .admitUntil = m_follower.admitUntil(),
+        .leaseUntil = m_follower.leaseUntil(),
+    };
 }
 
 }
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -2,8 +2,12 @@
 
 #include "common/eventloop.h"
 #include "common/mailbox.h"
+#include "control/follower.h"
+#include "control/forwarder.h"
 #include "control/journal.h"
+#include "control/leadership.h"
 #include "control/statemachine.h"
+#include "control/watchers.h"
 #include "peer/peertransport.h"
 
 #include <sigc++/sigc++.h>
@@ -16,15 +20,17 @@
 namespace cumindyke
 {
 
-/// What a VM must have in force: handed to the other tasks whenever it changes.
+/// What a VM must have in force: handed to the other tasks whenever it changes, and whenever the lease is renewed.
 struct Configuration
 {
     std::shared_ptr<const Declarations> declarations;
     std::vector<v1::Move> moves;
     /// Which VM schedules each cell, by the cell's name.
     std::map<std::string, v1::CellAssignment> cells;
-    /// New work is admitted only before this time: the configuration lease. Far in the future on a single replica.
+    /// New work is admitted only before this time.
     TimePoint admitUntil;
+    /// Cells assigned to this VM are scheduled only before this time: the configuration lease.
+    TimePoint leaseUntil;
 };
 
 /// A command for the log, and what to do with its answer (called in the control task's thread).
@@ -34,19 +40,44 @@
     std::function<void(const Result<v1::ProposeReply> &)> answer;
 };
 
-/// A look at the state, made in the control task's thread.
+/// A question that only the leader can answer; answered in the control task's thread.
+struct Question
+{
+    v1::LeaderQuestion question;
+    std::function<void(const Result<v1::LeaderAnswer> &)> answer;
+};
+
+/// A look at the state of this VM's replica (empty on a VM without one), made in the control task's thread.
 struct StateQuery
 {
     std::function<void(const StateMachine &)> look;
 };
 
+/// A look at what this VM has in force, made in the control task's thread.
+struct FollowerQuery
+{
+    std::function<void(const Follower &)> look;
+};
+
+/// An operator's watch from a revision on.
+struct Watch
+{
+    Revision after;
+    std::shared_ptr<EventSink> sink;
+};
+
 /// A subscription to configurations: called in the control task's thread at once and at each change.
 struct Subscription
 {
     std::function<void(const Configuration &)> changed;
 };
 
-using ControlMessage = std::variant<Proposal, StateQuery, Subscription, PeerMessage>;
+/// A graceful shutdown has begun: cells go to other VMs.
+struct DrainNotice
+{
+};
+
+using ControlMessage = std::variant<Proposal, Question, StateQuery, FollowerQuery, Watch, Subscription, DrainNotice, PeerMessage>;
 
 struct ControlOptions
 {
@@ -58,10 +89,14 @@
     std::vector<VmName> replicas;
     /// The other VMs.
     std::map<VmName, Address> peers;
+    /// This VM, as operators see it.
+    Address address;
+    /// How long work is admitted under the last configuration after the lease; docs/notes/quorum-loss.md.
+    Duration keepAdmitting = Duration::zero();
     PeerSender send;
 };
 
-/// Owns the log and the state machine. Other tasks talk to it by post().
+/// Owns the log and the state machine, and this VM's part in configuration leases. Other tasks talk to it by post().
 class ControlTask
 {
 public:
@@ -76,15 +111,52 @@
 
 private:
     explicit ControlTask(ControlOptions options);
-    void handle(ControlMessage &&message);
+    std::optional<Error> recover();
+    void tick();
+
     void handle(Proposal &proposal);
+    void handle(Question &question);
+    void handle(StateQuery &query);
+    void handle(FollowerQuery &query);
+    void handle(Watch &watch);
+    void handle(Subscription &subscription);
+    void handle(DrainNotice &notice);
+    void handle(PeerMessage &message);
+
+    // The leader's side.
+    bool hasQuorum(TimePoint now) const;
+    void propose(v1::Command command, const std::function<void(const Result<v1::ProposeReply> &)> &answer);
+    void proposeHere(const VmName &from, const v1::ProposeRequest &request);
+    void replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply);
+    void sendReply(const VmName &to, std::uint64_t call, v1::ProposeReply reply);
+    std::optional<v1::LeaderAnswer> answerHere(const v1::LeaderQuestion &question, TimePoint now) const;
+    void takeBeat(const VmName &from, const v1::ConfigHeartbeat &beat);
+
+    // The VM's side.
+    void beat(TimePoint now);
+    void sendDue(TimePoint now);
+    void takeUpdate(const v1::ConfigUpdate &update);
+    void takeLease(const VmName &from, const v1::ConfigLease &lease);
+    void configurationIsNew();
+    void feedWatchers();
     Configuration configuration() const;
 
     const ControlOptions m_options;
     EventLoop m_loop;
     Mailbox<ControlMessage> m_mailbox;
+    Timer m_tick;
     StateMachine m_state;
     std::unique_ptr<Journal> m_journal;
+    Leadership m_leadership;
+    LeaderSearch m_search;
+    Forwarder m_forwarder;
+    Follower m_follower;
+    Watchers m_watchers;
+    bool m_watchersAsk = false;
+    TimePoint m_nextBeat{};
+    /// When the leader last granted a lease, or the search for it began.
+    TimePoint m_leaderHeard{};
+    bool m_hadLease = false;
     sigc::signal<void, const Configuration &> m_configurationChanged;
     std::thread m_thread;
 };
--- a/src/control/operatorhandlers.cpp
+++ b/src/control/operatorhandlers.cpp
@@ -24,6 +24,47 @@
     });
 }
 
+/// Asks the leader and answers the call with the part of its answer that the call is about.
+template<typename Reply>
+void ask(ControlTask &control, const v1::LeaderQuestion &question, const Answer<Reply> &answer, const Reply &(v1::LeaderAnswer::*part)() const)
+{
+    control.post(Question{
+        .question = question,
+        .answer =
+            [answer, part](const Result<v1::LeaderAnswer> &result) {
+                if (!ok(result)) {
+                    answer(errorOf(result));
+                    return;
+                }
+                answer((valueOf(result).*part)());
+            },
+    });
+}
+
+void addQuestions(OperatorHandlers &handlers, ControlTask &control)
+{
+    handlers.history = [&control](const v1::HistoryRequest &request, const Answer<v1::HistoryReply> &answer) {
+        v1::LeaderQuestion question;
+        *question.mutable_history() = request;
+        ask(control, question, answer, &v1::LeaderAnswer::history);
+    };
+    handlers.members = [&control](const v1::MembersRequest & /*request*/, const Answer<v1::MembersReply> &answer) {
+        v1::LeaderQuestion question;
+        question.mutable_members();
+        ask(control, question, answer, &v1::LeaderAnswer::members);
+    };
+    handlers.changeMembers = [&control](const v1::ChangeMembersRequest &request, const Answer<v1::CommandReply> &answer) {
+        v1::LeaderQuestion question;
+        *question.mutable_change_members() = request;
+        ask(control, question, answer, &v1::LeaderAnswer::change_members);
+    };
+    handlers.saveSnapshot = [&control](const v1::SaveSnapshotRequest & /*request*/, const Answer<v1::SaveSnapshotReply> &answer) {
+        v1::LeaderQuestion question;
+        question.mutable_save_snapshot();
+        ask(control, question, answer, &v1::LeaderAnswer::save_snapshot);
+    };
+}
+
 }
 
 OperatorHandlers operatorHandlers(ControlTask &control)
@@ -48,30 +89,25 @@
         propose(control, std::move(command), answer);
     };
     handlers.get = [&control](const v1::GetRequest & /*request*/, const Answer<v1::Declarations> &answer) {
-        control.post(StateQuery{[answer](const StateMachine &state) { answer(toWire(state.declarations())); }});
-    };
-    handlers.history = [&control](const v1::HistoryRequest &request, const Answer<v1::HistoryReply> &answer) {
-        const Revision after{request.after_revision()};
-        control.post(StateQuery{[answer, after](const StateMachine &state) {
-            v1::HistoryReply reply;
-            for (const v1::HistoryEntry &entry : state.historyAfter(after)) {
-                *reply.add_entries() = entry;
-            }
-            answer(reply);
-        }});
+        control.post(FollowerQuery{[answer](const Follower &follower) { answer(toWire(*follower.declarations())); }});
     };
     handlers.moves = [&control](const v1::MovesRequest & /*request*/, const Answer<v1::MovesReply> &answer) {
-        control.post(StateQuery{[answer](const StateMachine &state) {
+        control.post(FollowerQuery{[answer](const Follower &follower) {
             v1::MovesReply reply;
-            for (const auto &[name, move] : state.moves()) {
-                *reply.add_moves() = move;
-            }
+            reply.mutable_moves()->Assign(follower.moves().begin(), follower.moves().end());
             answer(reply);
         }});
     };
-    handlers.watch = [](const v1::WatchRequest & /*request*/, const std::shared_ptr<EventSink> &sink) {
-        sink->end(Error{ErrorKind::Unavailable, "watch is not served by this VM: use history"});
+    handlers.watch = [&control](const v1::WatchRequest &request, const std::shared_ptr<EventSink> &sink) {
+        control.post(Watch{.after = Revision{request.after_revision()}, .sink = sink});
+    };
+    handlers.restoreSnapshot = [&control](const v1::RestoreSnapshotRequest &request, const Answer<v1::CommandReply> &answer) {
+        v1::Command command;
+        command.set_command_id(request.command_id());
+        *command.mutable_restore() = request;
+        propose(control, std::move(command), answer);
     };
+    addQuestions(handlers, control);
     return handlers;
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -48,6 +48,8 @@
         .dataFolder = settings.dataFolder,
         .replicas = settings.replicas,
         .peers = settings.peers,
+        .address = settings.rpcAddress,
+        .keepAdmitting = settings.keepAdmitting,
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     });
     if (!ok(control)) {
@@ -112,6 +114,7 @@
 
 void Daemon::drain(std::function<void()> drained)
 {
+    m_control->post(DrainNotice{});
     m_entry->post(DrainRequest{std::move(drained)});
 }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::int64_t MaxDrainMs = 24 * 3'600'000;
+constexpr std::int64_t MaxKeepAdmittingMs = 3'600'000;
 
 Address readAddress(TomlTable &table, std::string_view key, const Address &fallback)
 {
@@ -41,6 +42,7 @@
     if (root.has("drain_limit_ms")) {
         settings.drainLimit = std::chrono::milliseconds(root.integer("drain_limit_ms", 0, 0, MaxDrainMs));
     }
+    settings.keepAdmitting = std::chrono::milliseconds(root.integer("keep_admitting_ms", 0, 0, MaxKeepAdmittingMs));
     for (const std::string &replica : root.texts("replicas")) {
         settings.replicas.push_back(VmName{replica});
     }
@@ -55,6 +57,10 @@
         }
         settings.peers[name] = readAddress(peer, "rpc_address", {});
     }
+    // Without this, every VM would lead a system of its own, and operators' changes would reach one VM only.
+    if (!settings.peers.empty() && !root.has("replicas")) {
+        root.reject("replicas", "missing: with peers, name the VMs that hold the control log, the same on every VM");
+    }
     for (const VmName &replica : settings.replicas) {
         if (replica != settings.vm && !settings.peers.contains(replica)) {
             root.reject("replicas", "'" + replica.value + "' is neither this VM nor a peer: add a [[peer]] for it or mend its spelling");
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -77,7 +77,7 @@
     , m_mailbox(m_loop, [this](EntryMessage &&message) { handle(std::move(message)); })
     , m_sweep(m_loop, [this] { expireWaiting(); })
     , m_cleanUp(m_loop, [this] { cleanUp(); })
-    , m_configuration{.declarations = std::make_shared<const Declarations>(), .moves = {}, .cells = {}, .admitUntil = {}}
+    , m_configuration{.declarations = std::make_shared<const Declarations>(), .moves = {}, .cells = {}, .admitUntil = {}, .leaseUntil = {}}
 {
 }
 
