--- /dev/null
+++ b/tests/control/clusterprocesstest.cpp
@@ -0,0 +1,106 @@
+#include "control/processcluster.h"
+#include "control/virtualcluster.h"
+
+#include "ctl/client.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+// A VM is cut off silently: its connections stay open and carry nothing. Its callers would be served under a configuration that nobody
+// else has. It must become unready (and an apply that waits must say that it is left out), and come back by itself with the change.
+TEST_CASE("a VM that is cut off silently is unready, and comes back with what was accepted meanwhile")
+{
+    ProcessCluster cluster(4);
+    REQUIRE(cluster.apply(2, 1).exitCode == 0);
+    REQUIRE(cluster.waitAllReady());
+    cluster.setLinks(4, Link::Mode::Drop);
+    REQUIRE(eventually([&] { return !cluster.ready(4); }));
+    CHECK(cluster.ready(1));
+    CHECK(cluster.ready(3));
+    const Finished applied = cluster.apply(3, 2, {"--wait"});
+    INFO(applied.out << applied.error);
+    CHECK(applied.exitCode == 0);
+    CHECK(applied.out.find("lapsed: vm-4") != std::string::npos);
+    CHECK(applied.out.find("lapsed: vm-2") == std::string::npos);
+    CHECK(cluster.revisionOn(2) == 2);
+    CHECK_FALSE(cluster.ready(4));
+    cluster.setLinks(4, Link::Mode::Forward);
+    REQUIRE(cluster.waitAllReady());
+    CHECK(cluster.revisionOn(4) == 2);
+}
+
+// Something between the VMs has lost track of the open connections; new ones work. Callers must not be refused for good: the VM notices
+// that nothing comes back and opens new connections.
+TEST_CASE("a VM whose open connections went silent for good is ready again over new ones")
+{
+    ProcessCluster cluster(3);
+    REQUIRE(cluster.apply(1, 1).exitCode == 0);
+    REQUIRE(cluster.waitAllReady());
+    cluster.silenceOpenConnections(3);
+    REQUIRE(cluster.apply(2, 2).exitCode == 0);
+    CHECK(eventually([&] { return cluster.revisionOn(3) == 2; }));
+    CHECK(cluster.waitAllReady());
+}
+
+// Two operators change declarations under one revision, at different VMs, at the same time. One is told that it won, the other that it
+// lost, and to whom.
+TEST_CASE("of two operators at two VMs exactly one wins")
+{
+    ProcessCluster cluster(3);
+    REQUIRE(cluster.apply(1, 1).exitCode == 0);
+    REQUIRE(cluster.waitAllReady());
+    const auto applyAt = [&cluster](int vm, const char *author) { return cluster.apply(vm, vm + 2, {"--base-revision", "1", "--author", author}); };
+    auto second = std::async(std::launch::async, applyAt, 2, "ade");
+    const Finished first = applyAt(3, "bisi");
+    const Finished other = second.get();
+    CHECK(first.exitCode + other.exitCode == 3);
+    const Finished &lost = first.exitCode == 0 ? other : first;
+    CHECK(lost.error.find(first.exitCode == 0 ? "by bisi" : "by ade") != std::string::npos);
+    CHECK(eventually([&] { return cluster.revisionOn(1) == 2; }));
+}
+
+// The answer to an operator's command is lost on the way. The operator sends it again with its id, to another VM, and gets the first
+// answer: the change was made once.
+TEST_CASE("a resend after a lost answer gets the first answer from any VM")
+{
+    ProcessCluster cluster(3);
+    REQUIRE(cluster.apply(1, 1).exitCode == 0);
+    REQUIRE(cluster.waitAllReady());
+    const Address lossy{cluster.network().host(30), 8081};
+    Link link(lossy, Address{cluster.host(2), 8081});
+    link.setMode(Link::Mode::DropAnswers);
+    v1::ApplyRequest request;
+    request.set_command_id("resent");
+    request.set_base_revision(1);
+    *request.add_changes() = organisationChange(9);
+    CHECK_FALSE(ok(OperatorClient(toString(lossy), std::chrono::seconds(2)).apply(request)));
+    const auto again = OperatorClient(cluster.daemon(3).rpc(), Patience).apply(request);
+    REQUIRE(ok(again));
+    CHECK(valueOf(again).outcome() == v1::CommandReply::ACCEPTED);
+    CHECK(valueOf(again).revision() == 2);
+    const auto history = OperatorClient(cluster.daemon(3).rpc(), Patience).history({});
+    REQUIRE(ok(history));
+    CHECK(valueOf(history).entries_size() == 2);
+}
+
+// The VM that holds the log is killed. The others must not go on for ever under what they have: they become unready. When it is back they
+// do too, with every accepted change.
+TEST_CASE("VMs without the log's leader become unready, and come back with it")
+{
+    ProcessCluster cluster(3);
+    REQUIRE(cluster.apply(2, 1).exitCode == 0);
+    REQUIRE(cluster.waitAllReady());
+    cluster.daemon(1).process().signal(SIGKILL);
+    cluster.daemon(1).process().wait();
+    REQUIRE(eventually([&] { return !cluster.ready(2) && !cluster.ready(3); }));
+    const Finished refused = cluster.apply(2, 2);
+    CHECK(refused.exitCode == 4);
+    cluster.daemon(1).start();
+    REQUIRE(cluster.waitAllReady());
+    CHECK(cluster.revisionOn(3) >= 1);
+}
