--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -50,6 +50,8 @@
         .dataFolder = settings.dataFolder,
         .replicas = settings.replicas,
         .peers = settings.peers,
+        .address = settings.rpcAddress,
+        .keepAdmitting = settings.keepAdmitting,
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     });
     if (!ok(control)) {
@@ -114,6 +116,7 @@
 
 void Daemon::drain(std::function<void()> drained)
 {
+    m_control->post(DrainNotice{});
     m_entry->post(DrainRequest{std::move(drained)});
 }
 
