--- /dev/null
+++ b/src/raft/filesystem.cpp
@@ -0,0 +1,160 @@
+#include "raft/filesystem.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace cumindyke::raft
+{
+
+namespace
+{
+
+Error failed(const std::string &what, const std::string &path)
+{
+    return Error{ErrorKind::Storage, "can't " + what + " " + path + ": " + std::strerror(errno) + ": check the disk, its space and the permissions"};
+}
+
+}
+
+PosixFileSystem::~PosixFileSystem()
+{
+    closeCurrent();
+    if (m_lock >= 0) {
+        close(m_lock);
+    }
+}
+
+void PosixFileSystem::closeCurrent()
+{
+    if (m_current >= 0) {
+        close(m_current);
+    }
+    m_current = -1;
+    m_currentPath.clear();
+}
+
+Result<Done> PosixFileSystem::openFolder(const std::string &path)
+{
+    std::error_code error;
+    std::filesystem::create_directories(path, error);
+    if (error) {
+        errno = error.value();
+        return failed("make the folder", path);
+    }
+    const std::string lock = path + "/lock";
+    m_lock = open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    if (m_lock < 0) {
+        return failed("open", lock);
+    }
+    // Two processes on one folder would each overwrite what the other has promised.
+    if (flock(m_lock, LOCK_EX | LOCK_NB) != 0) {
+        return Error{ErrorKind::Storage, path + " is in use by another process: stop it, or set another data_folder"};
+    }
+    return Done{};
+}
+
+Result<std::vector<std::string>> PosixFileSystem::list(const std::string &path) const
+{
+    std::vector<std::string> names;
+    std::error_code error;
+    for (auto item = std::filesystem::directory_iterator(path, error); !error && item != std::filesystem::directory_iterator(); item.increment(error)) {
+        names.push_back(item->path().filename().string());
+    }
+    if (error) {
+        errno = error.value();
+        return failed("list", path);
+    }
+    std::ranges::sort(names);
+    return names;
+}
+
+Result<std::string> PosixFileSystem::read(const std::string &path) const
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream content;
+    content << file.rdbuf();
+    if (!file || content.bad()) {
+        return failed("read", path);
+    }
+    return content.str();
+}
+
+Result<Done> PosixFileSystem::write(const std::string &path, std::uint64_t offset, std::string_view bytes)
+{
+    if (m_currentPath != path || offset == 0) {
+        closeCurrent();
+        m_current = open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC | (offset == 0 ? O_TRUNC : 0), 0600);
+        if (m_current < 0) {
+            return failed("open", path);
+        }
+        m_currentPath = path;
+    }
+    while (!bytes.empty()) {
+        const ssize_t written = pwrite(m_current, bytes.data(), bytes.size(), static_cast<off_t>(offset));
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            return failed("write to", path);
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+        offset += static_cast<std::uint64_t>(written);
+    }
+    // After a failed sync the kernel may have dropped the pages, and a second sync would succeed without them: it is never repeated.
+    if (fdatasync(m_current) != 0) {
+        return failed("sync", path);
+    }
+    return Done{};
+}
+
+Result<Done> PosixFileSystem::truncate(const std::string &path, std::uint64_t size) const
+{
+    const int file = open(path.c_str(), O_WRONLY | O_CLOEXEC);
+    const bool done = file >= 0 && ftruncate(file, static_cast<off_t>(size)) == 0 && fsync(file) == 0;
+    const Error error = failed("truncate", path);
+    if (file >= 0) {
+        close(file);
+    }
+    return done ? Result<Done>(Done{}) : error;
+}
+
+Result<Done> PosixFileSystem::rename(const std::string &from, const std::string &to) const
+{
+    if (std::rename(from.c_str(), to.c_str()) != 0) {
+        return failed("rename", from);
+    }
+    return Done{};
+}
+
+Result<Done> PosixFileSystem::remove(const std::string &path)
+{
+    if (m_currentPath == path) {
+        closeCurrent();
+    }
+    if (unlink(path.c_str()) != 0) {
+        return failed("remove", path);
+    }
+    return Done{};
+}
+
+Result<Done> PosixFileSystem::syncFolder(const std::string &path) const
+{
+    const int folder = open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    const bool done = folder >= 0 && fsync(folder) == 0;
+    const Error error = failed("sync", path);
+    if (folder >= 0) {
+        close(folder);
+    }
+    return done ? Result<Done>(Done{}) : error;
+}
+
+}
--- /dev/null
+++ b/src/raft/segment.cpp
@@ -0,0 +1,144 @@
+#include "raft/segment.h"
+
+#include "common/hash.h"
+
+#include <cstring>
+
+namespace cumindyke::raft
+{
+
+namespace
+{
+
+constexpr std::string_view FrameMagic = "CdFr";
+constexpr std::string_view HeaderMagic = "CdLog001";
+constexpr std::size_t FrameHeaderBytes = 16;
+constexpr std::size_t HeaderBytes = 32;
+constexpr std::uint32_t MaxFrameBytes = 256U << 20;
+
+/// Little-endian, so that a data folder may move between machines.
+void put(std::string &bytes, std::uint64_t value, std::size_t size)
+{
+    for (std::size_t i = 0; i < size; ++i) {
+        bytes.push_back(static_cast<char>(value >> (8 * i)));
+    }
+}
+
+std::uint64_t take(std::string_view bytes, std::size_t offset, std::size_t size)
+{
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < size; ++i) {
+        value |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[offset + i])) << (8 * i);
+    }
+    return value;
+}
+
+std::optional<SegmentHeader> decodeHeader(std::string_view bytes)
+{
+    if (bytes.size() < HeaderBytes || bytes.substr(0, HeaderMagic.size()) != HeaderMagic || take(bytes, 24, 8) != checksum(bytes.substr(0, 24))) {
+        return {};
+    }
+    return SegmentHeader{.firstIndex = take(bytes, 8, 8), .previousTerm = take(bytes, 16, 8)};
+}
+
+/// The offset of a whole frame somewhere after an offset.
+std::optional<std::size_t> wholeFrameAfter(std::string_view bytes, std::size_t offset)
+{
+    for (std::size_t at = bytes.find(FrameMagic, offset); at != std::string_view::npos; at = bytes.find(FrameMagic, at + 1)) {
+        if (decodeFrame(bytes, at)) {
+            return at;
+        }
+    }
+    return {};
+}
+
+/// Entries of a batch follow each other, and no term goes back.
+bool consecutive(const v1::StoredBatch &batch)
+{
+    if (batch.entries_size() == 0 || batch.entries(0).index() == 0) {
+        return false;
+    }
+    for (int i = 1; i < batch.entries_size(); ++i) {
+        if (batch.entries(i).index() != batch.entries(i - 1).index() + 1 || batch.entries(i).term() < batch.entries(i - 1).term()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+}
+
+Error damaged(const std::string &path, std::size_t offset, const std::string &what)
+{
+    return Error{ErrorKind::Storage,
+                 path + " is damaged at offset " + std::to_string(offset) + ": " + what
+                     + ": check the disk, move the data folder away and restart: the VM gets the log from the other replicas; a single replica "
+                       "needs a copy of the folder"};
+}
+
+std::string encodeFrame(std::string_view payload)
+{
+    std::string bytes(FrameMagic);
+    put(bytes, payload.size(), 4);
+    put(bytes, checksum(payload) ^ payload.size(), 8);
+    bytes += payload;
+    return bytes;
+}
+
+std::optional<Frame> decodeFrame(std::string_view bytes, std::size_t offset)
+{
+    if (offset > bytes.size() || bytes.size() - offset < FrameHeaderBytes || bytes.substr(offset, FrameMagic.size()) != FrameMagic) {
+        return {};
+    }
+    const std::uint64_t length = take(bytes, offset + 4, 4);
+    if (length > MaxFrameBytes || length > bytes.size() - offset - FrameHeaderBytes) {
+        return {};
+    }
+    const std::string_view payload = bytes.substr(offset + FrameHeaderBytes, length);
+    if ((checksum(payload) ^ length) != take(bytes, offset + 8, 8)) {
+        return {};
+    }
+    return Frame{.payload = payload, .end = offset + FrameHeaderBytes + length};
+}
+
+std::string encodeHeader(const SegmentHeader &header)
+{
+    std::string bytes(HeaderMagic);
+    put(bytes, header.firstIndex, 8);
+    put(bytes, header.previousTerm, 8);
+    put(bytes, checksum(bytes), 8);
+    return bytes;
+}
+
+Result<SegmentContent> parseSegment(std::string_view bytes, const std::string &path)
+{
+    SegmentContent content;
+    content.header = decodeHeader(bytes);
+    if (!content.header) {
+        if (wholeFrameAfter(bytes, 0)) {
+            return damaged(path, 0, "the header doesn't hold, but entries follow");
+        }
+        return content;
+    }
+    content.wholeBytes = HeaderBytes;
+    while (content.wholeBytes < bytes.size()) {
+        const std::optional<Frame> frame = decodeFrame(bytes, content.wholeBytes);
+        if (!frame) {
+            // A torn write is the last one. What comes after a broken frame was written after that one was synced and acknowledged:
+            // to cut here would silently lose acknowledged entries.
+            if (wholeFrameAfter(bytes, content.wholeBytes)) {
+                return damaged(path, content.wholeBytes, "entries follow that were written later");
+            }
+            return content;
+        }
+        v1::StoredBatch batch;
+        if (!batch.ParseFromArray(frame->payload.data(), static_cast<int>(frame->payload.size())) || !consecutive(batch)) {
+            return damaged(path, content.wholeBytes, "the checksum holds, but not the entries");
+        }
+        content.batches.push_back(std::move(batch));
+        content.wholeBytes = frame->end;
+    }
+    return content;
+}
+
+}
--- /dev/null
+++ b/tests/raft/storagetest.cpp
@@ -0,0 +1,258 @@
+#include "raft/fakefilesystem.h"
+#include "raft/filestorage.h"
+#include "raft/replica.h"
+#include "raft/simulation.h"
+#include "support/processes.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cumindyke;
+using namespace cumindyke::raft;
+using namespace cumindyke::raft::test;
+
+namespace
+{
+
+const std::string Folder = "data";
+
+EntryPointer entry(Index index, Term term, const std::string &command)
+{
+    v1::LogEntry entry;
+    entry.set_index(index);
+    entry.set_term(term);
+    entry.set_command(command);
+    return std::make_shared<const v1::LogEntry>(entry);
+}
+
+/// A replica's durable content, as the test expects it.
+struct Model
+{
+    Vote vote;
+    Index snapshotIndex = 0;
+    Term snapshotTerm = 0;
+    /// Entries after snapshotIndex, and maybe some before.
+    std::map<Index, std::string> entries;
+
+    std::map<Index, std::string> afterSnapshot() const
+    {
+        return {entries.upper_bound(snapshotIndex), entries.end()};
+    }
+    bool operator==(const Model &other) const
+    {
+        return vote == other.vote && snapshotIndex == other.snapshotIndex && afterSnapshot() == other.afterSnapshot();
+    }
+};
+
+Model modelOf(const Recovered &recovered)
+{
+    Model model{.vote = recovered.vote, .snapshotIndex = recovered.snapshot->index, .snapshotTerm = recovered.snapshot->term, .entries = {}};
+    for (const EntryPointer &entry : recovered.entries) {
+        model.entries[entry->index()] = std::to_string(entry->term()) + entry->command();
+    }
+    return model;
+}
+
+/// One random operation on storage and model: entries (some replace what was there), a vote, a snapshot taken or got.
+class Operation
+{
+public:
+    Operation(std::mt19937_64 &random, const Model &before)
+        : after(before)
+    {
+        const Index last = before.entries.empty() ? before.snapshotIndex : std::max(before.entries.rbegin()->first, before.snapshotIndex);
+        const std::uint64_t kind = random() % 10;
+        if (kind < 2) {
+            after.vote.term += 1;
+            writes.vote = after.vote;
+        } else if (kind < 3) {
+            saved = snapshotAt(before.snapshotIndex + random() % (last - before.snapshotIndex + 1), before);
+        } else if (kind < 4) {
+            writes.snapshot = snapshotAt(last + 1 + random() % 5, before);
+            writes.resetLog = true;
+            after.entries.clear();
+        } else {
+            const Index first = last + 1 - random() % std::min<Index>(3, last - before.snapshotIndex + 1);
+            after.entries.erase(after.entries.lower_bound(first), after.entries.end());
+            for (Index index = first; index < first + 1 + random() % 4; ++index) {
+                const std::string command(random() % 200'000, static_cast<char>('a' + random() % 26));
+                writes.entries.push_back(entry(index, before.vote.term, command));
+                after.entries[index] = std::to_string(before.vote.term) + command;
+            }
+        }
+    }
+
+    Writes writes;
+    SnapshotPointer saved;
+    Model after;
+
+private:
+    SnapshotPointer snapshotAt(Index index, const Model &before)
+    {
+        auto snapshot = std::make_shared<Snapshot>();
+        const auto held = before.entries.find(index);
+        const bool same = held == before.entries.end() && index == before.snapshotIndex;
+        snapshot->index = index;
+        snapshot->term = same ? before.snapshotTerm : held == before.entries.end() ? before.vote.term : std::stoull(held->second);
+        after.snapshotIndex = index;
+        after.snapshotTerm = snapshot->term;
+        return snapshot;
+    }
+};
+
+Writes firstWrites()
+{
+    return Writes{.identity = Identity{.incarnation = 7, .admitted = true}, .vote = Vote{.term = 1}, .snapshot = std::make_shared<Snapshot>()};
+}
+
+/// A folder with three frames of one entry each; returns the segment's path.
+std::string threeFrames(FakeFileSystem &files)
+{
+    FileStorage<FakeFileSystem> storage(files, Folder);
+    REQUIRE(ok(storage.open(7)));
+    REQUIRE(ok(storage.persist(firstWrites())));
+    for (Index index = 1; index <= 3; ++index) {
+        REQUIRE(ok(storage.persist(Writes{.entries = {entry(index, 1, "command " + std::to_string(index))}})));
+    }
+    return Folder + "/0000000001.segment";
+}
+
+}
+
+// A caller has its answer when the replica has synced. The machine crashes at any operation of the disk, in the middle of a write or
+// before a name is synced; after the restart everything acknowledged must be there, and the interrupted write wholly or not at all,
+// since others may have seen nothing of it, but not a mixture.
+TEST_CASE("what was acknowledged is there after a crash at any operation")
+{
+    std::mt19937_64 random(4);
+    for (int history = 0; history < 400; ++history) {
+        FakeFileSystem files(random());
+        auto storage = std::make_unique<FileStorage<FakeFileSystem>>(files, Folder);
+        REQUIRE(ok(storage->open(7)));
+        REQUIRE(ok(storage->persist(firstWrites())));
+        Model model{.vote = {.term = 1}};
+        for (int step = 0; step < 30; ++step) {
+            const Operation operation(random, model);
+            if (random() % 4 == 0) {
+                files.crashAfter(static_cast<int>(random() % 6));
+            }
+            const bool acknowledged = ok(operation.saved ? storage->saveSnapshot(operation.saved, operation.saved->index) : storage->persist(operation.writes));
+            if (acknowledged && random() % 8 != 0) {
+                model = operation.after;
+                continue;
+            }
+            files.restart();
+            storage = std::make_unique<FileStorage<FakeFileSystem>>(files, Folder);
+            auto recovered = storage->open(8);
+            INFO("history " << history << ", step " << step << (ok(recovered) ? "" : errorOf(recovered).message));
+            REQUIRE(ok(recovered));
+            const Model found = modelOf(valueOf(recovered));
+            REQUIRE((found == operation.after || (!acknowledged && found == model)));
+            CHECK(valueOf(recovered).identity.incarnation == 7);
+            model = found;
+        }
+    }
+}
+
+// The machine crashes while it writes the last frame: the frame is cut off at the next start, and the log goes on after it.
+TEST_CASE("a torn tail is cut off")
+{
+    FakeFileSystem files(1);
+    std::string &segment = files.files[threeFrames(files)];
+    segment.resize(segment.size() - 3);
+    for (int start = 0; start < 2; ++start) {
+        FileStorage<FakeFileSystem> storage(files, Folder);
+        auto recovered = storage.open(8);
+        REQUIRE(ok(recovered));
+        REQUIRE(valueOf(recovered).entries.size() == static_cast<std::size_t>(2 + start));
+        CHECK(ok(storage.persist(Writes{.entries = {entry(3 + static_cast<Index>(start), 1, "again")}})));
+    }
+}
+
+// A bit of an acknowledged entry is flipped on the disk. To cut the log there would silently lose what follows; so the start is
+// refused, and the message names the file, the offset and what to do.
+TEST_CASE("damage before the tail is refused by name")
+{
+    FakeFileSystem files(1);
+    const std::string path = threeFrames(files);
+    files.files[path][60] ^= 1;
+    FileStorage<FakeFileSystem> storage(files, Folder);
+    const auto recovered = storage.open(8);
+    REQUIRE(!ok(recovered));
+    CHECK(errorOf(recovered).kind == ErrorKind::Storage);
+    CHECK_THAT(errorOf(recovered).message, Catch::Matchers::StartsWith(path + " is damaged at offset 32: "));
+    CHECK_THAT(errorOf(recovered).message, Catch::Matchers::Contains("move the data folder away and restart"));
+}
+
+TEST_CASE("a damaged or missing vote, identity or snapshot is refused")
+{
+    for (const std::string name : {"vote", "identity", "snapshot"}) {
+        FakeFileSystem damagedFiles(1);
+        threeFrames(damagedFiles);
+        damagedFiles.files[Folder + "/" + name].back() ^= 1;
+        CHECK(!ok(FileStorage<FakeFileSystem>(damagedFiles, Folder).open(8)));
+    }
+    for (const std::string name : {"vote", "identity"}) {
+        FakeFileSystem files(1);
+        threeFrames(files);
+        files.files.erase(Folder + "/" + name);
+        CHECK(!ok(FileStorage<FakeFileSystem>(files, Folder).open(8)));
+    }
+}
+
+// The disk is full: the write fails, and the replica must not acknowledge, nor anything after it.
+TEST_CASE("a full disk stops the replica before it promises anything")
+{
+    FakeFileSystem files(1);
+    FileStorage<FakeFileSystem> storage(files, Folder);
+    auto recovered = storage.open(7);
+    REQUIRE(ok(recovered));
+    auto first = std::make_shared<Snapshot>();
+    first->membership.add_voters("vm-1");
+    first->membership.add_voters("vm-2");
+    valueOf(recovered).snapshot = first;
+    valueOf(recovered).identity.admitted = true;
+    std::size_t sent = 0;
+    SimulatedTransport transport{[&sent](v1::RaftMessage &&) { ++sent; }};
+    SimulatedState state;
+    Replica<FileStorage<FakeFileSystem>, SimulatedTransport, SimulatedState> replica(
+        CoreOptions{.self = VmName{"vm-1"}}, valueOf(recovered), 1, TimePoint(), SnapshotPolicy{}, storage, transport, state);
+    v1::RaftMessage append;
+    append.set_kind(v1::RaftMessage::APPEND);
+    append.set_from("vm-2");
+    append.set_to("vm-1");
+    append.set_term(1);
+    *append.add_entries() = *entry(1, 1, "command");
+    files.failAfter(0);
+    replica.core().step(append, TimePoint());
+    const Result<Done> flushed = replica.flush(TimePoint());
+    REQUIRE(!ok(flushed));
+    CHECK_THAT(errorOf(flushed).message, Catch::Matchers::Contains("No space left"));
+    CHECK(sent == 0);
+}
+
+TEST_CASE("two processes can't use one folder")
+{
+    const cumindyke::test::TemporaryFolder folder;
+    PosixFileSystem first;
+    PosixFileSystem second;
+    CHECK(ok(first.openFolder(folder.path())));
+    const Result<Done> refused = second.openFolder(folder.path());
+    REQUIRE(!ok(refused));
+    CHECK_THAT(errorOf(refused).message, Catch::Matchers::Contains("in use by another process"));
+}
+
+TEST_CASE("the machine's files keep the log over a restart")
+{
+    const cumindyke::test::TemporaryFolder folder;
+    for (Index run = 1; run <= 3; ++run) {
+        PosixFileSystem files;
+        FileStorage<PosixFileSystem> storage(files, folder.path());
+        auto recovered = storage.open(run);
+        REQUIRE(ok(recovered));
+        CHECK(valueOf(recovered).identity.incarnation == 1);
+        CHECK(valueOf(recovered).entries.size() == run - 1);
+        CHECK(valueOf(recovered).vote.term == run - 1);
+        auto snapshot = run == 1 ? std::make_shared<Snapshot>() : nullptr;
+        CHECK(ok(storage.persist(Writes{.vote = Vote{.term = run}, .snapshot = snapshot, .entries = {entry(run, run, "command")}})));
+    }
+}
