--- a/src/raft/filestorage.h
+++ b/src/raft/filestorage.h
@@ -133,7 +133,7 @@
         recovered.snapshot
             = std::make_shared<Snapshot>(Snapshot{.index = stored.index(), .term = stored.term(), .membership = stored.membership(), .state = stored.state()});
     }
-    if (const auto read = readSegments(recovered); !ok(read)) {
+    if (auto read = readSegments(recovered); !ok(read)) {
         return errorOf(read);
     }
     const Term newest = std::max(recovered.entries.empty() ? 0 : recovered.entries.back()->term(), recovered.snapshot ? recovered.snapshot->term : 0);
@@ -171,7 +171,7 @@
         paths.push_back(m_folder + "/" + name);
     }
     for (const std::string &path : paths) {
-        if (const auto read = readSegment(path, path == paths.back(), recovered); !ok(read)) {
+        if (auto read = readSegment(path, path == paths.back(), recovered); !ok(read)) {
             return read;
         }
     }
@@ -238,7 +238,7 @@
     const bool covered = place <= recovered.entries.size();
     const Term heldTerm = !covered ? 0 : place == 0 ? recovered.baseTerm : recovered.entries[place - 1]->term();
     if (!covered || heldTerm != snapshotTerm) {
-        if (const auto removed = removeSegments(m_segments.size()); !ok(removed)) {
+        if (auto removed = removeSegments(m_segments.size()); !ok(removed)) {
             return removed;
         }
         recovered.entries.clear();
@@ -347,7 +347,7 @@
 template<FileSystem F>
 Result<Done> FileStorage<F>::saveSnapshot(const SnapshotPointer &snapshot, Index keepAfter)
 {
-    if (const auto written = writeSnapshot(*snapshot); !ok(written)) {
+    if (auto written = writeSnapshot(*snapshot); !ok(written)) {
         return written;
     }
     // The log may start at a segment that is old enough and that no later one reaches back beyond.
--- a/tests/raft/storagetest.cpp
+++ b/tests/raft/storagetest.cpp
@@ -185,16 +185,16 @@
 
 TEST_CASE("a damaged or missing vote, identity or snapshot is refused")
 {
-    for (const std::string name : {"vote", "identity", "snapshot"}) {
+    for (const char *path : {"data/vote", "data/identity", "data/snapshot"}) {
         FakeFileSystem damagedFiles(1);
         threeFrames(damagedFiles);
-        damagedFiles.files[Folder + "/" + name].back() ^= 1;
+        damagedFiles.files[path].back() ^= 1;
         CHECK(!ok(FileStorage<FakeFileSystem>(damagedFiles, Folder).open(8)));
     }
-    for (const std::string name : {"vote", "identity"}) {
+    for (const char *path : {"data/vote", "data/identity"}) {
         FakeFileSystem files(1);
         threeFrames(files);
-        files.files.erase(Folder + "/" + name);
+        files.files.erase(path);
         CHECK(!ok(FileStorage<FakeFileSystem>(files, Folder).open(8)));
     }
 }
