--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// As the daemons' own limit: a snapshot is one message.
+constexpr int MaxMessageBytes = 64 << 20;
+
 Error toError(const grpc::Status &status, const std::string &server)
 {
     const std::string message = status.error_message();
@@ -32,12 +35,19 @@
     }
 }
 
+std::shared_ptr<grpc::Channel> connect(const std::string &server)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
+    return grpc::CreateCustomChannel(server, grpc::InsecureChannelCredentials(), arguments);
+}
+
 }
 
 OperatorClient::OperatorClient(const std::string &server, std::chrono::milliseconds timeout)
     : m_server(server)
     , m_timeout(timeout)
-    , m_stub(v1::Operator::NewStub(grpc::CreateChannel(server, grpc::InsecureChannelCredentials())))
+    , m_stub(v1::Operator::NewStub(connect(server)))
 {
 }
 
@@ -94,6 +104,16 @@
     return call<v1::CommandReply>(&v1::Operator::Stub::ChangeMembers, request);
 }
 
+Result<v1::SaveSnapshotReply> OperatorClient::saveSnapshot()
+{
+    return call<v1::SaveSnapshotReply>(&v1::Operator::Stub::SaveSnapshot, v1::SaveSnapshotRequest());
+}
+
+Result<v1::CommandReply> OperatorClient::restoreSnapshot(const v1::RestoreSnapshotRequest &request)
+{
+    return call<v1::CommandReply>(&v1::Operator::Stub::RestoreSnapshot, request);
+}
+
 Result<v1::ReportReply> OperatorClient::report()
 {
     return call<v1::ReportReply>(&v1::Operator::Stub::Report, v1::ReportRequest());
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -25,6 +25,8 @@
     Result<v1::MovesReply> moves();
     Result<v1::MembersReply> members();
     Result<v1::CommandReply> changeMembers(const v1::ChangeMembersRequest &request);
+    Result<v1::SaveSnapshotReply> saveSnapshot();
+    Result<v1::CommandReply> restoreSnapshot(const v1::RestoreSnapshotRequest &request);
     Result<v1::ReportReply> report();
     /// Calls the handler for each event until it returns false or the stream ends.
     Result<Done> watch(const v1::WatchRequest &request, const std::function<bool(const v1::Event &)> &handler);
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -2,15 +2,12 @@
 
 #include "common/hash.h"
 #include "control/convert.h"
-#include "ctl/client.h"
-#include "ctl/output.h"
+#include "ctl/context.h"
 
 #include <cxxopts.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 #include <iostream>
-#include <random>
 #include <span>
 
 namespace cumindyke
@@ -21,33 +18,6 @@
 
 constexpr const char *DefaultServer = "127.0.0.1:8081";
 
-/// What every subcommand is given.
-struct Context
-{
-    const cxxopts::ParseResult &options;
-    OutputForm form;
-    std::vector<std::string> arguments;
-
-    OperatorClient client() const
-    {
-        return OperatorClient(options["server"].as<std::string>(), std::chrono::milliseconds(options["timeout-ms"].as<int>()));
-    }
-    std::string author() const
-    {
-        const char *user = std::getenv("USER");
-        return options.count("author") ? options["author"].as<std::string>() : (user ? user : "");
-    }
-    /// The operator's own id, for a resend, or a new one.
-    std::string commandId() const
-    {
-        if (options.count("command-id")) {
-            return options["command-id"].as<std::string>();
-        }
-        std::random_device device;
-        return fingerprint(std::to_string(device()) + std::to_string(device()) + std::to_string(device())).substr(0, 24);
-    }
-};
-
 struct Command
 {
     const char *name;
@@ -111,6 +81,15 @@
     if (!ok(difference)) {
         return printError(errorOf(difference));
     }
+    if (context.form == OutputForm::Json) {
+        v1::ApplyRequest request;
+        request.set_base_revision(valueOf(difference).base.value);
+        for (const Change &change : valueOf(difference).changes) {
+            *request.add_changes() = toWire(change);
+        }
+        printJson(request);
+        return valueOf(difference).changes.empty() ? ExitOk : ExitDifferent;
+    }
     for (const Change &change : valueOf(difference).changes) {
         std::cout << describe(change) << "\n";
     }
@@ -179,7 +158,7 @@
 ExitCode history(const Context &context)
 {
     v1::HistoryRequest request;
-    request.set_after_revision(context.options["after"].as<std::uint64_t>());
+    request.set_after_revision(context.after());
     const Result<v1::HistoryReply> reply = context.client().history(request);
     if (!ok(reply)) {
         return printError(errorOf(reply));
@@ -194,24 +173,6 @@
     return ExitOk;
 }
 
-ExitCode members(const Context &context)
-{
-    const Result<v1::MembersReply> reply = context.client().members();
-    if (!ok(reply)) {
-        return printError(errorOf(reply));
-    }
-    if (context.form == OutputForm::Json) {
-        printJson(valueOf(reply));
-        return ExitOk;
-    }
-    for (const v1::Member &member : valueOf(reply).members()) {
-        std::cout << member.vm() << " in " << member.data_centre() << " at " << member.peer_address() << (member.replica() ? " replica" : "")
-                  << (member.learner() ? " learner" : "") << (member.leader() ? " leader" : "") << (member.live() ? " live" : " lost") << " revision "
-                  << member.revision() << "\n";
-    }
-    return ExitOk;
-}
-
 ExitCode report(const Context &context)
 {
     const Result<v1::ReportReply> reply = context.client().report();
@@ -246,7 +207,9 @@
     {"apply", "DIR", "make the declarations of a folder the ones in force", 1, 1, apply},
     {"get", "", "show the declarations in force", 0, 0, get},
     {"history", "", "show accepted changes (--after REVISION)", 0, 0, history},
-    {"members", "", "show the VMs, the replicas and the leader", 0, 0, members},
+    {"watch", "", "show changes and moves as they happen (--after REVISION, --count N)", 0, 0, watchCommand},
+    {"members", "[add-replica|remove-replica VM]", "show the VMs, the replicas and the leader, or change the replicas", 0, 2, membersCommand},
+    {"snapshot", "save|restore FILE", "save the whole state to a file, or make a saved one a new revision", 2, 2, snapshotCommand},
     {"report", "", "show how requests ended, by service and tier", 0, 0, report},
     {"hash-key", "", "read an API key from standard input and print its hash for a declaration", 0, 0, hashKeyCommand},
 };
@@ -260,7 +223,8 @@
         "command-id", "id of the command; give the first one again to resend safely", cxxopts::value<std::string>(), "ID")(
         "base-revision", "revision the change was made against, if not the present one", cxxopts::value<std::uint64_t>(), "N")(
         "author", "who makes the change; $USER if not given", cxxopts::value<std::string>(), "NAME")(
-        "after", "history: only later revisions", cxxopts::value<std::uint64_t>()->default_value("0"), "REVISION")(
+        "after", "history, watch: only later revisions", cxxopts::value<std::uint64_t>()->default_value("0"), "REVISION")(
+        "count", "watch: end after so many events; 0 is never", cxxopts::value<std::uint64_t>()->default_value("0"), "N")(
         "wait", "apply: answer when the change is in force on every live VM")("help", "print this help");
     return options;
 }
--- /dev/null
+++ b/src/ctl/context.cpp
@@ -0,0 +1,38 @@
+#include "ctl/context.h"
+
+#include "common/hash.h"
+
+#include <cxxopts.hpp>
+
+#include <cstdlib>
+#include <random>
+
+namespace cumindyke
+{
+
+OperatorClient Context::client() const
+{
+    return OperatorClient(options["server"].as<std::string>(), std::chrono::milliseconds(options["timeout-ms"].as<int>()));
+}
+
+std::string Context::author() const
+{
+    const char *user = std::getenv("USER");
+    return options.count("author") ? options["author"].as<std::string>() : (user ? user : "");
+}
+
+std::string Context::commandId() const
+{
+    if (options.count("command-id")) {
+        return options["command-id"].as<std::string>();
+    }
+    std::random_device device;
+    return fingerprint(std::to_string(device()) + std::to_string(device()) + std::to_string(device())).substr(0, 24);
+}
+
+std::uint64_t Context::after() const
+{
+    return options["after"].as<std::uint64_t>();
+}
+
+}
--- /dev/null
+++ b/tests/control/operatortoolprocesstest.cpp
@@ -0,0 +1,71 @@
+#include "control/processcluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <nlohmann/json.hpp>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+TEST_CASE("every VM shows the members with what is in force on each")
+{
+    ProcessCluster cluster(3);
+    REQUIRE(cluster.apply(1, 1, {"--wait"}).exitCode == 0);
+    REQUIRE(cluster.waitAllReady());
+    const Finished shown = cluster.daemon(3).ctl({"members", "--output", "json"});
+    REQUIRE(shown.exitCode == 0);
+    const auto members = nlohmann::json::parse(shown.out)["members"];
+    REQUIRE(members.size() == 3);
+    CHECK(members[0]["vm"] == "vm-1");
+    CHECK(members[0]["leader"] == true);
+    CHECK(members[0]["replica"] == true);
+    CHECK(members[2]["leader"] == false);
+    for (const auto &member : members) {
+        CHECK(member["live"] == true);
+        CHECK(member["revision"] == "1");
+    }
+    CHECK(cluster.daemon(2).ctl({"members", "add-replica"}).exitCode == 2);
+    CHECK(cluster.daemon(2).ctl({"history", "--output", "json"}).exitCode == 0);
+}
+
+// An operator watches at one VM while others make changes at another: every change comes once, in order, also those from before.
+TEST_CASE("a watch shows every change in order, whichever VM it was made at")
+{
+    ProcessCluster cluster(2);
+    REQUIRE(cluster.apply(1, 1).exitCode == 0);
+    REQUIRE(cluster.waitAllReady());
+    const TemporaryFolder folder;
+    Process watch(
+        {std::string(CUMINDYKE_BIN) + "/cumindykectl", "watch", "--count", "3", "--server", cluster.daemon(2).rpc()}, folder.file("out"), folder.file("error"));
+    REQUIRE(eventually([&] { return contentOf(folder.file("out")).find("revision 1 ") != std::string::npos; }));
+    REQUIRE(cluster.apply(1, 2, {"--wait"}).exitCode == 0);
+    REQUIRE(cluster.apply(1, 3, {"--wait"}).exitCode == 0);
+    CHECK(watch.wait() == 0);
+    const std::string out = contentOf(folder.file("out"));
+    CHECK(out.find("revision 2 ") < out.find("revision 3 "));
+    CHECK(out.find("revision 3 ") != std::string::npos);
+}
+
+// The operator saves a snapshot, makes changes, and restores it: the old declarations are in force again under a new revision. The same
+// snapshot restored into another system with a history of its own is refused.
+TEST_CASE("a snapshot is saved and restored as a new revision, and refused elsewhere")
+{
+    const TemporaryFolder folder;
+    const std::string file = folder.file("snapshot");
+    ProcessCluster cluster(2);
+    REQUIRE(cluster.apply(1, 1, {"--wait"}).exitCode == 0);
+    REQUIRE(cluster.daemon(2).ctl({"snapshot", "save", file}).exitCode == 0);
+    REQUIRE(cluster.apply(1, 3, {"--wait"}).exitCode == 0);
+    const Finished restored = cluster.daemon(2).ctl({"snapshot", "restore", file});
+    CHECK(restored.exitCode == 0);
+    CHECK(restored.out.find("accepted: revision 3") != std::string::npos);
+    CHECK(eventually([&] { return cluster.revisionOn(2) == 3; }));
+    CHECK(cluster.apply(1, 1).out.find("nothing to change") != std::string::npos);
+
+    ProcessCluster other(1);
+    REQUIRE(other.apply(1, 2).exitCode == 0);
+    const Finished refused = other.daemon(1).ctl({"snapshot", "restore", file});
+    CHECK(refused.exitCode == 2);
+    CHECK(refused.error.find("another history") != std::string::npos);
+    CHECK(other.daemon(1).ctl({"snapshot", "restore", folder.file("none")}).exitCode != 0);
+}
