--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 
+#include <cstdlib>
 #include <random>
 
 namespace cumindyke
@@ -61,6 +62,7 @@
     : m_options(std::move(options))
     , m_mailbox(m_loop, [this](ControlMessage &&message) { std::visit([this](auto &held) { handle(held); }, message); })
     , m_tick(m_loop, [this] { tick(); })
+    , m_flush(m_loop, [this] { flushLog(); })
     , m_leadership(
           LeadershipOptions{
               .vm = m_options.vm,
@@ -92,24 +94,87 @@
 
 std::optional<Error> ControlTask::recover()
 {
-    if (m_options.replicas.empty() || m_options.replicas.front() != m_options.vm) {
-        return {};
+    const bool named = std::ranges::find(m_options.replicas, m_options.vm) != m_options.replicas.end();
+    if (m_options.dataFolder.empty()) {
+        const Error noFolder{ErrorKind::Invalid, "replicas names this VM, which has no data_folder: set one, or name other VMs in replicas on every VM"};
+        return named ? std::optional(noFolder) : std::nullopt;
     }
-    auto journal = Journal::open(m_options.dataFolder, [&state = m_state](std::string_view record) {
-        v1::Command command;
-        if (command.ParseFromArray(record.data(), static_cast<int>(record.size()))) {
-            state.apply(command);
-        }
-    });
-    if (!ok(journal)) {
-        return errorOf(journal);
+    raft::ReplicatedLogOptions logOptions{.vm = m_options.vm, .dataFolder = m_options.dataFolder, .initialVoters = m_options.replicas, .send = m_options.send};
+    logOptions.replaceAfter = m_options.replaceReplicaAfter;
+    for (const auto &[peer, address] : m_options.peers) {
+        logOptions.peers.push_back(peer);
     }
-    m_journal = std::move(valueOf(journal));
+    auto log = raft::ReplicatedLog::open(std::move(logOptions));
+    if (!ok(log)) {
+        return errorOf(log);
+    }
+    m_log = std::move(valueOf(log));
+    connectLog();
+    m_log->start(EventLoop::now());
     logChange("control", "recovered", {{"revision", std::to_string(m_state.declarations().revision().value)}});
-    m_leadership.lead(EventLoop::now());
+    flushLog();
     return {};
 }
 
+void ControlTask::connectLog()
+{
+    const auto die = [](const Error &error) {
+        logWarning("control", "stopped-by-storage", {{"error", error.message}});
+        // What the disk holds is no longer known. A process that went on could promise what it doesn't keep; a restart recovers
+        // what was synced, and the other replicas go on meanwhile.
+        std::_Exit(EXIT_FAILURE);
+    };
+    m_log->failed().connect(die);
+    m_log->flushWanted().connect([this] { m_flush.startOnce(Duration::zero()); });
+    m_log->applied().connect(sigc::mem_fun(*this, &ControlTask::applyEntry));
+    m_log->snapshotWanted().connect([this] { return m_state.snapshot(); });
+    m_log->snapshotInstalled().connect([this, die](const std::string &bytes) {
+        if (const Result<Done> restored = m_state.restore(bytes); !ok(restored)) {
+            die(errorOf(restored));
+        }
+    });
+    m_log->leaderChanged().connect([this](const std::optional<VmName> &leader) {
+        if (leader) {
+            m_search.learned(*leader);
+        }
+    });
+}
+
+void ControlTask::applyEntry(raft::Index index, raft::Term term, const std::string &bytes)
+{
+    v1::ProposeReply reply;
+    v1::Command command;
+    // Empty on the log's own entries.
+    if (!bytes.empty() && command.ParseFromString(bytes)) {
+        const Revision before = m_state.declarations().revision();
+        reply = m_state.apply(command);
+        if (m_leadership.leads() && m_state.declarations().revision() != before) {
+            logChange("control", "revision-accepted", {{"revision", std::to_string(m_state.declarations().revision().value)}});
+        }
+    }
+    m_pending.applied(index, term, reply);
+}
+
+void ControlTask::flushLog()
+{
+    const TimePoint now = EventLoop::now();
+    m_log->flush(now);
+    followLeadership(now);
+    m_leadership.applied(now);
+    m_pending.answerDecided();
+}
+
+/// This VM leads from the moment it has applied everything that earlier leaders committed.
+void ControlTask::followLeadership(TimePoint now)
+{
+    if (m_log->isLeader() && !m_leadership.leads() && m_log->hasReadableState(now)) {
+        m_leadership.lead(now);
+    } else if (!m_log->isLeader() && m_leadership.leads()) {
+        m_leadership.stopLeading();
+        m_pending.forget();
+    }
+}
+
 void ControlTask::post(ControlMessage message)
 {
     m_mailbox.post(std::move(message));
@@ -118,6 +183,10 @@
 void ControlTask::tick()
 {
     const TimePoint now = EventLoop::now();
+    if (m_log) {
+        m_log->tick(now);
+        followLeadership(now);
+    }
     for (const v1::CellAssignment &assignment : m_leadership.tick(now)) {
         v1::Command command;
         // The same decision has the same id, so that a repeat while the first is on its way changes nothing.
@@ -142,11 +211,7 @@
 
 void ControlTask::handle(Proposal &proposal)
 {
-    // A wait outlasts changes of the leader, so it goes by the forwarder's resends also when this VM leads.
-    if (m_leadership.leads() && !proposal.command.apply().wait()) {
-        propose(std::move(proposal.command), proposal.answer);
-        return;
-    }
+    // The forwarder's resends outlast changes of the leader, so it is used also when this VM leads.
     v1::ProposeRequest request;
     request.set_command(proposal.command.SerializeAsString());
     const TimePoint now = EventLoop::now();
@@ -195,12 +260,20 @@
 void ControlTask::handle(DrainNotice & /*notice*/)
 {
     m_follower.setDraining(true);
+    if (m_log) {
+        m_log->transferLeadership(EventLoop::now());
+    }
     beat(EventLoop::now());
 }
 
 void ControlTask::handle(PeerMessage &message)
 {
     switch (message.envelope.body_case()) {
+    case v1::Envelope::kRaft:
+        if (m_log) {
+            m_log->step(message.envelope.raft(), EventLoop::now());
+        }
+        break;
     case v1::Envelope::kPropose:
         proposeHere(message.from, message.envelope.propose());
         break;
@@ -221,30 +294,20 @@
     }
 }
 
-bool ControlTask::hasQuorum(TimePoint /*now*/) const
+bool ControlTask::hasQuorum(TimePoint now) const
 {
-    return m_journal != nullptr;
+    return m_log && m_log->hasReadableState(now);
 }
 
 void ControlTask::propose(v1::Command command, const std::function<void(const Result<v1::ProposeReply> &)> &answer)
 {
     command.set_at_ms(EventLoop::wallNow().value);
-    const Result<Done> written = m_journal->append(command.SerializeAsString());
-    if (!ok(written)) {
-        logWarning("control", "storage-failed", {{"error", errorOf(written).message}});
-        // Where the file ends now is unknown; a record written after a torn one would be lost at the next start.
-        m_leadership.stopLeading();
-        m_journal.reset();
-        answer(errorOf(written));
+    const std::optional<raft::Index> index = m_log ? m_log->propose(command.SerializeAsString(), EventLoop::now()) : std::nullopt;
+    if (!index) {
+        answer(Error{ErrorKind::Unavailable, "this VM doesn't lead the control replicas: send the command again"});
         return;
     }
-    const Revision before = m_state.declarations().revision();
-    const v1::ProposeReply reply = m_state.apply(command);
-    if (m_state.declarations().revision() != before) {
-        logChange("control", "revision-accepted", {{"revision", std::to_string(m_state.declarations().revision().value)}});
-    }
-    m_leadership.applied(EventLoop::now());
-    answer(reply);
+    m_pending.add(*index, m_log->term(), answer);
 }
 
 void ControlTask::proposeHere(const VmName &from, const v1::ProposeRequest &request)
@@ -311,19 +374,22 @@
             *answer.mutable_history()->add_entries() = entry;
         }
         return answer;
-    case v1::LeaderQuestion::kMembers:
+    case v1::LeaderQuestion::kMembers: {
+        const v1::Membership replicas = m_log->membership();
         *answer.mutable_members() = m_leadership.members(now);
         for (v1::Member &member : *answer.mutable_members()->mutable_members()) {
-            member.set_replica(m_options.replicas.front().value == member.vm());
+            member.set_replica(std::ranges::find(replicas.voters(), member.vm()) != replicas.voters().end());
         }
         return answer;
+    }
     case v1::LeaderQuestion::kSaveSnapshot:
         answer.mutable_save_snapshot()->set_revision(m_state.declarations().revision().value);
         answer.mutable_save_snapshot()->set_snapshot(m_state.snapshot());
         return answer;
     case v1::LeaderQuestion::kChangeMembers:
         answer.mutable_change_members()->set_outcome(v1::CommandReply::INVALID);
-        answer.mutable_change_members()->set_message("this system has a single replica: set replicas in the settings of every VM");
+        answer.mutable_change_members()->set_message(
+            "replicas are not changed by hand: one that is silent for replace_replica_after_ms is replaced by a VM with a data_folder");
         return answer;
     case v1::LeaderQuestion::QUESTION_NOT_SET:
         break;
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -4,11 +4,12 @@
 #include "common/mailbox.h"
 #include "control/follower.h"
 #include "control/forwarder.h"
-#include "control/journal.h"
 #include "control/leadership.h"
+#include "control/pendingproposals.h"
 #include "control/statemachine.h"
 #include "control/watchers.h"
 #include "peer/peertransport.h"
+#include "raft/replicatedlog.h"
 
 #include <sigc++/sigc++.h>
 
@@ -93,6 +94,8 @@
     Address address;
     /// How long work is admitted under the last configuration after the lease; docs/notes/quorum-loss.md.
     Duration keepAdmitting = Duration::zero();
+    /// A replica of the log that was silent for so long is replaced by another VM with a disk.
+    Duration replaceReplicaAfter = std::chrono::seconds(30);
     PeerSender send;
 };
 
@@ -114,6 +117,12 @@
     std::optional<Error> recover();
     void tick();
 
+    // The log.
+    void connectLog();
+    void applyEntry(raft::Index index, raft::Term term, const std::string &bytes);
+    void flushLog();
+    void followLeadership(TimePoint now);
+
     void handle(Proposal &proposal);
     void handle(Question &question);
     void handle(StateQuery &query);
@@ -146,7 +155,10 @@
     Mailbox<ControlMessage> m_mailbox;
     Timer m_tick;
     StateMachine m_state;
-    std::unique_ptr<Journal> m_journal;
+    /// Null on a VM without a data folder.
+    std::unique_ptr<raft::ReplicatedLog> m_log;
+    Timer m_flush;
+    PendingProposals m_pending;
     Leadership m_leadership;
     LeaderSearch m_search;
     Forwarder m_forwarder;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -52,6 +52,7 @@
         .peers = settings.peers,
         .address = settings.rpcAddress,
         .keepAdmitting = settings.keepAdmitting,
+        .replaceReplicaAfter = settings.replaceReplicaAfter,
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     });
     if (!ok(control)) {
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -9,6 +9,7 @@
 namespace
 {
 
+constexpr std::int64_t MaxReplaceReplicaAfterMs = 24 * 3'600'000;
 constexpr std::int64_t MaxDrainMs = 24 * 3'600'000;
 constexpr std::int64_t MaxKeepAdmittingMs = 3'600'000;
 
@@ -43,6 +44,8 @@
         settings.drainLimit = std::chrono::milliseconds(root.integer("drain_limit_ms", 0, 0, MaxDrainMs));
     }
     settings.keepAdmitting = std::chrono::milliseconds(root.integer("keep_admitting_ms", 0, 0, MaxKeepAdmittingMs));
+    settings.replaceReplicaAfter
+        = std::chrono::milliseconds(root.integer("replace_replica_after_ms", settings.replaceReplicaAfter.count(), 1'000, MaxReplaceReplicaAfterMs));
     for (const std::string &replica : root.texts("replicas")) {
         settings.replicas.push_back(VmName{replica});
     }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -27,6 +27,8 @@
     std::map<VmName, Address> peers;
     /// The VMs that hold the first replicas of the control log; this VM alone when none are named.
     std::vector<VmName> replicas;
+    /// A replica that was silent for so long is replaced by another VM with a disk.
+    std::chrono::milliseconds replaceReplicaAfter{30'000};
     /// How long work is admitted under the last configuration after the lease ended; docs/notes/quorum-loss.md.
     std::chrono::milliseconds keepAdmitting{0};
     /// How long a graceful shutdown may last; none is no limit.
