--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -378,6 +378,7 @@
         const v1::Membership replicas = m_log->membership();
         *answer.mutable_members() = m_leadership.members(now);
         for (v1::Member &member : *answer.mutable_members()->mutable_members()) {
+            member.set_learner(std::ranges::find(replicas.learners(), member.vm()) != replicas.learners().end());
             member.set_replica(std::ranges::find(replicas.voters(), member.vm()) != replicas.voters().end());
         }
         return answer;
--- a/src/raft/filestorage.h
+++ b/src/raft/filestorage.h
@@ -197,7 +197,7 @@
     // A crash came before the first batch was whole. The header may name an index that the next batch doesn't start with; kept, it would let
     // a later removal of older segments take entries along that are still needed.
     if (holdsNothing) {
-        const Result<Done> removed = m_files.remove(path);
+        Result<Done> removed = m_files.remove(path);
         return ok(removed) ? m_files.syncFolder(m_folder) : removed;
     }
     // A segment that reaches back before the start was left by a crash while older ones were removed: all before it was to go.
--- a/src/raft/replicatedlog.cpp
+++ b/src/raft/replicatedlog.cpp
@@ -217,6 +217,10 @@
 void ReplicatedLog::Private::noteChanges()
 {
     const Core &core = replica->core();
+    if (core.identity().admitted != recovered.identity.admitted) {
+        recovered.identity = core.identity();
+        logChange("raft", "admitted", {{"vm", options.vm.value}});
+    }
     if (const std::string members = core.membership().SerializeAsString(); members != knownMembers) {
         knownMembers = members;
         std::string voters;
