--- a/src/bench/benchcommand.cpp
+++ b/src/bench/benchcommand.cpp
@@ -27,7 +27,8 @@
     std::string command;
     std::string target;
     std::string folder;
-    std::string policy;
+    /// Empty: all.
+    std::vector<std::string> policies;
     std::uint64_t firstSeed = 1;
     std::uint64_t lastSeed = 1;
     bool json = false;
@@ -63,7 +64,7 @@
         ("command", "", cxxopts::value<std::string>()->default_value(""))
         ("target", "", cxxopts::value<std::string>()->default_value(""))
         ("seeds", "Seeds A..B", cxxopts::value<std::string>()->default_value("1..1"))
-        ("policy", "Only this policy (default: all)", cxxopts::value<std::string>()->default_value(""))
+        ("policy", "Only these policies, with commas between (all: every one; default: baseline,oracle,cumindyke)", cxxopts::value<std::vector<std::string>>()->default_value("baseline,oracle,cumindyke"))
         ("json", "Print one JSON object")
         ("scenarios", "Folder of the scenarios that ship", cxxopts::value<std::string>()->default_value(CUMINDYKE_SCENARIOS))
         ("help", "Print this");
@@ -80,20 +81,18 @@
         err << "cumindyke-bench: " << errorOf(scenario).message << "\n";
         return Failed;
     }
-    const std::vector<std::string> known = policyNames();
-    if (!options.policy.empty() && std::ranges::find(known, options.policy) == known.end()) {
-        err << "cumindyke-bench: no policy '" << options.policy << "': choose one of";
-        for (const std::string &name : known) {
-            err << " " << name;
-        }
-        err << "\n";
-        return WrongUsage;
-    }
     ScenarioReport report{.scenario = valueOf(scenario).name, .firstSeed = options.firstSeed, .lastSeed = options.lastSeed, .policies = {}};
-    for (const std::string &name : known) {
-        if (options.policy.empty() || options.policy == name) {
-            report.policies.emplace(name, runSeeds(valueOf(scenario), name, options.firstSeed, options.lastSeed));
+    const std::vector<std::string> known = policyNames();
+    for (const std::string &policy : options.policies.empty() ? known : options.policies) {
+        if (std::ranges::find(known, policy) == known.end()) {
+            err << "cumindyke-bench: no policy '" << policy << "': choose among";
+            for (const std::string &name : known) {
+                err << " " << name;
+            }
+            err << "\n";
+            return WrongUsage;
         }
+        report.policies.emplace(policy, runSeeds(valueOf(scenario), policy, options.firstSeed, options.lastSeed));
     }
     options.json ? printJson(out, report) : printTable(out, report);
     return 0;
@@ -154,7 +153,10 @@
         options.command = parsed["command"].as<std::string>();
         options.target = parsed["target"].as<std::string>();
         options.folder = parsed["scenarios"].as<std::string>();
-        options.policy = parsed["policy"].as<std::string>();
+        options.policies = parsed["policy"].as<std::vector<std::string>>();
+        if (options.policies == std::vector<std::string>{"all"}) {
+            options.policies.clear();
+        }
         options.json = parsed.count("json") > 0;
         if (const auto error = parseSeeds(parsed["seeds"].as<std::string>(), options)) {
             err << "cumindyke-bench: " << error->message << "\n";
--- /dev/null
+++ b/src/bench/cumindykepolicy.cpp
@@ -0,0 +1,289 @@
+#include "bench/cumindykepolicy.h"
+
+#include "bench/baselinepolicy.h"
+#include "cell/convert.h"
+
+#include <algorithm>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+/// As in the daemon: changes of some milliseconds go out together.
+constexpr Duration FlushDelay = std::chrono::milliseconds(2);
+constexpr Duration StepDelay = std::chrono::milliseconds(1);
+constexpr Duration SweepInterval = std::chrono::milliseconds(20);
+constexpr Duration PollInterval = std::chrono::milliseconds(200);
+/// Until another VM holds the cell after its scheduler died: the lease and the election.
+constexpr Duration TakeoverTime = std::chrono::milliseconds(2500);
+
+}
+
+CumindykePolicy::CumindykePolicy(World &world, const CumindykeOptions &options)
+    : m_world(world)
+    , m_options(options)
+    , m_declarations(Declarations::restored(Revision{1}, declarationsOf(world)))
+{
+    world.arrived = [this](const BenchRequest &request, TimePoint now) { arrived(request, now); };
+    world.dispatchEnded = [this](const BenchRequest &request, const BenchUpstream &upstream, DispatchEnd end, TimePoint now) {
+        dispatchEnded(request, upstream, end, now);
+    };
+    world.vmLost = [this](std::uint32_t vm, TimePoint now) { vmLost(vm, now); };
+    world.schedulerLost = [this](const std::string &cell, TimePoint now) { schedulerLost(cell, now); };
+    for (const BenchRequest &request : world.requests()) {
+        m_indexes.emplace(request.id, request.index);
+    }
+    makeCells();
+}
+
+void CumindykePolicy::makeCells()
+{
+    std::vector<BookUpstream> known;
+    for (std::uint32_t i = 0; i < m_world.upstreams().size(); ++i) {
+        const BenchUpstream &upstream = m_world.upstreams()[i];
+        m_versions.emplace(upstream.service, upstream.version);
+        const CellName name{upstream.cell()};
+        Cell &cell = m_cells[name];
+        cell.name = name;
+        cell.service = upstream.service;
+        cell.dataCentre = upstream.dataCentre;
+        cell.host = upstream.dataCentre % m_world.scenario().entryVms;
+        cell.upstreams.push_back(i);
+        known.push_back(BookUpstream{.name = upstream.name, .service = upstream.service, .version = upstream.version, .cell = name, .slots = upstream.slots});
+    }
+    const std::uint32_t vms = m_world.scenario().entryVms;
+    for (std::uint32_t i = 0; i < vms; ++i) {
+        const VmName name{"entry-" + std::to_string(i)};
+        m_vms.push_back(Vm{.name = name, .queues = {}, .book = GrantBook(name), .lengths = {}, .slots = {}});
+        m_vms.back().book.setUpstreams(known, VmShare{.index = i, .count = vms});
+        m_world.at(TimePoint(SweepInterval * (i + 1) / vms), [this, i](TimePoint now) { sweep(i, now); });
+    }
+    for (auto &[name, cell] : m_cells) {
+        startScheduler(cell, TimePoint{});
+        m_world.at(TimePoint(PollInterval), [this, held = &cell](TimePoint now) { poll(*held, now); });
+    }
+}
+
+void CumindykePolicy::startScheduler(Cell &cell, TimePoint now)
+{
+    if (!m_options.useSchedulers) {
+        return;
+    }
+    CellOptions options{
+        .cell = cell.name,
+        .epoch = cell.epoch,
+        .entryVms = {},
+        .placement = m_options.placement,
+        .adaptWindows = m_options.adaptWindows,
+        .useCacheEvents = m_options.useCacheEvents,
+        .fairByWork = m_options.fairByWork,
+    };
+    for (std::uint32_t i = 0; i < m_vms.size(); ++i) {
+        if (m_world.vmAlive(i) && now > TimePoint{}) {
+            options.entryVms.insert(m_vms[i].name);
+        }
+    }
+    cell.scheduler.emplace(std::move(options), now);
+    std::vector<CellUpstream> upstreams;
+    for (const std::uint32_t upstream : cell.upstreams) {
+        const BenchUpstream &known = m_world.upstreams()[upstream];
+        upstreams.push_back(CellUpstream{.name = known.name, .version = known.version, .slots = known.slots});
+    }
+    cell.scheduler->setUpstreams(upstreams, now);
+    std::map<OrganisationName, std::uint32_t> weights;
+    for (const ScenarioOrganisation &organisation : m_world.scenario().organisations) {
+        weights[organisation.name] = organisation.weight;
+    }
+    cell.scheduler->setWeights(weights);
+    cell.cacheSequences.clear();
+}
+
+void CumindykePolicy::arrived(const BenchRequest &request, TimePoint now)
+{
+    const auto refuseFrom = m_vms[request.vm].book.refuseFrom(request.service, now);
+    if (refuseFrom && request.tier >= *refuseFrom) {
+        m_world.shed(request, now);
+        return;
+    }
+    enqueue(request, now);
+}
+
+void CumindykePolicy::enqueue(const BenchRequest &request, TimePoint now)
+{
+    Vm &vm = m_vms[request.vm];
+    const TokenCount answer = vm.lengths.answer(request.service, request.route, request.answerLimit);
+    vm.queues[request.service].add(PendingRequest{
+        .id = request.id,
+        .tier = request.tier,
+        .organisation = request.organisation,
+        .service = request.service,
+        .arrival = request.arrival,
+        .deadline = request.deadline,
+        .work = TokenCount{request.prompt.value + answer.value},
+        .promptTokens = request.prompt,
+        .answerTokens = answer,
+        .prefix = request.prefix,
+        .version = {},
+    });
+    serve(request.vm, now);
+    scheduleFlush(request.vm, now);
+}
+
+void CumindykePolicy::serve(std::uint32_t index, TimePoint now)
+{
+    Vm &vm = m_vms[index];
+    for (auto &[service, queue] : vm.queues) {
+        serveQueue(queue, vm.book, m_declarations, m_versions[service], now, [&](const PendingRequest &request, const Slot &slot) {
+            const std::uint32_t number = m_indexes.at(request.id);
+            vm.slots[number] = slot;
+            m_world.dispatch(m_world.requests()[number], m_world.upstreamIndex(slot.upstream), now);
+        });
+    }
+}
+
+void CumindykePolicy::dispatchEnded(const BenchRequest &request, const BenchUpstream &upstream, DispatchEnd end, TimePoint now)
+{
+    Vm &vm = m_vms[request.vm];
+    vm.book.release(vm.slots.at(request.index), now);
+    vm.slots.erase(request.index);
+    if (end == DispatchEnd::NotSent) {
+        vm.book.noteUnreachable(upstream.name, now);
+        enqueue(request, now);
+    } else if (end == DispatchEnd::Whole) {
+        vm.lengths.learn(request.service, request.route, request.answerLimit, request.answer);
+    }
+    serve(request.vm, now);
+    scheduleFlush(request.vm, now);
+}
+
+void CumindykePolicy::vmLost(std::uint32_t vm, TimePoint now)
+{
+    for (auto &[name, cell] : m_cells) {
+        if (cell.host == vm) {
+            schedulerLost(name.value, now);
+        }
+    }
+}
+
+void CumindykePolicy::schedulerLost(const std::string &name, TimePoint now)
+{
+    Cell &cell = m_cells.at(CellName{name});
+    cell.scheduler.reset();
+    ++cell.epoch.value;
+    m_world.at(now + TakeoverTime, [this, held = &cell](TimePoint then) {
+        const auto vms = static_cast<std::uint32_t>(m_vms.size());
+        do {
+            held->host = (held->host + 1) % vms;
+        } while (!m_world.vmAlive(held->host));
+        held->dataCentre = m_world.dataCentreOfVm(held->host);
+        startScheduler(*held, then);
+    });
+}
+
+void CumindykePolicy::sweep(std::uint32_t index, TimePoint now)
+{
+    if (!m_world.vmAlive(index)) {
+        return;
+    }
+    Vm &vm = m_vms[index];
+    for (auto &[service, queue] : vm.queues) {
+        for (const PendingRequest &hopeless : takeHopeless(queue, vm.book, service, now)) {
+            m_world.shed(m_world.requests()[m_indexes.at(hopeless.id)], now);
+        }
+    }
+    serve(index, now);
+    flush(index, now);
+    m_world.at(now + SweepInterval, [this, index](TimePoint then) { sweep(index, then); });
+}
+
+void CumindykePolicy::scheduleFlush(std::uint32_t index, TimePoint now)
+{
+    if (std::exchange(m_vms[index].flushScheduled, true)) {
+        return;
+    }
+    m_world.at(now + FlushDelay, [this, index](TimePoint then) {
+        m_vms[index].flushScheduled = false;
+        if (m_world.vmAlive(index)) {
+            flush(index, then);
+        }
+    });
+}
+
+void CumindykePolicy::flush(std::uint32_t index, TimePoint now)
+{
+    Vm &vm = m_vms[index];
+    for (const auto &[service, queue] : vm.queues) {
+        for (CellMessages &message : vm.book.messages(service, queue, m_versions[service], now)) {
+            Cell &cell = m_cells.at(message.demand.cell);
+            const std::size_t bytes = toProto(message.demand).ByteSizeLong() + toProto(message.report).ByteSizeLong();
+            m_world.send(m_world.dataCentreOfVm(index), cell.dataCentre, bytes, [this, held = &cell, message = std::move(message)](TimePoint then) {
+                if (!held->scheduler) {
+                    return;
+                }
+                held->scheduler->takeReport(message.report.vm, message.report, then);
+                held->scheduler->takeDemand(message.demand.vm, message.demand, then);
+                scheduleStep(*held, then);
+            });
+        }
+    }
+}
+
+void CumindykePolicy::scheduleStep(Cell &cell, TimePoint now)
+{
+    if (std::exchange(cell.stepScheduled, true)) {
+        return;
+    }
+    m_world.at(now + StepDelay, [this, held = &cell](TimePoint then) {
+        held->stepScheduled = false;
+        step(*held, then);
+    });
+}
+
+void CumindykePolicy::step(Cell &cell, TimePoint now)
+{
+    if (!cell.scheduler) {
+        return;
+    }
+    for (auto &[vm, grants] : cell.scheduler->step(now)) {
+        const auto index = static_cast<std::uint32_t>(std::ranges::find(m_vms, vm, &Vm::name) - m_vms.begin());
+        const std::size_t bytes = toProto(grants).ByteSizeLong();
+        m_world.send(cell.dataCentre, m_world.dataCentreOfVm(index), bytes, [this, index, message = std::move(grants)](TimePoint then) {
+            if (!m_world.vmAlive(index)) {
+                return;
+            }
+            m_vms[index].book.take(message, then);
+            serve(index, then);
+            scheduleFlush(index, then);
+        });
+    }
+}
+
+/// Reads the reports of the cell's engines, as the daemon's scheduler does.
+void CumindykePolicy::poll(Cell &cell, TimePoint now)
+{
+    m_world.at(now + PollInterval, [this, held = &cell](TimePoint then) { poll(*held, then); });
+    if (!cell.scheduler) {
+        return;
+    }
+    for (const std::uint32_t index : cell.upstreams) {
+        const BenchUpstream &upstream = m_world.upstreams()[index];
+        cell.scheduler->setUsable(upstream.name, upstream.alive);
+        if (!upstream.alive) {
+            cell.cacheSequences.erase(index);
+            continue;
+        }
+        const EngineLoad load = upstream.engine.reportedLoad(now);
+        cell.scheduler->takeLoad(upstream.name,
+                                 UpstreamLoad{.running = load.running, .waiting = load.waiting, .generatedTokens = load.generatedTokens, .at = load.at},
+                                 now);
+        for (const CacheEvent &event : upstream.engine.cacheEvents(cell.cacheSequences[index], now)) {
+            cell.scheduler->takeCacheEvent(upstream.name, event.prefix, event.stored);
+            cell.cacheSequences[index] = event.sequence;
+        }
+    }
+    step(cell, now);
+}
+
+}
--- /dev/null
+++ b/src/bench/cumindykepolicy.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "bench/world.h"
+#include "cell/cellscheduler.h"
+#include "cell/grantbook.h"
+#include "policy/lengthestimate.h"
+#include "policy/servequeue.h"
+#include "policy/shedding.h"
+
+#include <map>
+#include <optional>
+
+namespace cumindyke
+{
+
+/// What an experiment leaves out of the shipped decisions.
+struct CumindykeOptions
+{
+    PlacementOptions placement;
+    bool adaptWindows = true;
+    bool useCacheEvents = true;
+    bool fairByWork = true;
+    bool useSchedulers = true;
+};
+
+/// The shipped decision code on emulated VMs: queues, grant books and cell schedulers as the daemon runs them, with messages that take
+/// the network's time, timers, and polls of the engines' reports.
+class CumindykePolicy
+{
+public:
+    CumindykePolicy(World &world, const CumindykeOptions &options);
+
+private:
+    struct Vm
+    {
+        VmName name;
+        std::map<ServiceName, PendingQueue> queues;
+        GrantBook book;
+        LengthEstimate lengths;
+        std::unordered_map<std::uint32_t, Slot> slots;
+        bool flushScheduled = false;
+    };
+    struct Cell
+    {
+        CellName name;
+        ServiceName service;
+        std::uint32_t dataCentre = 0;
+        std::uint32_t host = 0;
+        Epoch epoch{1};
+        std::optional<CellScheduler> scheduler;
+        std::vector<std::uint32_t> upstreams;
+        std::map<std::uint32_t, std::uint64_t> cacheSequences;
+        bool stepScheduled = false;
+    };
+
+    void makeCells();
+    void startScheduler(Cell &cell, TimePoint now);
+    void arrived(const BenchRequest &request, TimePoint now);
+    void enqueue(const BenchRequest &request, TimePoint now);
+    void dispatchEnded(const BenchRequest &request, const BenchUpstream &upstream, DispatchEnd end, TimePoint now);
+    void vmLost(std::uint32_t vm, TimePoint now);
+    void schedulerLost(const std::string &cell, TimePoint now);
+    void serve(std::uint32_t vm, TimePoint now);
+    void sweep(std::uint32_t vm, TimePoint now);
+    void scheduleFlush(std::uint32_t vm, TimePoint now);
+    void flush(std::uint32_t vm, TimePoint now);
+    void scheduleStep(Cell &cell, TimePoint now);
+    void step(Cell &cell, TimePoint now);
+    void poll(Cell &cell, TimePoint now);
+
+    World &m_world;
+    CumindykeOptions m_options;
+    std::map<ServiceName, VersionName> m_versions;
+    Declarations m_declarations;
+    std::vector<Vm> m_vms;
+    std::map<CellName, Cell> m_cells;
+    std::unordered_map<RequestId, std::uint32_t> m_indexes;
+};
+
+}
--- a/src/bench/enginemodel.cpp
+++ b/src/bench/enginemodel.cpp
@@ -119,6 +119,7 @@
         }
         events.push_back(EngineEvent{.kind = EngineEvent::Kind::Token, .id = sequence.request.id, .index = sequence.made, .at = end});
         ++sequence.made;
+        ++m_generatedTokens;
         if (sequence.made >= sequence.request.answer.value) {
             events.push_back(EngineEvent{.kind = EngineEvent::Kind::Finished, .id = sequence.request.id, .index = sequence.made, .at = end});
             continue;
@@ -135,8 +136,10 @@
         .waiting = static_cast<std::uint32_t>(m_waiting.size()),
         .pendingTokens = 0,
         .at = now,
+        .generatedTokens = m_generatedTokens,
     };
     for (const Sequence &sequence : m_running) {
+        load.pendingPrefill += sequence.prefillLeft;
         load.pendingTokens += sequence.prefillLeft + sequence.request.answer.value - sequence.made;
     }
     for (const Sequence &sequence : m_waiting) {
--- a/src/bench/enginemodel.h
+++ b/src/bench/enginemodel.h
@@ -63,6 +63,10 @@
     /// Prompt and answer tokens still to be made.
     std::uint64_t pendingTokens = 0;
     TimePoint at;
+    /// Answer tokens made since the engine started.
+    std::uint64_t generatedTokens = 0;
+    /// Prompt tokens of running sequences still to be prefilled.
+    std::uint64_t pendingPrefill = 0;
 };
 
 struct CacheEvent
@@ -127,6 +131,7 @@
     /// Prompt tokens each running sequence prefills in the present step.
     std::vector<std::uint32_t> m_stepPrefill;
     std::uint64_t m_prefilledTokens = 0;
+    std::uint64_t m_generatedTokens = 0;
 
     struct CachedPrefix
     {
--- a/src/bench/experiment.cpp
+++ b/src/bench/experiment.cpp
@@ -1,6 +1,7 @@
 #include "bench/experiment.h"
 
 #include "bench/baselinepolicy.h"
+#include "bench/cumindykepolicy.h"
 #include "bench/oraclepolicy.h"
 #include "common/hash.h"
 
@@ -68,9 +69,25 @@
 
 using Runner = std::function<ExperimentResult(const Scenario &, std::uint64_t seed)>;
 
+/// The shipped decisions, or what is left of them under the options.
+std::pair<const std::string, Runner> cumindyke(const std::string &name, const CumindykeOptions &options)
+{
+    return {name, [options](const Scenario &scenario, std::uint64_t seed) { return runWith<CumindykePolicy>(scenario, seed, options); }};
+}
+
 const std::map<std::string, Runner> &runners()
 {
     static const std::map<std::string, Runner> All{
+        cumindyke("cumindyke", {}),
+        cumindyke("no-affinity", {.placement = {.useAffinity = false}}),
+        cumindyke("no-speeds", {.placement = {.useSpeeds = false}}),
+        cumindyke("no-backlog", {.placement = {.useBacklog = false}}),
+        cumindyke("no-long-cap", {.placement = {.capLongWork = false}}),
+        cumindyke("no-deadline-check", {.placement = {.respectDeadline = false}}),
+        cumindyke("fixed-windows", {.adaptWindows = false}),
+        cumindyke("no-cache-events", {.useCacheEvents = false}),
+        cumindyke("no-fairness", {.fairByWork = false}),
+        cumindyke("credit-split", {.useSchedulers = false}),
         {"baseline", [](const Scenario &scenario, std::uint64_t seed) { return runWith<BaselinePolicy>(scenario, seed); }},
         {"oracle", [](const Scenario &scenario, std::uint64_t seed) { return runWith<OraclePolicy>(scenario, seed); }},
     };
--- a/src/bench/oraclepolicy.cpp
+++ b/src/bench/oraclepolicy.cpp
@@ -45,7 +45,8 @@
 {
     const EngineSpeed &speed = upstream.speed;
     const std::uint32_t hit = upstream.engine.cached(request.prefix) ? request.sharedPrefix.value : 0;
-    const double prefill = static_cast<double>((speed.prefillPerToken * (request.prompt.value - hit)).count());
+    const std::uint64_t ahead = upstream.engine.load(TimePoint{}).pendingPrefill;
+    const double prefill = static_cast<double>((speed.prefillPerToken * (request.prompt.value - hit + ahead)).count());
     const double step = static_cast<double>((speed.stepBase + speed.stepPerSequence * speed.maxBatch).count()) / (1 - PrefillShare);
     return Duration(static_cast<Duration::rep>((prefill + step * request.answer.value) * upstream.slowness));
 }
--- a/src/policy/pendingqueue.h
+++ b/src/policy/pendingqueue.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <unordered_map>
 #include <vector>
 
 namespace cumindyke
@@ -31,28 +32,47 @@
     VersionName version;
 };
 
-/// Requests that wait on one entry VM for capacity of one service: the highest tier first, inside a tier the earliest deadline.
+/// Requests that wait on one entry VM for capacity of one service: the highest tier first, inside a tier fair between organisations
+/// by work, and the earliest deadline first among organisations that are about even.
 class PendingQueue
 {
 public:
+    /// Shares of a tier between organisations; who has none has 1.
+    void setWeights(std::map<OrganisationName, std::uint32_t> weights);
     void add(PendingRequest request);
     /// False when the request is not waiting.
     bool remove(const RequestId &id);
+    /// Like remove(), and counts the request's work as served for its organisation.
+    bool take(const RequestId &id);
     /// The request that capacity should go to next, or null.
     const PendingRequest *first() const;
+    /// At most count requests, in the order of tiers; inside a tier the organisations in turn, of each the earliest deadlines.
+    std::vector<const PendingRequest *> inOrder(std::size_t count) const;
     /// Takes every request whose deadline is not after now.
     std::vector<PendingRequest> takeExpired(TimePoint now);
+    /// Takes every request of the tier and lower ones.
+    std::vector<PendingRequest> takeFrom(TierRank highest);
+    /// The requests whose deadlines are not after a time, the earliest first.
+    std::vector<const PendingRequest *> dueBefore(TimePoint when) const;
+    std::optional<TierRank> lowestTier() const;
     std::size_t size() const
     {
         return m_requests.size();
     }
 
 private:
-    using Order = std::tuple<TierRank, TimePoint, RequestId>;
+    using Waiting = std::set<std::pair<TimePoint, RequestId>>;
 
-    std::map<RequestId, PendingRequest> m_requests;
-    std::set<Order> m_order;
-    std::set<std::pair<TimePoint, RequestId>> m_byDeadline;
+    std::uint32_t weight(const OrganisationName &organisation) const;
+    double served(const OrganisationName &organisation) const;
+
+    std::map<OrganisationName, std::uint32_t> m_weights;
+    std::unordered_map<RequestId, PendingRequest> m_requests;
+    std::map<TierRank, std::map<OrganisationName, Waiting>> m_tiers;
+    Waiting m_byDeadline;
+    /// Work served, divided by weight. An organisation that comes back from idleness starts at the least of those that wait, so that
+    /// it has no claim on the time when it asked for nothing.
+    std::unordered_map<OrganisationName, double> m_served;
 };
 
 }
--- a/tests/fakeupstream/fakeupstream.cpp
+++ b/tests/fakeupstream/fakeupstream.cpp
@@ -416,6 +416,7 @@
           {{"running", load.running},
            {"waiting", load.waiting},
            {"pending_tokens", load.pendingTokens},
+           {"generated_tokens", load.generatedTokens},
            {"draining", m_faults.draining},
            {"version", m_options.version}});
 }
