--- a/src/bench/oraclepolicy.h
+++ b/src/bench/oraclepolicy.h
@@ -24,7 +24,9 @@
     void serve(const ServiceName &service, TimePoint now);
     /// How long the request would take on the upstream from now on.
     Duration predictedRun(const BenchRequest &request, const BenchUpstream &upstream) const;
-    bool dispatchOrShed(const BenchRequest &request, TimePoint now);
+    bool anyFree(const ServiceName &service);
+    void shedWithLower(const BenchRequest &request, TimePoint now);
+    std::optional<std::uint32_t> bestUpstream(const BenchRequest &request, bool onlyFree, TimePoint now);
 
     World &m_world;
     std::map<ServiceName, std::set<Order>> m_queues;
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -19,6 +19,8 @@
 constexpr Duration VmSilence = std::chrono::seconds(2);
 /// How long lower tiers stay refused after a VM had to shed a higher one.
 constexpr Duration RefuseHold = std::chrono::milliseconds(500);
+/// How long a tier counts as overloaded after a request of it had to be shed.
+constexpr Duration FairHold = std::chrono::seconds(5);
 /// Organisations whose served work differs by less than this many tokens count as even.
 constexpr double EvenWork = 8000;
 constexpr std::size_t MaxPrefixes = 100'000;
@@ -163,6 +165,7 @@
     vm.lowestWaiting = demand.lowestWaiting;
     vm.mustShed = demand.mustShed;
     vm.answerDue = true;
+    expireUnseen(now);
     vm.lines.clear();
     for (const DemandLine &line : demand.lines) {
         vm.lines.push_back(Line{
@@ -241,18 +244,18 @@
     }
     m_upstreams[*index].usable = true;
     if (m_options.adaptWindows) {
-        adaptWindow(m_upstreams[*index], load);
+        adaptWindow(m_upstreams[*index], m_speeds[*index].last, load);
     }
     learnSpeed(*index, load);
 }
 
-/// An engine that lets requests wait has a full batch: its window is what it runs. One that lets nothing wait with a full window
-/// may have room for one more.
-void CellScheduler::adaptWindow(UpstreamState &upstream, const UpstreamLoad &load) const
+/// An engine that lets requests wait in two reports running has a full batch: its window is what it runs. Once is no sign, for
+/// every request waits until the step under way has ended. One that lets nothing wait with a full window may have room for one more.
+void CellScheduler::adaptWindow(UpstreamState &upstream, const UpstreamLoad &last, const UpstreamLoad &load) const
 {
-    if (load.waiting > 0 && load.running > 0) {
-        upstream.window = std::min<double>(upstream.window, load.running);
-    } else if (load.running + 1 >= static_cast<std::uint32_t>(upstream.window)) {
+    if (load.waiting > 0 && last.waiting > 0 && load.running > 0) {
+        upstream.window = std::min<double>(upstream.window, std::max(load.running, last.running));
+    } else if (load.waiting == 0 && load.running + 1 >= static_cast<std::uint32_t>(upstream.window)) {
         upstream.window = std::min<double>(upstream.window + 1, upstream.slots);
     }
 }
@@ -397,7 +400,9 @@
     for (Line *line : tier) {
         waiting[line->organisation].push_back(line);
     }
-    while (const auto organisation = nextOrganisation(waiting)) {
+    const auto shedUntil = m_shedUntil.find(tier.front()->tier);
+    const bool fair = m_options.fairByWork && shedUntil != m_shedUntil.end() && now < shedUntil->second;
+    while (const auto organisation = nextOrganisation(waiting, fair)) {
         Line &line = *waiting[*organisation].front();
         const bool granted = grantLine(line, now, grants[line.vm]);
         if (granted) {
@@ -409,8 +414,9 @@
     }
 }
 
-/// Among the organisations that are about even with the one served least, the one whose line has the earliest deadline.
-std::optional<std::uint32_t> CellScheduler::nextOrganisation(const std::vector<std::deque<Line *>> &waiting) const
+/// The organisation whose line has the earliest deadline; when it must be fair, among those about even with the one served least.
+/// Fairness always would let the requests of a busy organisation wait to the edge of their deadlines though all could be served.
+std::optional<std::uint32_t> CellScheduler::nextOrganisation(const std::vector<std::deque<Line *>> &waiting, bool fair) const
 {
     double least = std::numeric_limits<double>::max();
     for (std::uint32_t i = 0; i < waiting.size(); ++i) {
@@ -418,7 +424,7 @@
     }
     std::optional<std::uint32_t> next;
     for (std::uint32_t i = 0; i < waiting.size(); ++i) {
-        if (waiting[i].empty() || (m_options.fairByWork && m_shares[i].served > least + EvenWork)) {
+        if (waiting[i].empty() || (fair && m_shares[i].served > least + EvenWork)) {
             continue;
         }
         if (!next || waiting[i].front()->deadline < waiting[*next].front()->deadline) {
@@ -474,9 +480,11 @@
         if (vm.lowestWaiting && (!m_lowestWaiting || *vm.lowestWaiting > *m_lowestWaiting)) {
             m_lowestWaiting = vm.lowestWaiting;
         }
-        if (vm.mustShed && (!mustShed || *vm.mustShed < *mustShed)) {
-            mustShed = vm.mustShed;
+        if (!vm.mustShed) {
+            continue;
         }
+        m_shedUntil[*vm.mustShed] = now + FairHold;
+        mustShed = mustShed ? std::min(*mustShed, *vm.mustShed) : vm.mustShed;
     }
     if (mustShed) {
         m_refuseFrom = TierRank{static_cast<std::uint8_t>(mustShed->value + 1)};
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -50,7 +50,7 @@
 };
 
 /// Schedules one cell: takes what waits on every entry VM, and gives them slots on the cell's upstreams. Strict tiers over all entry
-/// VMs, fair between organisations by work inside a tier, earliest deadline among organisations that are about even.
+/// VMs; inside a tier the earliest deadline, and when the tier must be shed from, fair between organisations by work.
 ///
 /// Grants are capacity with an expiry: a lost message loses capacity until then, never a request. The state is rebuilt from reports,
 /// which are complete each time, so that a new holder of the cell needs nothing from the old one. Pure: the caller passes the time.
@@ -138,13 +138,13 @@
     void dropUnseen(const Unseen &unseen);
     void forgetSilentVms(TimePoint now);
     void expireUnseen(TimePoint now);
-    void adaptWindow(UpstreamState &upstream, const UpstreamLoad &load) const;
+    void adaptWindow(UpstreamState &upstream, const UpstreamLoad &last, const UpstreamLoad &load) const;
     void learnSpeed(std::uint32_t index, const UpstreamLoad &load);
     void subtractUnseen(Vm &vm);
     void collectLines();
     void wakeOrganisations(std::span<Line *const> tier);
     void grantTier(std::span<Line *const> tier, TimePoint now, std::vector<std::vector<Grant>> &grants);
-    std::optional<std::uint32_t> nextOrganisation(const std::vector<std::deque<Line *>> &waiting) const;
+    std::optional<std::uint32_t> nextOrganisation(const std::vector<std::deque<Line *>> &waiting, bool fair) const;
     bool grantLine(Line &line, TimePoint now, std::vector<Grant> &grants);
     void decideFloor(TimePoint now);
     Grants answer(Vm &vm, std::vector<Grant> grants) const;
@@ -166,6 +166,8 @@
     std::optional<TierRank> m_lowestWaiting;
     std::optional<TierRank> m_refuseFrom;
     TimePoint m_refuseUntil;
+    /// Until when a tier counts as one that must be shed from.
+    std::map<TierRank, TimePoint> m_shedUntil;
 };
 
 }
--- a/src/cell/grantbook.cpp
+++ b/src/cell/grantbook.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-constexpr std::size_t MaxLines = 64;
+/// Lines of a demand at most: what may be granted before the next one. Keeps the bytes and the scheduler's work bounded in a backlog.
+constexpr std::size_t MaxLines = 16;
 constexpr std::size_t RememberedDemands = 64;
 /// A request that its home cell has not served for this long asks every cell of the service.
 constexpr Duration SpreadAfter = std::chrono::milliseconds(10);
@@ -143,8 +144,7 @@
     }
 }
 
-std::optional<Slot>
-GrantBook::acquire(const PendingRequest &request, const Declarations & /*declarations*/, const VersionName &version, TimePoint now)
+std::optional<Slot> GrantBook::acquire(const PendingRequest &request, const Declarations & /*declarations*/, const VersionName &version, TimePoint now)
 {
     if (auto slot = acquireGrant(request, version, demandKey(request, version), now)) {
         return slot;
@@ -278,7 +278,7 @@
 std::vector<DemandLine> GrantBook::lines(std::uint32_t cell, const PendingQueue &queue, const VersionName &serviceVersion, TimePoint now) const
 {
     std::vector<DemandLine> found;
-    for (const PendingRequest *request : queue.inOrder(2 * MaxLines)) {
+    for (const PendingRequest *request : queue.inOrder(4 * MaxLines)) {
         const std::uint64_t prefix = request->prefix != 0 ? request->prefix : checksum(request->id.value);
         if (now - request->arrival < SpreadAfter && homeCell(request->service, prefix) != cell) {
             continue;
@@ -312,7 +312,8 @@
 
 GrantReport GrantBook::report(const Cell &cell, std::uint32_t index, TimePoint now) const
 {
-    GrantReport report{.cell = cell.name, .vm = m_vm, .epoch = cell.epoch, .sequence = cell.sequence, .grantsSeen = cell.grantsSeen, .inFlight = {}, .unreachable = {}};
+    GrantReport report{
+        .cell = cell.name, .vm = m_vm, .epoch = cell.epoch, .sequence = cell.sequence, .grantsSeen = cell.grantsSeen, .inFlight = {}, .unreachable = {}};
     for (const UpstreamSlots &slots : m_upstreams) {
         if (slots.cell != index) {
             continue;
@@ -342,8 +343,7 @@
     return cell.heldChanged && (cell.lowestWaiting || quiet >= LazyReport);
 }
 
-std::vector<CellMessages>
-GrantBook::messages(const ServiceName &service, const PendingQueue &queue, const VersionName &serviceVersion, TimePoint now)
+std::vector<CellMessages> GrantBook::messages(const ServiceName &service, const PendingQueue &queue, const VersionName &serviceVersion, TimePoint now)
 {
     std::vector<CellMessages> due;
     const auto mustShed = m_mustShed.find(service);
--- a/src/policy/lengthestimate.cpp
+++ b/src/policy/lengthestimate.cpp
@@ -8,13 +8,19 @@
 namespace
 {
 
-/// A mean over about the last hundred answers; the first ones count in full.
-constexpr double LeastGain = 0.01;
+/// Four of five answers are shorter: near a deadline it is the longer ones that spoil their prefill.
+constexpr double Quantile = 0.8;
+/// Step of the quantile's estimate, as a part of it.
+constexpr double Gain = 0.05;
 
-void average(double &mean, std::uint32_t &count, double value)
+/// Stochastic approximation of a quantile (Robbins, Monro 1951): up by the quantile's part when a value is above, down by the rest.
+void follow(double &quantile, std::uint32_t &count, double value)
 {
-    ++count;
-    mean += std::max(1.0 / count, LeastGain) * (value - mean);
+    if (count++ == 0) {
+        quantile = value;
+        return;
+    }
+    quantile *= value > quantile ? 1 + Gain * Quantile : 1 - Gain * (1 - Quantile);
 }
 
 }
@@ -30,9 +36,9 @@
 void LengthEstimate::learn(const ServiceName &service, const std::string &route, TokenCount limit, TokenCount answer)
 {
     Learned &learned = m_learned[{service, route}];
-    average(learned.length, learned.lengths, answer.value);
+    follow(learned.length, learned.lengths, answer.value);
     if (limit.value > 0) {
-        average(learned.partOfLimit, learned.parts, static_cast<double>(answer.value) / limit.value);
+        follow(learned.partOfLimit, learned.parts, static_cast<double>(answer.value) / limit.value);
     }
 }
 
--- a/src/policy/lengthestimate.h
+++ b/src/policy/lengthestimate.h
@@ -9,8 +9,8 @@
 namespace cumindyke
 {
 
-/// Predicts the tokens of an answer from those before it on the same service and route. Callers' limits bound the answer and say
-/// something of its length: how much of a limit is used is learned apart.
+/// Predicts how long an answer may get, in tokens, from those before it on the same service and route: a high quantile. Callers' limits
+/// say something of the length: how much of a limit is used is learned apart.
 class LengthEstimate
 {
 public:
@@ -21,8 +21,8 @@
 private:
     struct Learned
     {
-        double length = 256;
-        double partOfLimit = 0.7;
+        double length = 64;
+        double partOfLimit = 0.5;
         std::uint32_t lengths = 0;
         std::uint32_t parts = 0;
     };
--- a/src/policy/shedding.h
+++ b/src/policy/shedding.h
@@ -2,6 +2,7 @@
 
 #include "policy/pendingqueue.h"
 
+#include <algorithm>
 #include <concepts>
 #include <optional>
 #include <vector>
@@ -30,6 +31,20 @@
 /// Answers longer than this are not looked for ahead of their deadline.
 constexpr std::uint32_t LongestPredicted = 8192;
 
+/// The predicted answer, or so much of it as can be done in half of the time there is. A prediction under which a request could not be
+/// met even if it started at once is likelier wrong than the caller; without this one such request would count as shed for want of
+/// capacity, and every lower tier would be refused for it.
+template<FloorSource Source>
+TokenCount feasibleAnswer(const Source &source, const PendingRequest &request, TimePoint now)
+{
+    const auto speed = source.speed(request.service);
+    PendingRequest promptOnly = request;
+    promptOnly.answerTokens = TokenCount{0};
+    const Duration left = (request.deadline - now) / 2 - speed.run(promptOnly);
+    const auto most = std::max<Duration::rep>(1, left / std::max(speed.perToken, Duration(1)));
+    return TokenCount{static_cast<std::uint32_t>(std::min<Duration::rep>(request.answerTokens.value, most))};
+}
+
 /// Takes from the queue what is to be refused now, and tells the source which tier must be shed soon. Call it every 10 to 20 ms.
 ///
 /// A request is refused when it can no longer finish in time even on the best upstream, so that no prefill is spent on it; but not
