--- a/src/raft/filestorage.h
+++ b/src/raft/filestorage.h
@@ -336,7 +336,7 @@
     const bool all = count == m_segments.size();
     for (std::size_t i = 0; i < count; ++i) {
         const std::size_t place = all ? count - 1 - i : i;
-        if (const auto removed = m_files.remove(m_segments[place].path); !ok(removed)) {
+        if (auto removed = m_files.remove(m_segments[place].path); !ok(removed)) {
             return removed;
         }
     }
--- a/tests/raft/replicacluster.cpp
+++ b/tests/raft/replicacluster.cpp
@@ -26,10 +26,11 @@
 {
     std::string names;
     for (int vm = 1; vm <= replicas; ++vm) {
-        names += (vm == 1 ? "\"vm-" : ", \"vm-") + std::to_string(vm) + "\"";
+        names += std::string(vm == 1 ? "" : ", ") + "\"vm-" + std::to_string(vm) + "\"";
     }
     for (int self = 1; self <= daemons; ++self) {
-        std::string settings = "replicas = [" + names + "]\n" + more;
+        std::string settings = more;
+        settings.append("replicas = [").append(names).append("]\n");
         for (int peer = 1; peer <= daemons; ++peer) {
             if (peer != self) {
                 settings += "[[peer]]\nvm = \"vm-" + std::to_string(peer) + "\"\nrpc_address = \"" + m_network.host(peer) + ":8081\"\n";
