Claims on keyed requests in the replicated state: one sending runs, the others get its answer

Pure aggregate, decided by the order of the log and by log time. Held claims never expire; ended ones go after the service's declared time. An end that overtakes its claim forbids it, so that a caller answered without a decision leaves no claim that nobody dispatches. Ruled out: the operators' answer table for these (65,536 answers, pushed out within seconds by claims).

--- a/src/control/statemachine.cpp
+++ b/src/control/statemachine.cpp
@@ -25,6 +25,10 @@
 
 v1::ProposeReply StateMachine::apply(const v1::Command &command)
 {
+    // Claims keep their own answers, by request id: thousands a second would push the operators' answers out.
+    if (command.has_claim() || command.has_claim_end()) {
+        return applyClaim(command);
+    }
     if (const auto known = m_answers.find(command.command_id()); known != m_answers.end()) {
         return known->second;
     }
@@ -47,6 +51,17 @@
     return reply;
 }
 
+v1::ProposeReply StateMachine::applyClaim(const v1::Command &command)
+{
+    v1::ProposeReply reply;
+    if (command.has_claim()) {
+        *reply.mutable_claim() = m_claims.claim(command.claim(), WallTime{command.at_ms()});
+    } else {
+        m_claims.end(command.claim_end(), WallTime{command.at_ms()});
+    }
+    return reply;
+}
+
 v1::CommandReply StateMachine::applyChanges(const v1::Command &command, const v1::ApplyRequest &request)
 {
     v1::CommandReply reply;
@@ -134,6 +149,7 @@
         answered.set_command_id(id);
         *answered.mutable_reply() = m_answers.at(id);
     }
+    m_claims.save(snapshot);
     return snapshot.SerializeAsString();
 }
 
@@ -149,6 +165,7 @@
     }
     *this = StateMachine();
     m_declarations = valueOf(declarations);
+    m_claims.restore(snapshot);
     for (const v1::Move &move : snapshot.moves()) {
         m_moves.emplace(move.name(), move);
     }
--- a/src/control/statemachine.h
+++ b/src/control/statemachine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/claims.h"
 #include "domain/declarations.h"
 
 #include "control.pb.h"
@@ -31,17 +32,24 @@
     /// Accepted changes after a revision, oldest first; empty when they are older than what is kept.
     std::vector<v1::HistoryEntry> historyAfter(Revision revision) const;
 
+    const Claims &claims() const
+    {
+        return m_claims;
+    }
+
     /// The whole state as bytes, and back. Errors: Storage, when the bytes are not a snapshot.
     std::string snapshot() const;
     Result<Done> restore(const std::string &bytes);
 
 private:
+    v1::ProposeReply applyClaim(const v1::Command &command);
     v1::CommandReply applyChanges(const v1::Command &command, const v1::ApplyRequest &request);
     v1::CommandReply startMove(const v1::Command &command, const v1::StartMoveRequest &request);
     v1::CommandReply abortMove(const v1::Command &command, const v1::AbortMoveRequest &request);
     void remember(const std::string &commandId, const v1::ProposeReply &reply);
 
     Declarations m_declarations;
+    Claims m_claims;
     std::map<std::string, v1::Move> m_moves;
     std::deque<v1::HistoryEntry> m_history;
     /// Answers by command id, and the ids in the order they came, so that the oldest go first.
--- /dev/null
+++ b/tests/control/claimstest.cpp
@@ -0,0 +1,163 @@
+#include "control/claims.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <set>
+
+using namespace cumindyke;
+
+namespace
+{
+
+v1::ClaimRequest request(const std::string &key, const std::string &id, const std::string &payload = "hall=3", const std::string &vm = "vm-1")
+{
+    v1::ClaimRequest claim;
+    claim.set_organisation("egbe-ijo");
+    claim.set_service("booking");
+    claim.set_key(key);
+    claim.set_request_id(id);
+    claim.set_payload(payload);
+    claim.set_entry_vm(vm);
+    claim.set_keep_s(60);
+    return claim;
+}
+
+v1::ClaimEnd ending(const std::string &key, const std::string &id, v1::ClaimEnd::End kind, const std::string &body = "")
+{
+    v1::ClaimEnd end;
+    end.set_organisation("egbe-ijo");
+    end.set_service("booking");
+    end.set_key(key);
+    end.set_request_id(id);
+    end.set_end(kind);
+    if (kind == v1::ClaimEnd::ANSWERED) {
+        end.mutable_answer()->set_body(body);
+    }
+    return end;
+}
+
+constexpr WallTime at(std::int64_t seconds)
+{
+    return WallTime{seconds * 1000};
+}
+
+}
+
+TEST_CASE("one sending of a key may run; others join it, then get its answer, and another payload is refused")
+{
+    Claims claims;
+    CHECK(claims.claim(request("k", "a"), at(1)).outcome() == v1::ClaimReply::CLAIMED);
+    CHECK(claims.claim(request("k", "a"), at(1)).outcome() == v1::ClaimReply::CLAIMED);
+    const v1::ClaimReply held = claims.claim(request("k", "b"), at(2));
+    CHECK(held.outcome() == v1::ClaimReply::HELD);
+    CHECK(held.holder() == "vm-1");
+    CHECK(held.request_id() == "a");
+    CHECK(claims.claim(request("k", "c", "hall=4"), at(2)).outcome() == v1::ClaimReply::OTHER_PAYLOAD);
+    claims.end(ending("k", "b", v1::ClaimEnd::ANSWERED, "not the holder's"), at(3));
+    CHECK(claims.claim(request("k", "b"), at(3)).outcome() == v1::ClaimReply::HELD);
+    claims.end(ending("k", "a", v1::ClaimEnd::ANSWERED, "paid"), at(3));
+    const v1::ClaimReply ended = claims.claim(request("k", "b"), at(4));
+    CHECK(ended.outcome() == v1::ClaimReply::ENDED);
+    CHECK(ended.answer().body() == "paid");
+}
+
+TEST_CASE("a claim that did not run may be claimed again, but not by the sending that gave it up")
+{
+    Claims claims;
+    claims.claim(request("k", "a"), at(1));
+    claims.end(ending("k", "a", v1::ClaimEnd::NOT_RUN), at(2));
+    CHECK(claims.claim(request("k", "a"), at(3)).outcome() == v1::ClaimReply::NOT_RUN);
+    CHECK(claims.claim(request("k", "b"), at(3)).outcome() == v1::ClaimReply::CLAIMED);
+    // The late duplicate of the end must not free the claim of the other sending.
+    claims.end(ending("k", "a", v1::ClaimEnd::NOT_RUN), at(4));
+    CHECK(claims.claim(request("k", "c"), at(4)).outcome() == v1::ClaimReply::HELD);
+}
+
+// The caller was answered because the claim was not decided in time; the claim reaches the log after its own end. Nobody would dispatch
+// it, so if it took hold then, the key would be blocked for ever.
+TEST_CASE("an end that overtakes its claim forbids it")
+{
+    Claims claims;
+    claims.end(ending("k", "a", v1::ClaimEnd::NOT_RUN), at(1));
+    CHECK(claims.claim(request("k", "a"), at(2)).outcome() == v1::ClaimReply::NOT_RUN);
+    CHECK(claims.claim(request("k", "b"), at(2)).outcome() == v1::ClaimReply::CLAIMED);
+}
+
+TEST_CASE("only ended claims are forgotten, after the declared time, and a clock that goes back forgets nothing early")
+{
+    Claims claims;
+    claims.claim(request("held", "a"), at(1));
+    claims.claim(request("ended", "b"), at(1));
+    claims.end(ending("ended", "b", v1::ClaimEnd::ANSWERED, "paid"), at(100));
+    CHECK(claims.claim(request("ended", "c"), at(159)).outcome() == v1::ClaimReply::ENDED);
+    CHECK(claims.claim(request("ended", "c"), at(10)).outcome() == v1::ClaimReply::ENDED);
+    CHECK(claims.claim(request("held", "c"), at(1'000'000)).outcome() == v1::ClaimReply::HELD);
+    CHECK(claims.size() == 1);
+    CHECK(claims.bytes() == 0);
+}
+
+TEST_CASE("claims are bounded in count and bytes without forgetting any")
+{
+    Claims claims(ClaimLimits{.maxClaims = 2, .maxBytes = 10, .maxAnswerBytes = 8});
+    claims.claim(request("1", "a"), at(1));
+    claims.claim(request("2", "b"), at(1));
+    CHECK(claims.claim(request("3", "c"), at(1)).outcome() == v1::ClaimReply::OUTCOME_UNSPECIFIED);
+    claims.end(ending("1", "a", v1::ClaimEnd::ANSWERED, "12345678"), at(2));
+    claims.end(ending("2", "b", v1::ClaimEnd::ANSWERED, "12345678"), at(2));
+    CHECK(claims.bytes() == 8);
+    CHECK(claims.claim(request("1", "d"), at(3)).outcome() == v1::ClaimReply::ENDED);
+    CHECK(claims.claim(request("2", "d"), at(3)).outcome() == v1::ClaimReply::OUTCOME_LOST);
+}
+
+TEST_CASE("an answer may follow a loss, and a snapshot carries all of it")
+{
+    Claims claims;
+    claims.claim(request("k", "a"), at(1));
+    claims.claim(request("held", "h"), at(1));
+    claims.end(ending("k", "a", v1::ClaimEnd::OUTCOME_LOST), at(2));
+    CHECK(claims.claim(request("k", "b"), at(2)).outcome() == v1::ClaimReply::OUTCOME_LOST);
+    claims.end(ending("k", "a", v1::ClaimEnd::ANSWERED, "paid"), at(3));
+    claims.end(ending("early", "e", v1::ClaimEnd::NOT_RUN), at(3));
+    v1::StateSnapshot snapshot;
+    claims.save(snapshot);
+    Claims restored;
+    restored.restore(snapshot);
+    CHECK(restored.size() == claims.size());
+    CHECK(restored.bytes() == claims.bytes());
+    CHECK(restored.claim(request("k", "b"), at(4)).answer().body() == "paid");
+    CHECK(restored.claim(request("held", "i"), at(4)).outcome() == v1::ClaimReply::HELD);
+    CHECK(restored.claim(request("early", "e"), at(4)).outcome() == v1::ClaimReply::NOT_RUN);
+}
+
+// Whatever the order of claims, repeated claims and ends from many sendings, two different sendings are told "claimed" only if the first
+// of them said in between that it did not run.
+TEST_CASE("in any order no key is given to two sendings that may both run")
+{
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        Claims claims;
+        std::set<std::string> mayRun;
+        for (int step = 0; step < 60; ++step) {
+            const std::string id = std::to_string(random() % 5);
+            switch (random() % 4) {
+            case 0:
+                claims.end(ending("k", id, v1::ClaimEnd::NOT_RUN), at(1));
+                mayRun.erase(id);
+                break;
+            case 1:
+                if (random() % 5 == 0) {
+                    claims.end(ending("k", id, v1::ClaimEnd::OUTCOME_LOST), at(1));
+                }
+                break;
+            default:
+                if (claims.claim(request("k", id), at(1)).outcome() == v1::ClaimReply::CLAIMED) {
+                    mayRun.insert(id);
+                }
+                break;
+            }
+            REQUIRE(mayRun.size() <= 1);
+        }
+    }
+}
