Keyed requests: claimed before dispatch, joined by later sendings, answered the same or honestly unknown

Cause: the key was only checked for presence; two sendings of one deposit ran twice. Now a sending is claimed in the replicated log before it may be queued, a later one joins the run here or on the holder's VM, and a run whose caller left goes on to its end. Ten sendings at once and one after: one run, one answer; service killed or daemon killed in the run: one run, unknown. Ruled out: 'not run' for a sending whose claim is not decided, since an earlier sending under its key may have run on another VM.

--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -1,6 +1,7 @@
 #include "entry/entrytask.h"
 
 #include "common/log.h"
+#include "entry/headers.h"
 #include "entry/pages.h"
 
 namespace cumindyke
@@ -10,6 +11,9 @@
 {
 
 constexpr Duration SweepInterval = std::chrono::milliseconds(10);
+constexpr Duration KeyedSweepInterval = std::chrono::milliseconds(100);
+/// The largest answer of a keyed request that is kept for later sendings; the claims' own limit.
+constexpr std::size_t MaxKeptAnswerBytes = ClaimLimits{}.maxAnswerBytes;
 /// Dispatches that were proved not to have run before the request is given up.
 constexpr int MaxFailedDispatches = 3;
 
@@ -26,6 +30,28 @@
     return RequestEnd::Unknown;
 }
 
+v1::ClaimEnd::End claimEndOf(RequestEnd end)
+{
+    switch (end) {
+    case RequestEnd::OnTime:
+    case RequestEnd::Late:
+        return v1::ClaimEnd::ANSWERED;
+    case RequestEnd::Refused:
+        return v1::ClaimEnd::NOT_RUN;
+    case RequestEnd::Failed:
+    case RequestEnd::Unknown:
+        break;
+    }
+    return v1::ClaimEnd::OUTCOME_LOST;
+}
+
+/// An earlier sending under the same key may have run elsewhere: a VM that can't look must not say "not run".
+RunOutcome outcomeOfRefusal(const Exchange &exchange, const Error &error)
+{
+    const bool refusedUnseen = error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::Overloaded;
+    return refusedUnseen && !exchange.header(headers::IdempotencyKey).empty() ? RunOutcome::Unknown : RunOutcome::NotRun;
+}
+
 Error lostAnswer(const RequestLife &life)
 {
     if (life.outcomeIfGivenUp() == RunOutcome::Ran) {
@@ -46,6 +72,7 @@
     task->m_door = std::move(valueOf(door));
     task->m_door->arrived().connect(sigc::mem_fun(*task, &EntryTask::arrived));
     task->m_sweep.startEvery(SweepInterval);
+    task->m_keyedSweep.startEvery(KeyedSweepInterval);
     task->m_thread = std::thread([loop = &task->m_loop] { loop->run(); });
     return task;
 }
@@ -59,7 +86,15 @@
     , m_runCounters(metrics)
     , m_canceller(m_loop)
     , m_requests(m_loop)
+    , m_keyed(keyedOptions())
+    , m_keyedSweep(m_loop, [this] {
+        m_keyed.sweep(EventLoop::now());
+        finishDrainIfIdle();
+    })
 {
+    m_keyed.claimed().connect(sigc::mem_fun(*this, &EntryTask::enqueue));
+    m_keyed.answered().connect(sigc::mem_fun(*this, &EntryTask::answerKeyed));
+    m_keyed.refused().connect(sigc::mem_fun(*this, &EntryTask::giveUpAs));
     m_dispatcher.granted().connect(sigc::mem_fun(*this, &EntryTask::dispatch));
     m_requests.cleaned().connect([this] {
         m_dispatcher.serveAll(EventLoop::now());
@@ -113,8 +148,34 @@
     query.answer(m_tally.report());
 }
 
-void EntryTask::handle(PeerMessage && /*message*/)
+void EntryTask::handle(const ClaimDecision &decision)
+{
+    m_keyed.handle(decision, EventLoop::now());
+}
+
+void EntryTask::handle(const ClaimEndSaved &saved)
+{
+    m_keyed.handle(saved);
+}
+
+void EntryTask::handle(PeerMessage &&message)
 {
+    if (message.envelope.has_join()) {
+        m_keyed.handle(message.from, message.envelope.join());
+    } else if (message.envelope.has_join_reply()) {
+        m_keyed.handle(message.from, message.envelope.join_reply(), EventLoop::now());
+    }
+}
+
+KeyedOptions EntryTask::keyedOptions()
+{
+    return KeyedOptions{
+        .vm = m_options.vm,
+        .propose = m_options.propose,
+        .send = m_options.send,
+        .postDecision = [this](ClaimDecision decision) { post(std::move(decision)); },
+        .postSaved = [this](ClaimEndSaved saved) { post(std::move(saved)); },
+    };
 }
 
 void EntryTask::arrived(const std::shared_ptr<Exchange> &exchange)
@@ -137,14 +198,54 @@
     Result<CallerRequest> admitted = m_admission.admit(*exchange, m_requests.size(), now);
     if (!ok(admitted)) {
         m_metrics.counter("cumindyke_rejected_requests_total", "Requests refused at their arrival", {{"kind", toString(errorOf(admitted).kind)}}).add();
-        exchange->replyError(errorOf(admitted), RunOutcome::NotRun);
+        exchange->replyError(errorOf(admitted), outcomeOfRefusal(*exchange, errorOf(admitted)));
         return;
     }
     const ActiveRequest &active = m_requests.add(std::move(valueOf(admitted)), exchange);
-    const ServiceName service = active.request.service;
-    exchange->callerLeft().connect([this, id = active.request.id] { callerLeft(id); });
-    m_dispatcher.add(active.request);
-    m_dispatcher.serve(service, now);
+    const RequestId id = active.request.id;
+    exchange->callerLeft().connect([this, id] { callerLeft(id); });
+    if (active.request.idempotencyKey.empty()) {
+        enqueue(id);
+        return;
+    }
+    exchange->record(MaxKeptAnswerBytes);
+    const Service *service = m_admission.configuration().declarations->service(active.request.service);
+    m_keyed.begin(active.request, service->keepAnswers, now);
+}
+
+void EntryTask::enqueue(const RequestId &id)
+{
+    const ActiveRequest *active = m_requests.find(id);
+    if (!active) {
+        return;
+    }
+    const ServiceName service = active->request.service;
+    m_dispatcher.add(active->request);
+    m_dispatcher.serve(service, EventLoop::now());
+}
+
+/// The sending gets what another sending under its key got.
+void EntryTask::answerKeyed(const RequestId &id, const KeyedResult &result)
+{
+    const ActiveRequest *active = m_requests.find(id);
+    if (!active) {
+        return;
+    }
+    if (result.outcome == RunOutcome::NotRun) {
+        giveUpAs(id, Error{ErrorKind::Unavailable, "the request that held the key was refused before it ran: send it again"}, result.outcome);
+        return;
+    }
+    if (!result.answer) {
+        giveUpAs(id,
+                 Error{ErrorKind::OutcomeUnknown, "an earlier request under this key may have run and its answer is not known: check before you use a new key"},
+                 result.outcome);
+        return;
+    }
+    active->exchange->addHeader(headers::RequestId, result.ranAs.value);
+    active->exchange->addHeader(headers::Outcome, toString(RunOutcome::Ran));
+    active->exchange->addHeader(headers::Replayed, "true");
+    active->exchange->reply(result.answer->status, result.answer->contentType, result.answer->body);
+    finish(id, EventLoop::now() <= active->request.deadline ? RequestEnd::OnTime : RequestEnd::Late);
 }
 
 void EntryTask::expireWaiting()
@@ -216,15 +317,22 @@
 
 void EntryTask::callerLeft(const RequestId &id)
 {
-    if (m_requests.find(id)) {
+    const ActiveRequest *active = m_requests.find(id);
+    // A keyed request that went out runs to its end: a later sending under its key gets the answer.
+    if (active && (active->request.idempotencyKey.empty() || !active->life.isDispatched())) {
         giveUp(id, Error{ErrorKind::BadRequest, "the caller left"});
     }
 }
 
 void EntryTask::giveUp(const RequestId &id, const Error &error)
 {
-    ActiveRequest &active = *m_requests.find(id);
-    const RunOutcome outcome = active.life.outcomeIfGivenUp();
+    const ActiveRequest &active = *m_requests.find(id);
+    giveUpAs(id, error, m_keyed.isUndecided(id) ? RunOutcome::Unknown : active.life.outcomeIfGivenUp());
+}
+
+void EntryTask::giveUpAs(const RequestId &id, const Error &error, RunOutcome outcome)
+{
+    const ActiveRequest &active = *m_requests.find(id);
     if (active.exchange->streamStarted()) {
         active.exchange->streamData(serialized(StreamEvent{.id = {}, .name = "error", .data = errorJson(error, outcome)}));
         active.exchange->endStream();
@@ -247,6 +355,7 @@
     m_dispatcher.remove(request);
     releaseSlot(*ended);
     ended->life.ended();
+    m_keyed.ended(id, claimEndOf(end), ended->exchange->recorded(), EventLoop::now());
     if (ended->run && ended->run->cancel()) {
         m_runCounters.cancels.add();
         m_canceller.cancel(ended->run->address(), request.id);
@@ -263,7 +372,7 @@
 
 void EntryTask::finishDrainIfIdle()
 {
-    if (m_admission.isDraining() && m_requests.size() == 0 && m_drained) {
+    if (m_admission.isDraining() && m_requests.size() == 0 && m_keyed.isSaved() && m_drained) {
         logChange("entry", "drained");
         std::exchange(m_drained, nullptr)();
     }
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -7,6 +7,7 @@
 #include "entry/admission.h"
 #include "entry/dispatcher.h"
 #include "entry/frontdoor.h"
+#include "entry/keyedrequests.h"
 #include "entry/requeststore.h"
 #include "report/outcometally.h"
 #include "upstream/streamcanceller.h"
@@ -31,7 +32,7 @@
     std::function<void(const v1::ReportReply &)> answer;
 };
 
-using EntryMessage = std::variant<Configuration, DrainRequest, ReportQuery, PeerMessage>;
+using EntryMessage = std::variant<Configuration, DrainRequest, ReportQuery, ClaimDecision, ClaimEndSaved, PeerMessage>;
 
 struct EntryOptions
 {
@@ -64,16 +65,22 @@
     void handle(Configuration &&configuration);
     void handle(DrainRequest &&drain);
     void handle(const ReportQuery &query);
+    void handle(const ClaimDecision &decision);
+    void handle(const ClaimEndSaved &saved);
     void handle(PeerMessage &&message);
+    KeyedOptions keyedOptions();
 
     void arrived(const std::shared_ptr<Exchange> &exchange);
     void admit(const std::shared_ptr<Exchange> &exchange);
+    void enqueue(const RequestId &id);
+    void answerKeyed(const RequestId &id, const KeyedResult &result);
     void expireWaiting();
     void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
     void runEnded(const RequestId &id, const RunResult &result);
     void tryElsewhere(ActiveRequest &active);
     void callerLeft(const RequestId &id);
     void giveUp(const RequestId &id, const Error &error);
+    void giveUpAs(const RequestId &id, const Error &error, RunOutcome outcome);
     void finish(const RequestId &id, RequestEnd end);
     void releaseSlot(ActiveRequest &active);
     void finishDrainIfIdle();
@@ -89,6 +96,8 @@
     RunCounters m_runCounters;
     StreamCanceller m_canceller;
     RequestStore m_requests;
+    KeyedRequests m_keyed;
+    Timer m_keyedSweep;
     OutcomeTally m_tally;
     std::function<void()> m_drained;
     std::thread m_thread;
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -128,8 +128,35 @@
     }
 }
 
+void Exchange::record(std::size_t limitBytes)
+{
+    m_recordLimit = limitBytes;
+}
+
+std::optional<RecordedAnswer> Exchange::recorded() const
+{
+    return m_record && m_record->body.size() <= m_recordLimit ? m_record : std::nullopt;
+}
+
+void Exchange::keepCopy(int status, const std::string &contentType)
+{
+    if (m_recordLimit > 0) {
+        m_record = RecordedAnswer{.status = status, .contentType = contentType, .body = {}};
+    }
+}
+
+void Exchange::keepCopy(std::string_view bytes)
+{
+    // One byte over the limit marks the copy as too large.
+    if (m_record && m_record->body.size() <= m_recordLimit) {
+        m_record->body += bytes.substr(0, m_recordLimit + 1 - m_record->body.size());
+    }
+}
+
 void Exchange::reply(int status, const std::string &contentType, std::string_view body)
 {
+    keepCopy(status, contentType);
+    keepCopy(body);
     if (!m_request) {
         return;
     }
@@ -153,16 +180,21 @@
 
 void Exchange::startStream(int status, const std::string &contentType)
 {
-    if (!m_request || m_streamStarted) {
+    if (m_streamStarted) {
         return;
     }
     m_streamStarted = true;
+    keepCopy(status, contentType);
+    if (!m_request) {
+        return;
+    }
     addHeader("Content-Type", contentType);
     evhttp_send_reply_start(m_request, status, nullptr);
 }
 
 void Exchange::streamData(std::string_view bytes)
 {
+    keepCopy(bytes);
     if (!m_request || m_connectionLost || bytes.empty()) {
         return;
     }
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -7,6 +7,7 @@
 #include <sigc++/sigc++.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,6 +20,14 @@
 namespace cumindyke
 {
 
+/// A copy of an answer as a caller got it.
+struct RecordedAnswer
+{
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+
 /// One caller's HTTP request and its answer. Used in the entry task's loop only.
 ///
 /// The answer is either one reply(), or startStream(), streamData() any number of times, and endStream(). After the caller has left,
@@ -59,6 +68,10 @@
     void startStream(int status, const std::string &contentType);
     void streamData(std::string_view bytes);
     void endStream();
+    /// Keeps a copy of the answer from now on, also after the caller has left. A copy over the limit is dropped.
+    void record(std::size_t limitBytes);
+    /// The copy of the whole answer, or nothing when there is none or it was too large.
+    std::optional<RecordedAnswer> recorded() const;
     bool streamStarted() const
     {
         return m_streamStarted;
@@ -83,6 +96,8 @@
     static void written(evhttp_connection *connection, void *self);
     void left();
     void detach();
+    void keepCopy(int status, const std::string &contentType);
+    void keepCopy(std::string_view bytes);
 
     EventLoop &m_loop;
     evhttp_request *m_request;
@@ -91,6 +106,9 @@
     std::string m_path;
     std::string m_target;
     std::string m_body;
+    std::optional<RecordedAnswer> m_record;
+    /// 0: nothing is recorded.
+    std::size_t m_recordLimit = 0;
     bool m_streamStarted = false;
     bool m_connectionLost = false;
     sigc::signal<void> m_callerLeft;
--- a/src/entry/headers.h
+++ b/src/entry/headers.h
@@ -13,6 +13,8 @@
 /// In answers: the id under which logs and upstreams know the request.
 constexpr const char *RequestId = "X-Cumindyke-Request";
 constexpr const char *RetryAfter = "Retry-After";
+/// In answers: "true" when the answer was made for an earlier sending under the same key.
+constexpr const char *Replayed = "Idempotent-Replayed";
 /// From an upstream: the request was refused before any of it ran.
 constexpr const char *UpstreamNotRun = "X-Not-Run";
 
--- /dev/null
+++ b/tests/process/keyedrequeststest.cpp
@@ -0,0 +1,151 @@
+#include "support/office.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+#include <set>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+// Every caller sees the same receipt. Ten sendings of one deposit arrive while the first runs for half a second, one comes after its
+// end, and the booking service runs once.
+TEST_CASE("all sendings of one deposit get one answer and it runs once")
+{
+    Office office;
+    office.booking().faults(R"({"plain_delay_ms":500})");
+    std::vector<std::future<HttpAnswer>> answers;
+    for (int i = 0; i < 10; ++i) {
+        answers.push_back(std::async(std::launch::async, [&office] { return office.deposit("deposit-7", "hall=3"); }));
+    }
+    std::set<std::string> bodies;
+    int replayed = 0;
+    for (std::future<HttpAnswer> &pending : answers) {
+        const HttpAnswer answer = pending.get();
+        CHECK(answer.status == 200);
+        CHECK(answer.header("X-Cumindyke-Outcome") == "ran");
+        replayed += answer.header("Idempotent-Replayed") == "true" ? 1 : 0;
+        bodies.insert(answer.body);
+    }
+    const HttpAnswer later = office.deposit("deposit-7", "hall=3");
+    CHECK(later.header("Idempotent-Replayed") == "true");
+    bodies.insert(later.body);
+    CHECK(replayed == 9);
+    CHECK(bodies.size() == 1);
+    CHECK(countOf(office.booking().log(), "run") == 1);
+}
+
+TEST_CASE("a key used with another payload is refused and nothing runs for it")
+{
+    Office office;
+    REQUIRE(office.deposit("deposit-7", "hall=3").status == 200);
+    const HttpAnswer other = office.deposit("deposit-7", "hall=4");
+    CHECK(other.status == 409);
+    CHECK(other.header("X-Cumindyke-Outcome") == "not-run");
+    CHECK(countOf(office.booking().log(), "run") == 1);
+}
+
+// The first caller sees "unknown" and so does every later one: the service is killed after it took the deposit, so nobody can tell
+// whether it was paid. A second run might pay twice.
+TEST_CASE("a deposit whose service dies is unknown for every sending and runs once")
+{
+    Office office(OfficeOptions{.bookingUpstreams = 2});
+    office.booking(0).faults(R"({"plain_delay_ms":20000})");
+    office.booking(1).faults(R"({"plain_delay_ms":20000})");
+    std::future<HttpAnswer> first = std::async(std::launch::async, [&office] { return office.deposit("deposit-7", "hall=3"); });
+    const auto ran = [&office](std::size_t index) { return countOf(office.booking(index).log(), "run") == 1; };
+    REQUIRE(eventually([&ran] { return ran(0) || ran(1); }));
+    const std::size_t killed = ran(0) ? 0 : 1;
+    office.booking(killed).process().signal(SIGKILL);
+    const HttpAnswer answer = first.get();
+    CHECK(answer.status == 502);
+    CHECK(answer.header("X-Cumindyke-Outcome") == "unknown");
+    const HttpAnswer again = office.deposit("deposit-7", "hall=3");
+    CHECK(again.status == 502);
+    CHECK(again.header("X-Cumindyke-Outcome") == "unknown");
+    CHECK(countOf(office.booking(1 - killed).log(), "run") == 0);
+}
+
+// The caller that left finds its receipt when it comes back: a deposit that went out runs to its end without its caller.
+TEST_CASE("a deposit whose caller left is answered to the next sending")
+{
+    Office office;
+    office.booking().faults(R"({"plain_delay_ms":600})");
+    HeaderList headers = OfficeKey;
+    headers.emplace_back("Idempotency-Key", "deposit-7");
+    EventLoop loop;
+    auto call = std::make_unique<UpstreamCall>(loop,
+                                               UpstreamRequest{
+                                                   .id = {},
+                                                   .address = office.daemon().http(),
+                                                   .method = "POST",
+                                                   .target = "/services/booking/deposits",
+                                                   .headers = headers,
+                                                   .body = "hall=3",
+                                               },
+                                               ProgressTimeouts{});
+    call->start();
+    Timer look(loop, [&office, &loop] {
+        if (countOf(office.booking().log(), "run") == 1) {
+            loop.stop();
+        }
+    });
+    look.startEvery(std::chrono::milliseconds(10));
+    loop.run();
+    call.reset();
+    Timer rest(loop, [&loop] { loop.stop(); });
+    rest.startOnce(std::chrono::milliseconds(1));
+    loop.run();
+    const HttpAnswer answer = office.deposit("deposit-7", "hall=3");
+    CHECK(answer.status == 200);
+    CHECK(answer.header("Idempotent-Replayed") == "true");
+    CHECK(countOf(office.booking().log(), "run") == 1);
+}
+
+// The caller that sends again after the daemon was killed hears "unknown" as long as the outcome is lost, or the answer if its end was
+// saved; in neither case does the deposit run again. The claim is in the log and outlives the process.
+TEST_CASE("a daemon killed while a deposit runs never lets it run again")
+{
+    Office office;
+    office.booking().faults(R"({"plain_delay_ms":3000})");
+    std::future<HttpAnswer> first = std::async(std::launch::async, [&office] { return office.deposit("deposit-7", "hall=3"); });
+    REQUIRE(eventually([&office] { return countOf(office.booking().log(), "run") == 1; }));
+    office.daemon().process().signal(SIGKILL);
+    office.daemon().process().wait();
+    first.get();
+    office.daemon().start();
+    REQUIRE(office.daemon().waitReady());
+    for (int i = 0; i < 3; ++i) {
+        const HttpAnswer again = office.deposit("deposit-7", "hall=3");
+        CHECK(again.status == 502);
+        CHECK(again.header("X-Cumindyke-Outcome") == "unknown");
+    }
+    CHECK(countOf(office.booking().log(), "run") == 1);
+}
+
+// The callers see whole answers and the process ends by itself: SIGTERM makes the daemon unready at once, what waits and runs goes on to
+// its end, a second SIGTERM does not shorten it, and a new request is refused unrun.
+TEST_CASE("a graceful shutdown ends no request early")
+{
+    Office office(OfficeOptions{.slots = 2, .upstreamArguments = {"--step-ms", "20"}});
+    std::vector<std::future<HttpAnswer>> answers;
+    for (int i = 0; i < 6; ++i) {
+        answers.push_back(std::async(std::launch::async, [&office, i] { return office.draft("notice " + std::to_string(i), 20); }));
+    }
+    REQUIRE(eventually([&office] { return countOf(office.drafting().log(), "run") == 2; }));
+    office.daemon().process().signal(SIGTERM);
+    REQUIRE(eventually([&office] { return http(office.daemon().http(), "GET", "/readyz").status == 503; }));
+    office.daemon().process().signal(SIGTERM);
+    const HttpAnswer refused = office.draft("too late", 1);
+    CHECK(refused.status == 503);
+    CHECK(refused.header("X-Cumindyke-Outcome") == "not-run");
+    CHECK_FALSE(refused.header("Retry-After").empty());
+    for (int i = 0; i < 6; ++i) {
+        const StreamedText text = streamedText(answers[static_cast<std::size_t>(i)].get().body);
+        CHECK(text.whole);
+        CHECK(text.text == expectedText("notice " + std::to_string(i), 20));
+    }
+    CHECK(office.daemon().process().wait() == 0);
+    CHECK(countOf(office.drafting().log(), "run") == 6);
+}
