--- a/tests/process/keyedrequeststest.cpp
+++ b/tests/process/keyedrequeststest.cpp
@@ -149,3 +149,49 @@
     CHECK(office.daemon().process().wait() == 0);
     CHECK(countOf(office.drafting().log(), "run") == 6);
 }
+
+// All callers see one receipt. Sendings of one deposit arrive at three VMs while it runs at one of them: the others find the claim in the
+// log and join the holder's run over the peers' channel.
+TEST_CASE("sendings at several VMs join one run")
+{
+    Office office(OfficeOptions{.vms = 3});
+    office.booking().faults(R"({"plain_delay_ms":700})");
+    std::vector<std::future<HttpAnswer>> answers;
+    for (std::size_t i = 0; i < 9; ++i) {
+        answers.push_back(std::async(std::launch::async, [&office, i] { return office.deposit("deposit-7", "hall=3", i % office.vms()); }));
+    }
+    std::set<std::string> bodies;
+    for (std::future<HttpAnswer> &pending : answers) {
+        const HttpAnswer answer = pending.get();
+        CHECK(answer.status == 200);
+        CHECK(answer.header("X-Cumindyke-Outcome") == "ran");
+        bodies.insert(answer.body);
+    }
+    for (std::size_t vm = 0; vm < office.vms(); ++vm) {
+        bodies.insert(office.deposit("deposit-7", "hall=3", vm).body);
+    }
+    CHECK(bodies.size() == 1);
+    CHECK(countOf(office.booking().log(), "run") == 1);
+}
+
+// The caller that turns to another VM hears "unknown", and after the holder's return still so; the deposit never runs again. The holder
+// is killed while the deposit runs: its claim outlives it in the log, and nobody else knows how the run ended.
+TEST_CASE("a deposit whose entry VM dies is unknown at the other VMs and runs once")
+{
+    Office office(OfficeOptions{.vms = 3});
+    office.booking().faults(R"({"plain_delay_ms":2000})");
+    std::future<HttpAnswer> first = std::async(std::launch::async, [&office] { return office.deposit("deposit-7", "hall=3", 1); });
+    REQUIRE(eventually([&office] { return countOf(office.booking().log(), "run") == 1; }));
+    std::future<HttpAnswer> joined = std::async(std::launch::async, [&office] { return office.deposit("deposit-7", "hall=3", 2); });
+    office.daemon(1).process().signal(SIGKILL);
+    office.daemon(1).process().wait();
+    first.get();
+    CHECK(joined.get().header("X-Cumindyke-Outcome") == "unknown");
+    CHECK(office.deposit("deposit-7", "hall=3", 0).header("X-Cumindyke-Outcome") == "unknown");
+    office.daemon(1).start();
+    REQUIRE(office.daemon(1).waitReady());
+    for (std::size_t vm = 0; vm < office.vms(); ++vm) {
+        CHECK(office.deposit("deposit-7", "hall=3", vm).header("X-Cumindyke-Outcome") == "unknown");
+    }
+    CHECK(countOf(office.booking().log(), "run") == 1);
+}
--- a/tests/support/office.cpp
+++ b/tests/support/office.cpp
@@ -49,7 +49,7 @@
 
 }
 
-Office::Office(const OfficeOptions &options, const std::string &moreSettings)
+Office::Office(const OfficeOptions &options)
 {
     std::string declared = Declared + options.moreDeclarations;
     int host = 11;
@@ -64,30 +64,50 @@
         declared += upstreamDeclaration(name, "booking", m_booking.back()->address(), options.slots);
     }
     writeFile(m_declarations.file("office.toml"), declared);
-    m_daemon = std::make_unique<DaemonProcess>(m_folder, "vm-1", m_network.host(1), moreSettings);
-    const Finished applied = m_daemon->ctl({"apply", m_declarations.path()});
+    startDaemons(options);
+    const Finished applied = daemon().ctl({"apply", m_declarations.path()});
     INFO(applied.out + applied.error);
     REQUIRE(applied.exitCode == 0);
-    REQUIRE(m_daemon->waitReady());
+    for (const auto &daemon : m_daemons) {
+        REQUIRE(daemon->waitReady());
+    }
+}
+
+void Office::startDaemons(const OfficeOptions &options)
+{
+    const auto nameOf = [](int vm) { return "vm-" + std::to_string(vm); };
+    std::string replicas;
+    for (int vm = 1; vm <= options.replicas; ++vm) {
+        replicas += (vm > 1 ? ", \"" : "\"") + nameOf(vm) + "\"";
+    }
+    for (int vm = 1; vm <= options.vms; ++vm) {
+        std::string settings = options.moreSettings + "replicas = [" + replicas + "]\n";
+        for (int peer = 1; peer <= options.vms; ++peer) {
+            if (peer != vm) {
+                settings += "[[peer]]\nvm = \"" + nameOf(peer) + "\"\nrpc_address = \"" + m_network.host(peer) + ":8081\"\n";
+            }
+        }
+        m_daemons.push_back(std::make_unique<DaemonProcess>(m_folder, nameOf(vm), m_network.host(vm), settings));
+    }
 }
 
-HttpAnswer Office::draft(const std::string &prompt, int tokens, const HeaderList &more) const
+HttpAnswer Office::draft(const std::string &prompt, int tokens, const HeaderList &more, std::size_t vm) const
 {
     HeaderList headers = OfficeKey;
     headers.insert(headers.end(), more.begin(), more.end());
-    return http(m_daemon->http(), "POST", "/v1/completions", headers, draftBody(prompt, tokens));
+    return http(m_daemons.at(vm)->http(), "POST", "/v1/completions", headers, draftBody(prompt, tokens));
 }
 
-HttpAnswer Office::deposit(const std::string &key, const std::string &body) const
+HttpAnswer Office::deposit(const std::string &key, const std::string &body, std::size_t vm) const
 {
     HeaderList headers = OfficeKey;
     headers.emplace_back("Idempotency-Key", key);
-    return http(m_daemon->http(), "POST", "/services/booking/deposits", headers, body);
+    return http(m_daemons.at(vm)->http(), "POST", "/services/booking/deposits", headers, body);
 }
 
-std::string Office::metrics() const
+std::string Office::metrics(std::size_t vm) const
 {
-    return http(m_daemon->http(), "GET", "/metrics").body;
+    return http(m_daemons.at(vm)->http(), "GET", "/metrics").body;
 }
 
 std::string draftBody(const std::string &prompt, int tokens)
