--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -29,25 +29,25 @@
         return {ErrorKind::OutcomeUnknown,
                 "no reply from " + server + " in time: run the same command again with the same --command-id, it changes nothing twice"};
     case grpc::StatusCode::UNAVAILABLE:
-        return {ErrorKind::Unavailable, "can't reach " + server + " (" + message + "): check --server, or name another VM"};
+        return {ErrorKind::Unavailable, "can't reach " + server + " (" + message + "): check --server and the certificates, or name another VM"};
     default:
         return {ErrorKind::Internal, message};
     }
 }
 
-std::shared_ptr<grpc::Channel> connect(const std::string &server)
+std::shared_ptr<grpc::Channel> connect(const std::string &server, const std::optional<TlsFiles> &tls)
 {
     grpc::ChannelArguments arguments;
     arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
-    return grpc::CreateCustomChannel(server, grpc::InsecureChannelCredentials(), arguments);
+    return grpc::CreateCustomChannel(server, channelCredentials(tls), arguments);
 }
 
 }
 
-OperatorClient::OperatorClient(const std::string &server, std::chrono::milliseconds timeout)
+OperatorClient::OperatorClient(const std::string &server, std::chrono::milliseconds timeout, const std::optional<TlsFiles> &tls)
     : m_server(server)
     , m_timeout(timeout)
-    , m_stub(v1::Operator::NewStub(connect(server)))
+    , m_stub(v1::Operator::NewStub(connect(server, tls)))
 {
 }
 
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/result.h"
+#include "peer/credentials.h"
 
 #include "operator.grpc.pb.h"
 
@@ -15,7 +16,7 @@
 class OperatorClient
 {
 public:
-    OperatorClient(const std::string &server, std::chrono::milliseconds timeout);
+    OperatorClient(const std::string &server, std::chrono::milliseconds timeout, const std::optional<TlsFiles> &tls = {});
 
     Result<v1::CommandReply> apply(const v1::ApplyRequest &request);
     Result<v1::Declarations> get();
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -225,7 +225,9 @@
         "author", "who makes the change; $USER if not given", cxxopts::value<std::string>(), "NAME")(
         "after", "history, watch: only later revisions", cxxopts::value<std::uint64_t>()->default_value("0"), "REVISION")(
         "count", "watch: end after so many events; 0 is never", cxxopts::value<std::uint64_t>()->default_value("0"), "N")(
-        "wait", "apply: answer when the change is in force on every live VM")("help", "print this help");
+        "wait", "apply: answer when the change is in force on every live VM")("help", "print this help")(
+        "cert", "the operator's certificate, PEM, with --key and --ca: mutual TLS", cxxopts::value<std::string>(), "FILE")(
+        "key", "private key of --cert", cxxopts::value<std::string>(), "FILE")("ca", "whose certificates are trusted", cxxopts::value<std::string>(), "FILE");
     return options;
 }
 
@@ -234,7 +236,7 @@
     std::cout << "Usage: cumindykectl COMMAND [ARGUMENTS] [OPTIONS]\n\nCommands:\n";
     for (const Command &command : Commands) {
         std::string usage = std::string(command.name) + " " + command.arguments;
-        usage.resize(std::max<std::size_t>(usage.size(), 20), ' ');
+        usage.resize(std::max<std::size_t>(usage.size(), 40), ' ');
         std::cout << "  " << usage << command.summary << "\n";
     }
     std::cout << "\nRun 'cumindykectl COMMAND --help' for the options.\n";
@@ -258,6 +260,10 @@
             std::cerr << "cumindykectl: --output must be text or json\n";
             return ExitUsage;
         }
+        if (parsed.count("cert") != parsed.count("key") || parsed.count("cert") != parsed.count("ca")) {
+            std::cerr << "cumindykectl: --cert, --key and --ca go together\n";
+            return ExitUsage;
+        }
         Context context{.options = parsed, .form = form == "json" ? OutputForm::Json : OutputForm::Text, .arguments = {}};
         if (parsed.count("arguments")) {
             context.arguments = parsed["arguments"].as<std::vector<std::string>>();
@@ -266,6 +272,12 @@
             std::cerr << "cumindykectl: usage: cumindykectl " << command.name << " " << command.arguments << "\n";
             return ExitUsage;
         }
+        if (const std::optional<TlsFiles> tls = context.tls()) {
+            const Result<Done> checked = checkFiles(*tls);
+            if (!ok(checked)) {
+                return printError(errorOf(checked));
+            }
+        }
         return command.run(context);
     } catch (const cxxopts::exceptions::exception &wrong) {
         std::cerr << "cumindykectl: " << wrong.what() << ": see cumindykectl " << command.name << " --help\n";
--- a/src/ctl/context.cpp
+++ b/src/ctl/context.cpp
@@ -10,9 +10,21 @@
 namespace cumindyke
 {
 
+std::optional<TlsFiles> Context::tls() const
+{
+    if (!options.count("cert")) {
+        return {};
+    }
+    return TlsFiles{
+        .certificate = options["cert"].as<std::string>(),
+        .key = options["key"].as<std::string>(),
+        .ca = options["ca"].as<std::string>(),
+    };
+}
+
 OperatorClient Context::client() const
 {
-    return OperatorClient(options["server"].as<std::string>(), std::chrono::milliseconds(options["timeout-ms"].as<int>()));
+    return OperatorClient(options["server"].as<std::string>(), std::chrono::milliseconds(options["timeout-ms"].as<int>()), tls());
 }
 
 std::string Context::author() const
--- a/src/ctl/context.h
+++ b/src/ctl/context.h
@@ -21,6 +21,8 @@
     OutputForm form;
     std::vector<std::string> arguments;
 
+    /// The files of --cert, --key and --ca.
+    std::optional<TlsFiles> tls() const;
     OperatorClient client() const;
     std::string author() const;
     /// The operator's own id, for a resend, or a new one.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -27,7 +27,7 @@
 
 Daemon::Daemon(const Settings &settings)
     : m_vm(settings.vm)
-    , m_transport(settings.vm)
+    , m_transport(settings.vm, settings.tls)
 {
     m_transport.setPeers(settings.peers);
     m_router.control = [this](PeerMessage message) { m_control->post(std::move(message)); };
@@ -86,7 +86,10 @@
         entry->post(ReportQuery{[answer](const v1::ReportReply &reply) { answer(reply); }});
     };
     auto rpc = RpcServer::start(
-        settings.rpcAddress, std::move(handlers), [this](const VmName &from, v1::Envelope &&envelope) { m_router.deliver(from, std::move(envelope)); });
+        settings.rpcAddress,
+        std::move(handlers),
+        [this](const VmName &from, v1::Envelope &&envelope) { m_router.deliver(from, std::move(envelope)); },
+        settings.tls);
     if (!ok(rpc)) {
         return errorOf(rpc);
     }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -23,6 +23,28 @@
     return valueOf(address);
 }
 
+/// Whoever reaches the rpc address of a VM without TLS can change declarations and read the hashes of keys.
+void readTls(TomlTable &root, Settings &settings)
+{
+    settings.plaintext = root.flag("plaintext", false);
+    if (root.has("tls")) {
+        TomlTable tls = root.table("tls");
+        settings.tls = TlsFiles{
+            .certificate = tls.requiredText("certificate"),
+            .key = tls.requiredText("key"),
+            .ca = tls.requiredText("ca"),
+        };
+        const Result<Done> checked = checkFiles(*settings.tls);
+        if (!ok(checked)) {
+            root.reject("tls", errorOf(checked).message);
+        }
+        return;
+    }
+    if (!settings.plaintext && !settings.rpcAddress.host.starts_with("127.")) {
+        root.reject("rpc_address", "others can reach it without TLS: add [tls] with certificate, key and ca, or set plaintext = true");
+    }
+}
+
 }
 
 Result<Settings> parseSettings(std::string_view toml, const std::string &fileName)
@@ -66,6 +88,7 @@
             root.reject("replicas", "'" + replica.value + "' is neither this VM nor a peer: add a [[peer]] for it or mend its spelling");
         }
     }
+    readTls(root, settings);
     if (const std::optional<Error> broken = document.finish()) {
         return *broken;
     }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -2,6 +2,7 @@
 
 #include "common/result.h"
 #include "common/types.h"
+#include "peer/credentials.h"
 
 #include <map>
 #include <optional>
@@ -27,6 +28,10 @@
     std::map<VmName, Address> peers;
     /// The VMs that hold the first replicas of the control log; this VM alone when none are named.
     std::vector<VmName> replicas;
+    /// For operators and peers; without it, plaintext.
+    std::optional<TlsFiles> tls;
+    /// Plaintext on an address that others can reach, said in plain words.
+    bool plaintext = false;
     /// How long work is admitted under the last configuration after the lease ended; docs/notes/quorum-loss.md.
     std::chrono::milliseconds keepAdmitting{0};
     /// How long a graceful shutdown may last; none is no limit.
--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t MaxBatch = 256;
 constexpr int MaxMessageBytes = 64 << 20;
 
-std::shared_ptr<grpc::Channel> connectTo(const Address &address, int attempt)
+std::shared_ptr<grpc::Channel> connectTo(const Address &address, const std::optional<TlsFiles> &tls, int attempt)
 {
     grpc::ChannelArguments arguments;
     // Without an argument that differs, gRPC would share the old, silent connection with the new channel.
@@ -32,7 +32,7 @@
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1'000);
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
     arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
-    return grpc::CreateCustomChannel(toString(address), grpc::InsecureChannelCredentials(), arguments);
+    return grpc::CreateCustomChannel(toString(address), channelCredentials(tls), arguments);
 }
 
 }
@@ -41,10 +41,11 @@
 class PeerTransport::Link : public std::enable_shared_from_this<PeerTransport::Link>
 {
 public:
-    Link(VmName self, VmName peer, Address address)
+    Link(VmName self, VmName peer, Address address, std::optional<TlsFiles> tls)
         : m_self(std::move(self))
         , m_peer(std::move(peer))
         , m_address(std::move(address))
+        , m_tls(std::move(tls))
     {
     }
 
@@ -77,7 +78,7 @@
             return;
         }
         if (!m_stub) {
-            m_stub = v1::Peer::NewStub(connectTo(m_address, m_attempt++));
+            m_stub = v1::Peer::NewStub(connectTo(m_address, m_tls, m_attempt++));
         }
         m_underWay = true;
         auto call = std::make_shared<Call>();
@@ -108,6 +109,7 @@
     const VmName m_self;
     const VmName m_peer;
     const Address m_address;
+    const std::optional<TlsFiles> m_tls;
     std::mutex m_mutex;
     std::unique_ptr<v1::Peer::Stub> m_stub;
     std::vector<v1::Envelope> m_waiting;
@@ -122,8 +124,9 @@
     std::map<VmName, std::shared_ptr<Link>> links;
 };
 
-PeerTransport::PeerTransport(VmName self)
+PeerTransport::PeerTransport(VmName self, std::optional<TlsFiles> tls)
     : m_self(std::move(self))
+    , m_tls(std::move(tls))
     , d(std::make_shared<Private>())
 {
 }
@@ -137,7 +140,7 @@
     for (const auto &[peer, address] : peers) {
         const auto known = d->links.find(peer);
         const bool same = known != d->links.end() && known->second->address() == address;
-        links.emplace(peer, same ? known->second : std::make_shared<Link>(m_self, peer, address));
+        links.emplace(peer, same ? known->second : std::make_shared<Link>(m_self, peer, address, m_tls));
     }
     d->links.swap(links);
 }
--- a/src/peer/peertransport.h
+++ b/src/peer/peertransport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/types.h"
+#include "peer/credentials.h"
 
 #include "peer.pb.h"
 
@@ -19,7 +20,7 @@
 class PeerTransport
 {
 public:
-    explicit PeerTransport(VmName self);
+    explicit PeerTransport(VmName self, std::optional<TlsFiles> tls = {});
     ~PeerTransport();
     PeerTransport(const PeerTransport &) = delete;
     PeerTransport &operator=(const PeerTransport &) = delete;
@@ -32,6 +33,7 @@
 private:
     class Link;
     VmName m_self;
+    const std::optional<TlsFiles> m_tls;
     struct Private;
     std::shared_ptr<Private> d;
 };
--- a/src/peer/rpcserver.cpp
+++ b/src/peer/rpcserver.cpp
@@ -269,7 +269,8 @@
     stop(std::chrono::milliseconds(0));
 }
 
-Result<std::unique_ptr<RpcServer>> RpcServer::start(const Address &address, OperatorHandlers handlers, PeerReceiver receiver)
+Result<std::unique_ptr<RpcServer>>
+RpcServer::start(const Address &address, OperatorHandlers handlers, PeerReceiver receiver, const std::optional<TlsFiles> &tls)
 {
     std::unique_ptr<RpcServer> started(new RpcServer);
     started->d->operatorService = std::make_unique<OperatorService>(std::move(handlers));
@@ -278,7 +279,7 @@
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 5'000);
     builder.SetMaxReceiveMessageSize(MaxMessageBytes);
-    builder.AddListeningPort(toString(address), grpc::InsecureServerCredentials(), &started->d->port);
+    builder.AddListeningPort(toString(address), serverCredentials(tls), &started->d->port);
     builder.RegisterService(started->d->operatorService.get());
     builder.RegisterService(started->d->peerService.get());
     started->d->server = builder.BuildAndStart();
--- a/src/peer/rpcserver.h
+++ b/src/peer/rpcserver.h
@@ -49,7 +49,8 @@
 {
 public:
     /// Error: Unavailable, when the address can't be bound. A port of 0 lets the kernel choose: see port().
-    static Result<std::unique_ptr<RpcServer>> start(const Address &address, OperatorHandlers handlers, PeerReceiver receiver);
+    static Result<std::unique_ptr<RpcServer>>
+    start(const Address &address, OperatorHandlers handlers, PeerReceiver receiver, const std::optional<TlsFiles> &tls = {});
     ~RpcServer();
     RpcServer(const RpcServer &) = delete;
     RpcServer &operator=(const RpcServer &) = delete;
--- /dev/null
+++ b/tests/daemon/settingstest.cpp
@@ -0,0 +1,36 @@
+#include "daemon/settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cumindyke;
+
+namespace
+{
+
+std::string problemOf(const std::string &toml)
+{
+    const Result<Settings> settings = parseSettings(toml, "vm.toml");
+    return ok(settings) ? "" : errorOf(settings).message;
+}
+
+constexpr const char *Peers = "[[peer]]\nvm = \"vm-2\"\nrpc_address = \"127.0.0.2:8081\"\n";
+
+}
+
+// Anybody who reaches the port of a VM without TLS could change declarations: it takes plain words to allow that.
+TEST_CASE("plaintext needs loopback or plain words")
+{
+    CHECK(problemOf("rpc_address = \"127.0.0.1:8081\"\n").empty());
+    CHECK(problemOf("rpc_address = \"10.0.0.1:8081\"\n").find("set plaintext = true") != std::string::npos);
+    CHECK(problemOf("rpc_address = \"10.0.0.1:8081\"\nplaintext = true\n").empty());
+    CHECK(problemOf("[tls]\ncertificate = \"/none\"\nkey = \"/none\"\nca = \"/none\"\n").find("can't be read") != std::string::npos);
+    CHECK(problemOf("[tls]\ncertificate = \"/none\"\n").find("tls.key: missing") != std::string::npos);
+}
+
+// Without the names of the replicas every VM would lead a system of its own, and a change would reach one VM only.
+TEST_CASE("with peers the replicas must be named")
+{
+    CHECK(problemOf(Peers).find("replicas: missing") != std::string::npos);
+    CHECK(problemOf(std::string("vm = \"vm-1\"\nreplicas = [\"vm-1\"]\n") + Peers).empty());
+    CHECK(problemOf(std::string("vm = \"vm-1\"\nreplicas = [\"vm-3\"]\n") + Peers).find("neither this VM nor a peer") != std::string::npos);
+}
