--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/result.h"
+#include "peer/credentials.h"
 
 #include "operator.grpc.pb.h"
 
@@ -15,7 +16,7 @@
 class OperatorClient
 {
 public:
-    OperatorClient(const std::string &server, std::chrono::milliseconds timeout);
+    OperatorClient(const std::string &server, std::chrono::milliseconds timeout, const std::optional<TlsFiles> &tls = {});
 
     Result<v1::CommandReply> apply(const v1::ApplyRequest &request);
     Result<v1::Declarations> get();
@@ -25,6 +26,8 @@
     Result<v1::MovesReply> moves();
     Result<v1::MembersReply> members();
     Result<v1::CommandReply> changeMembers(const v1::ChangeMembersRequest &request);
+    Result<v1::SaveSnapshotReply> saveSnapshot();
+    Result<v1::CommandReply> restoreSnapshot(const v1::RestoreSnapshotRequest &request);
     Result<v1::ReportReply> report();
     /// Calls the handler for each event until it returns false or the stream ends.
     Result<Done> watch(const v1::WatchRequest &request, const std::function<bool(const v1::Event &)> &handler);
