--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -2,6 +2,7 @@
 
 #include "common/result.h"
 #include "common/types.h"
+#include "peer/credentials.h"
 
 #include <map>
 #include <optional>
@@ -29,6 +30,10 @@
     std::vector<VmName> replicas;
     /// A replica that was silent for so long is replaced by another VM with a disk.
     std::chrono::milliseconds replaceReplicaAfter{30'000};
+    /// For operators and peers; without it, plaintext.
+    std::optional<TlsFiles> tls;
+    /// Plaintext on an address that others can reach, said in plain words.
+    bool plaintext = false;
     /// How long work is admitted under the last configuration after the lease ended; docs/notes/quorum-loss.md.
     std::chrono::milliseconds keepAdmitting{0};
     /// How long a graceful shutdown may last; none is no limit.
