--- a/src/raft/core.cpp
+++ b/src/raft/core.cpp
@@ -5,6 +5,14 @@
 namespace cumindyke::raft
 {
 
+namespace
+{
+
+/// No cluster gets there by elections; beyond it, the next term could overflow.
+constexpr Term MaxTerm = Term(1) << 62;
+
+}
+
 Core::Core(CoreOptions options, const Recovered &recovered, std::uint64_t seed, TimePoint now)
     : m_options(std::move(options))
     , m_random(seed)
@@ -223,9 +231,33 @@
     }
 }
 
+/// Peers are trusted, but another version of the program may have a fault: what can't come from a replica that keeps to the rules is
+/// dropped as if it were lost, instead of bringing this replica down or its log out of order.
+bool Core::plausible(const v1::RaftMessage &message) const
+{
+    if (message.term() > MaxTerm || message.from() == m_options.self.value) {
+        return false;
+    }
+    if (message.kind() == v1::RaftMessage::APPEND_REPLY && message.term() == m_vote.term && message.granted()) {
+        return message.match_index() <= m_log.last();
+    }
+    Index index = message.previous_index();
+    Term term = message.previous_term();
+    for (const v1::LogEntry &entry : message.entries()) {
+        if (entry.index() != ++index || entry.term() < term || entry.term() > message.term()) {
+            return false;
+        }
+        term = entry.term();
+    }
+    return true;
+}
+
 void Core::step(const v1::RaftMessage &message, TimePoint now)
 {
     using Kind = v1::RaftMessage;
+    if (!plausible(message)) {
+        return;
+    }
     const VmName from{message.from()};
     if (message.kind() == Kind::PRE_VOTE) {
         handlePreVote(message, now);
--- a/src/raft/core.h
+++ b/src/raft/core.h
@@ -159,6 +159,7 @@
     void append(v1::LogEntry &&entry);
     void commitTo(Index index);
     void refreshMembership();
+    bool plausible(const v1::RaftMessage &message) const;
     void stepCurrentTerm(const v1::RaftMessage &message, TimePoint now);
 
     // coreelection.cpp
