Cells in the daemon: schedulers by lease, grants to entry VMs, shedding by the floor

The entry VM's capacity comes from the grant book, the cells' schedulers run in a task of their own on the VM that holds the cell, and stop by the VM's own lease. A change after a pause is told at once, changes in a burst go together (2 ms at the entry VM, 1 ms at the scheduler), so that messages grow with ticks and not with requests.

Tasks now stop before any is destroyed: a task could post to one that was gone.

One test changed its request: ten thousand tokens can't be made within the service's default deadline of 60 s, and such a request is now refused before its prefill; the test gives the request a deadline that holds it.

--- a/src/cell/grantbook.cpp
+++ b/src/cell/grantbook.cpp
@@ -143,8 +143,7 @@
     }
 }
 
-std::optional<Slot>
-GrantBook::acquire(const PendingRequest &request, const Declarations & /*declarations*/, const VersionName &version, TimePoint now)
+std::optional<Slot> GrantBook::acquire(const PendingRequest &request, const Declarations & /*declarations*/, const VersionName &version, TimePoint now)
 {
     if (auto slot = acquireGrant(request, version, demandKey(request, version), now)) {
         return slot;
@@ -312,7 +311,8 @@
 
 GrantReport GrantBook::report(const Cell &cell, std::uint32_t index, TimePoint now) const
 {
-    GrantReport report{.cell = cell.name, .vm = m_vm, .epoch = cell.epoch, .sequence = cell.sequence, .grantsSeen = cell.grantsSeen, .inFlight = {}, .unreachable = {}};
+    GrantReport report{
+        .cell = cell.name, .vm = m_vm, .epoch = cell.epoch, .sequence = cell.sequence, .grantsSeen = cell.grantsSeen, .inFlight = {}, .unreachable = {}};
     for (const UpstreamSlots &slots : m_upstreams) {
         if (slots.cell != index) {
             continue;
@@ -342,8 +342,7 @@
     return cell.heldChanged && (cell.lowestWaiting || quiet >= LazyReport);
 }
 
-std::vector<CellMessages>
-GrantBook::messages(const ServiceName &service, const PendingQueue &queue, const VersionName &serviceVersion, TimePoint now)
+std::vector<CellMessages> GrantBook::messages(const ServiceName &service, const PendingQueue &queue, const VersionName &serviceVersion, TimePoint now)
 {
     std::vector<CellMessages> due;
     const auto mustShed = m_mustShed.find(service);
--- a/src/cell/loadwatch.cpp
+++ b/src/cell/loadwatch.cpp
@@ -46,6 +46,7 @@
         .running = static_cast<std::uint32_t>(numberIn(body, "running")),
         .waiting = static_cast<std::uint32_t>(numberIn(body, "waiting")),
         .pendingTokens = numberIn(body, "pending_tokens"),
+        .generatedTokens = numberIn(body, "generated_tokens"),
         .draining = flagIn(body, "draining"),
         .version = {},
     };
--- a/src/cell/loadwatch.h
+++ b/src/cell/loadwatch.h
@@ -21,6 +21,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t pendingTokens = 0;
+    /// Answer tokens since the engine started; 0 when it does not say.
+    std::uint64_t generatedTokens = 0;
     /// The engine is leaving: it takes no new work.
     bool draining = false;
     /// The version it runs, or empty when it does not say.
--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -84,10 +84,7 @@
 
 ControlTask::~ControlTask()
 {
-    m_loop.stop();
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    stop();
 }
 
 std::optional<Error> ControlTask::recover()
@@ -110,6 +107,14 @@
     return {};
 }
 
+void ControlTask::stop()
+{
+    m_loop.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
 void ControlTask::post(ControlMessage message)
 {
     m_mailbox.post(std::move(message));
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -106,6 +106,8 @@
     ControlTask(const ControlTask &) = delete;
     ControlTask &operator=(const ControlTask &) = delete;
 
+    /// Ends the task's thread; what is posted from then on is not handled. Safe to call again.
+    void stop();
     /// Safe from any thread.
     void post(ControlMessage message);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "celltask/celltask.h"
 #include "control/controltask.h"
 #include "control/operatorhandlers.h"
 #include "entry/entrytask.h"
@@ -8,12 +9,27 @@
 namespace cumindyke
 {
 
+namespace
+{
+
+std::set<VmName> allVms(const Settings &settings)
+{
+    std::set<VmName> vms{settings.vm};
+    for (const auto &[vm, address] : settings.peers) {
+        vms.insert(vm);
+    }
+    return vms;
+}
+
+}
+
 Result<std::unique_ptr<Daemon>> Daemon::start(const Settings &settings)
 {
     std::unique_ptr<Daemon> daemon(new Daemon(settings));
     if (const auto error = daemon->startControl(settings)) {
         return *error;
     }
+    daemon->openCells(settings);
     if (const auto error = daemon->openEntry(settings)) {
         return *error;
     }
@@ -21,6 +37,7 @@
         return *error;
     }
     // Last, so that a VM that answers /healthz answers operators too.
+    daemon->m_cells->start();
     daemon->m_entry->start();
     return daemon;
 }
@@ -31,15 +48,22 @@
 {
     m_transport.setPeers(settings.peers);
     m_router.control = [this](PeerMessage message) { m_control->post(std::move(message)); };
+    m_router.cell = [this](PeerMessage message) { m_cells->post(std::move(message)); };
     m_router.entry = [this](PeerMessage message) { m_entry->post(std::move(message)); };
 }
 
 Daemon::~Daemon()
 {
-    // Calls from outside end first, then the control task, which posts to the entry task, which goes last.
+    // Calls from outside end first. The tasks post to each other, so all of them stop before any is destroyed.
     m_rpc.reset();
-    m_control.reset();
-    m_entry.reset();
+    const auto stop = [](const auto &task) {
+        if (task) {
+            task->stop();
+        }
+    };
+    stop(m_control);
+    stop(m_cells);
+    stop(m_entry);
 }
 
 std::optional<Error> Daemon::startControl(const Settings &settings)
@@ -61,11 +85,24 @@
     return {};
 }
 
+void Daemon::openCells(const Settings &settings)
+{
+    m_cells = std::make_unique<CellTask>(
+        CellTaskOptions{
+            .vm = settings.vm,
+            .vms = allVms(settings),
+            .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
+        },
+        m_metrics);
+    m_control->post(Subscription{[cells = m_cells.get()](const Configuration &configuration) { cells->post(configuration); }});
+}
+
 std::optional<Error> Daemon::openEntry(const Settings &settings)
 {
     auto entry = EntryTask::open(EntryOptions{
                                      .vm = settings.vm,
                                      .dataCentre = settings.dataCentre,
+                                     .vms = allVms(settings),
                                      .address = settings.httpAddress,
                                      .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -10,6 +10,7 @@
 namespace cumindyke
 {
 
+class CellTask;
 class ControlTask;
 class EntryTask;
 class RpcServer;
@@ -32,6 +33,7 @@
 private:
     explicit Daemon(const Settings &settings);
     std::optional<Error> startControl(const Settings &settings);
+    void openCells(const Settings &settings);
     std::optional<Error> openEntry(const Settings &settings);
     std::optional<Error> startRpc(const Settings &settings);
     void send(const VmName &to, v1::Envelope &&envelope);
@@ -41,6 +43,7 @@
     PeerTransport m_transport;
     PeerRouter m_router;
     std::unique_ptr<ControlTask> m_control;
+    std::unique_ptr<CellTask> m_cells;
     std::unique_ptr<EntryTask> m_entry;
     std::unique_ptr<RpcServer> m_rpc;
 };
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -1,12 +1,28 @@
 #include "entry/dispatcher.h"
 
+#include "policy/servequeue.h"
+#include "policy/shedding.h"
+
 namespace cumindyke
 {
 
+Dispatcher::Dispatcher(const VmName &vm, const std::set<VmName> &vms)
+    : m_capacity(vm)
+    , m_share{.index = static_cast<std::uint32_t>(std::distance(vms.begin(), vms.find(vm))), .count = static_cast<std::uint32_t>(vms.size())}
+{
+}
+
 void Dispatcher::setDeclarations(std::shared_ptr<const Declarations> declarations, TimePoint now)
 {
-    m_declarations = std::move(declarations);
-    rebuildUsable();
+    if (declarations != m_declarations) {
+        m_declarations = std::move(declarations);
+        std::vector<BookUpstream> upstreams;
+        for (const auto &[name, upstream] : m_declarations->upstreams()) {
+            const CellName cell{upstream.service.value + "/" + upstream.dataCentre.value};
+            upstreams.push_back(BookUpstream{.name = name, .service = upstream.service, .version = upstream.version, .cell = cell, .slots = upstream.slots});
+        }
+        m_capacity.setUpstreams(upstreams, m_share);
+    }
     serveAll(now);
 }
 
@@ -30,29 +46,14 @@
 
 void Dispatcher::refresh(TimePoint now)
 {
-    std::set<UpstreamName> unusable = m_availability.unusable(now);
-    if (unusable != m_unusable) {
-        m_unusable = std::move(unusable);
-        rebuildUsable();
+    for (const UpstreamName &upstream : m_availability.unusable(now)) {
+        m_capacity.noteUnreachable(upstream, now);
     }
 }
 
-void Dispatcher::rebuildUsable()
-{
-    if (m_unusable.empty()) {
-        m_usable = m_declarations;
-        return;
-    }
-    std::vector<Change> puts = Declarations().changesTo(*m_declarations);
-    std::erase_if(puts, [this](const Change &change) {
-        const auto *upstream = std::get_if<Upstream>(&change);
-        return upstream && m_unusable.contains(upstream->name);
-    });
-    m_usable = std::make_shared<const Declarations>(Declarations::restored(m_declarations->revision(), puts));
-}
-
 void Dispatcher::add(const CallerRequest &request)
 {
+    const TokenCount answer = m_lengths.answer(request.service, request.route, request.answerTokens);
     m_queues[request.service].add(PendingRequest{
         .id = request.id,
         .tier = request.rank,
@@ -60,7 +61,11 @@
         .service = request.service,
         .arrival = request.arrival,
         .deadline = request.deadline,
-        .work = TokenCount{request.promptTokens.value + request.answerTokens.value},
+        .work = TokenCount{request.promptTokens.value + answer.value},
+        .promptTokens = request.promptTokens,
+        .answerTokens = answer,
+        .prefix = request.prefix,
+        .version = {},
     });
 }
 
@@ -88,23 +93,16 @@
 
 void Dispatcher::serveQueue(const Service &service, PendingQueue &queue, TimePoint now)
 {
-    while (const PendingRequest *first = queue.first()) {
-        const std::shared_ptr<const Declarations> declarations = m_usable;
-        const std::optional<Slot> slot = m_capacity.acquire(*first, *declarations, versionFor(service, *first), now);
-        if (!slot) {
-            return;
-        }
-        const Upstream *upstream = declarations->upstream(slot->upstream);
+    const std::shared_ptr<const Declarations> declarations = m_declarations;
+    cumindyke::serveQueue(queue, m_capacity, *declarations, service.version, now, [&](const PendingRequest &request, const Slot &slot) {
+        const Upstream *upstream = declarations->upstream(slot.upstream);
         if (!upstream) {
-            m_capacity.release(*slot, now);
+            m_capacity.release(slot, now);
             return;
         }
-        const RequestId id = first->id;
-        queue.remove(id);
         m_availability.granted(upstream->name, now);
-        refresh(now);
-        m_granted.emit(id, *slot, *upstream);
-    }
+        m_granted.emit(request.id, slot, *upstream);
+    });
 }
 
 VersionName Dispatcher::versionFor(const Service &service, const PendingRequest & /*request*/) const
@@ -112,15 +110,43 @@
     return service.version;
 }
 
-std::vector<RequestId> Dispatcher::takeExpired(TimePoint now)
+std::vector<PendingRequest> Dispatcher::takeHopeless(TimePoint now)
 {
-    std::vector<RequestId> expired;
+    std::vector<PendingRequest> all;
     for (auto &[service, queue] : m_queues) {
-        for (const PendingRequest &request : queue.takeExpired(now)) {
-            expired.push_back(request.id);
+        for (PendingRequest &request : cumindyke::takeHopeless(queue, m_capacity, service, now)) {
+            all.push_back(std::move(request));
         }
     }
-    return expired;
+    return all;
+}
+
+bool Dispatcher::refuses(const ServiceName &service, TierRank tier, TimePoint now) const
+{
+    const std::optional<TierRank> from = m_capacity.refuseFrom(service, now);
+    return from && tier >= *from;
+}
+
+void Dispatcher::takeGrants(const Grants &grants, TimePoint now)
+{
+    m_capacity.take(grants, now);
+    serveAll(now);
+}
+
+std::vector<CellMessages> Dispatcher::cellMessages(TimePoint now)
+{
+    std::vector<CellMessages> all;
+    for (const auto &[name, service] : m_declarations->services()) {
+        for (CellMessages &messages : m_capacity.messages(name, m_queues[name], service.version, now)) {
+            all.push_back(std::move(messages));
+        }
+    }
+    return all;
+}
+
+void Dispatcher::learnAnswer(const CallerRequest &request, TokenCount answer)
+{
+    m_lengths.learn(request.service, request.route, request.answerTokens, answer);
 }
 
 void Dispatcher::release(const Slot &slot, TimePoint now)
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "cell/grantbook.h"
 #include "domain/declarations.h"
 #include "entry/callerrequest.h"
-#include "policy/leastoutstanding.h"
+#include "policy/lengthestimate.h"
 #include "policy/pendingqueue.h"
 #include "upstream/availability.h"
 
@@ -19,7 +20,10 @@
 class Dispatcher
 {
 public:
-    using Capacity = LeastOutstanding;
+    using Capacity = GrantBook;
+
+    /// All VMs, this one too: without a scheduler each uses its share of a cell.
+    Dispatcher(const VmName &vm, const std::set<VmName> &vms);
 
     void setDeclarations(std::shared_ptr<const Declarations> declarations, TimePoint now);
     /// The request waits from now on; serve() may let it go.
@@ -36,8 +40,15 @@
     void setLeaving(std::set<UpstreamName> leaving, TimePoint now);
     /// Lets upstreams whose pause is over back in. Call it often.
     void refresh(TimePoint now);
-    /// Takes out the requests whose deadline is not after now.
-    std::vector<RequestId> takeExpired(TimePoint now);
+    /// Takes out the requests that can't finish before their deadline any more, and those that make room for higher tiers.
+    std::vector<PendingRequest> takeHopeless(TimePoint now);
+    /// Whether requests of the service and tier are refused at their arrival, to make room for higher tiers.
+    bool refuses(const ServiceName &service, TierRank tier, TimePoint now) const;
+    void takeGrants(const Grants &grants, TimePoint now);
+    /// What is to be told to the schedulers of the cells now; call it after changes and at least every 100 ms.
+    std::vector<CellMessages> cellMessages(TimePoint now);
+    /// How long an answer was, for the estimates of later ones.
+    void learnAnswer(const CallerRequest &request, TokenCount answer);
     void release(const Slot &slot, TimePoint now);
     Capacity &capacity()
     {
@@ -53,15 +64,14 @@
     void serveQueue(const Service &service, PendingQueue &queue, TimePoint now);
     VersionName versionFor(const Service &service, const PendingRequest &request) const;
 
-    void rebuildUsable();
+    void noteUnusable(TimePoint now);
 
     std::shared_ptr<const Declarations> m_declarations = std::make_shared<const Declarations>();
-    /// The declarations without the upstreams that get no new work now.
-    std::shared_ptr<const Declarations> m_usable = m_declarations;
-    std::set<UpstreamName> m_unusable;
     Availability m_availability;
     std::map<ServiceName, PendingQueue> m_queues;
     Capacity m_capacity;
+    VmShare m_share;
+    LengthEstimate m_lengths;
     sigc::signal<void, const RequestId &, const Slot &, const Upstream &> m_granted;
 };
 
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -1,5 +1,6 @@
 #include "entry/entrytask.h"
 
+#include "cell/convert.h"
 #include "common/log.h"
 #include "entry/pages.h"
 
@@ -9,6 +10,8 @@
 namespace
 {
 
+/// Changes within this time after a message to the schedulers are told together.
+constexpr Duration TellDelay = std::chrono::milliseconds(2);
 constexpr Duration SweepInterval = std::chrono::milliseconds(10);
 /// Dispatches that were proved not to have run before the request is given up.
 constexpr int MaxFailedDispatches = 3;
@@ -58,25 +61,26 @@
     : m_options(std::move(options))
     , m_metrics(metrics)
     , m_mailbox(m_loop, [this](EntryMessage &&message) { handle(std::move(message)); })
-    , m_sweep(m_loop, [this] { expireWaiting(); })
+    , m_sweep(m_loop, [this] { sweep(); })
+    , m_tell(m_loop, [this] { tellSchedulers(); })
     , m_admission(m_options.vm)
+    , m_dispatcher(m_options.vm, m_options.vms)
     , m_runCounters(metrics)
     , m_canceller(m_loop)
     , m_requests(m_loop)
 {
     m_dispatcher.granted().connect(sigc::mem_fun(*this, &EntryTask::dispatch));
     m_requests.cleaned().connect([this] {
-        m_dispatcher.serveAll(EventLoop::now());
+        const TimePoint now = EventLoop::now();
+        m_dispatcher.serveAll(now);
+        tellSoon(now);
         finishDrainIfIdle();
     });
 }
 
 EntryTask::~EntryTask()
 {
-    m_loop.stop();
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    stop();
     m_requests.clear();
 }
 
@@ -85,6 +89,14 @@
     return m_door->port();
 }
 
+void EntryTask::stop()
+{
+    m_loop.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
 void EntryTask::post(EntryMessage message)
 {
     m_mailbox.post(std::move(message));
@@ -117,8 +129,13 @@
     query.answer(m_tally.report());
 }
 
-void EntryTask::handle(PeerMessage && /*message*/)
+void EntryTask::handle(PeerMessage &&message)
 {
+    if (message.envelope.has_grants()) {
+        const TimePoint now = EventLoop::now();
+        m_dispatcher.takeGrants(fromProto(message.envelope.grants()), now);
+        tellSoon(now);
+    }
 }
 
 void EntryTask::arrived(const std::shared_ptr<Exchange> &exchange)
@@ -144,20 +161,59 @@
         exchange->replyError(errorOf(admitted), RunOutcome::NotRun);
         return;
     }
+    const CallerRequest &request = valueOf(admitted);
+    if (m_dispatcher.refuses(request.service, request.rank, now)) {
+        exchange->replyError(Error{ErrorKind::Overloaded, "requests of higher tiers need all capacity: try again later"}, RunOutcome::NotRun);
+        m_tally.add(request.service, request.tier, RequestEnd::Refused);
+        return;
+    }
     const ActiveRequest &active = m_requests.add(std::move(valueOf(admitted)), exchange);
     const ServiceName service = active.request.service;
     exchange->callerLeft().connect([this, id = active.request.id] { callerLeft(id); });
     m_dispatcher.add(active.request);
     m_dispatcher.serve(service, now);
+    tellSoon(now);
 }
 
-void EntryTask::expireWaiting()
+void EntryTask::sweep()
 {
     const TimePoint now = EventLoop::now();
     m_dispatcher.refresh(now);
+    for (const PendingRequest &hopeless : m_dispatcher.takeHopeless(now)) {
+        const bool late = now >= hopeless.deadline;
+        giveUp(hopeless.id,
+               late ? Error{ErrorKind::DeadlinePassed, "no upstream had room before the deadline: allow more time or try again later"}
+                    : Error{ErrorKind::Overloaded, "the answer can't be made before the deadline: allow more time or try again later"});
+    }
     m_dispatcher.serveAll(now);
-    for (const RequestId &id : m_dispatcher.takeExpired(now)) {
-        giveUp(id, Error{ErrorKind::DeadlinePassed, "no upstream had room before the deadline: allow more time or try again later"});
+    tellSchedulers();
+}
+
+/// A change after a pause is told at once, since a request waits for it; in a burst the changes of some milliseconds go together.
+void EntryTask::tellSoon(TimePoint now)
+{
+    if (!std::exchange(m_tellDue, true)) {
+        m_tell.startOnce(std::max(m_lastTold + TellDelay - now, Duration::zero()));
+    }
+}
+
+void EntryTask::tellSchedulers()
+{
+    const TimePoint now = EventLoop::now();
+    m_tellDue = false;
+    m_lastTold = now;
+    for (const CellMessages &messages : m_dispatcher.cellMessages(now)) {
+        const auto holder = m_admission.configuration().cells.find(messages.demand.cell.value);
+        if (holder == m_admission.configuration().cells.end() || holder->second.vm().empty()) {
+            continue;
+        }
+        const VmName scheduler{holder->second.vm()};
+        v1::Envelope report;
+        *report.mutable_grant_report() = toProto(messages.report);
+        m_options.send(scheduler, std::move(report));
+        v1::Envelope demand;
+        *demand.mutable_demand() = toProto(messages.demand);
+        m_options.send(scheduler, std::move(demand));
     }
 }
 
@@ -216,6 +272,7 @@
     const ServiceName service = active.request.service;
     m_dispatcher.add(active.request);
     m_dispatcher.serve(service, now);
+    tellSoon(now);
 }
 
 void EntryTask::callerLeft(const RequestId &id)
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -37,6 +37,8 @@
 {
     VmName vm;
     DataCentreName dataCentre;
+    /// All VMs, this one too.
+    std::set<VmName> vms;
     /// Where callers and the balancer connect.
     Address address;
     /// Proposes a command to the control replicas, through the control task.
@@ -57,6 +59,8 @@
     EntryTask &operator=(const EntryTask &) = delete;
 
     std::uint16_t port() const;
+    /// Ends the task's thread; what is posted from then on is not handled. Safe to call again.
+    void stop();
     /// Safe from any thread.
     void post(EntryMessage message);
 
@@ -70,7 +74,9 @@
 
     void arrived(const std::shared_ptr<Exchange> &exchange);
     void admit(const std::shared_ptr<Exchange> &exchange);
-    void expireWaiting();
+    void sweep();
+    void tellSoon(TimePoint now);
+    void tellSchedulers();
     void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
     void runEnded(const RequestId &id, const RunResult &result);
     void tryElsewhere(ActiveRequest &active);
@@ -85,6 +91,10 @@
     EventLoop m_loop;
     Mailbox<EntryMessage> m_mailbox;
     Timer m_sweep;
+    /// Sends what changed to the schedulers of the cells.
+    Timer m_tell;
+    TimePoint m_lastTold;
+    bool m_tellDue = false;
     std::unique_ptr<FrontDoor> m_door;
     Admission m_admission;
     Dispatcher m_dispatcher;
