--- a/src/main/cumindyked.cpp
+++ b/src/main/cumindyked.cpp
@@ -21,7 +21,7 @@
 Result<Settings> loadSettings(const cxxopts::ParseResult &options)
 {
     if (!options.count("settings")) {
-        return Settings{};
+        return parseSettings("", "embedded defaults");
     }
     const auto file = options["settings"].as<std::string>();
     const Result<std::string> text = readFile(file);
