--- a/src/bench/cumindykepolicy.cpp
+++ b/src/bench/cumindykepolicy.cpp
@@ -113,7 +113,7 @@
 {
     Vm &vm = m_vms[request.vm];
     const TokenCount answer = vm.lengths.answer(request.service, request.route, request.answerLimit);
-    vm.queues[request.service].add(PendingRequest{
+    PendingRequest pending{
         .id = request.id,
         .tier = request.tier,
         .organisation = request.organisation,
@@ -125,7 +125,9 @@
         .answerTokens = answer,
         .prefix = request.prefix,
         .version = {},
-    });
+    };
+    pending.answerTokens = feasibleAnswer(vm.book, pending, now);
+    vm.queues[request.service].add(std::move(pending));
     serve(request.vm, now);
     scheduleFlush(request.vm, now);
 }
--- a/src/cell/grantbook.cpp
+++ b/src/cell/grantbook.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-constexpr std::size_t MaxLines = 64;
+/// Lines of a demand at most: what may be granted before the next one. Keeps the bytes and the scheduler's work bounded in a backlog.
+constexpr std::size_t MaxLines = 16;
 constexpr std::size_t RememberedDemands = 64;
 /// A request that its home cell has not served for this long asks every cell of the service.
 constexpr Duration SpreadAfter = std::chrono::milliseconds(10);
@@ -277,7 +278,7 @@
 std::vector<DemandLine> GrantBook::lines(std::uint32_t cell, const PendingQueue &queue, const VersionName &serviceVersion, TimePoint now) const
 {
     std::vector<DemandLine> found;
-    for (const PendingRequest *request : queue.inOrder(2 * MaxLines)) {
+    for (const PendingRequest *request : queue.inOrder(4 * MaxLines)) {
         const std::uint64_t prefix = request->prefix != 0 ? request->prefix : checksum(request->id.value);
         if (now - request->arrival < SpreadAfter && homeCell(request->service, prefix) != cell) {
             continue;
--- a/tests/support/office.h
+++ b/tests/support/office.h
@@ -16,20 +16,29 @@
     int draftingUpstreams = 1;
     int bookingUpstreams = 1;
     int slots = 16;
+    /// Daemons "vm-1" to "vm-N"; the first of them hold the log.
+    int vms = 1;
+    int replicas = 1;
     /// More arguments for every stand-in.
     std::vector<std::string> upstreamArguments;
     std::string moreDeclarations;
+    /// More settings for every daemon.
+    std::string moreSettings;
 };
 
-/// A small office on real processes: one daemon, drafting engines and booking services, declared and ready.
+/// A small office on real processes: daemons, drafting engines and booking services, declared and ready.
 class Office
 {
 public:
-    explicit Office(const OfficeOptions &options = {}, const std::string &moreSettings = {});
+    explicit Office(const OfficeOptions &options = {});
 
-    DaemonProcess &daemon()
+    DaemonProcess &daemon(std::size_t index = 0)
     {
-        return *m_daemon;
+        return *m_daemons.at(index);
+    }
+    std::size_t vms() const
+    {
+        return m_daemons.size();
     }
     FakeUpstreamProcess &drafting(std::size_t index = 0)
     {
@@ -39,22 +48,24 @@
     {
         return *m_booking.at(index);
     }
-    /// One completion, streamed.
-    HttpAnswer draft(const std::string &prompt, int tokens, const HeaderList &more = {}) const;
-    HttpAnswer deposit(const std::string &key, const std::string &body) const;
-    std::string metrics() const;
+    /// One completion, streamed, at one of the daemons.
+    HttpAnswer draft(const std::string &prompt, int tokens, const HeaderList &more = {}, std::size_t vm = 0) const;
+    HttpAnswer deposit(const std::string &key, const std::string &body, std::size_t vm = 0) const;
+    std::string metrics(std::size_t vm = 0) const;
     const TemporaryFolder &folder() const
     {
         return m_folder;
     }
 
 private:
+    void startDaemons(const OfficeOptions &options);
+
     TemporaryFolder m_folder;
     TemporaryFolder m_declarations;
     TestNetwork m_network;
     std::vector<std::unique_ptr<FakeUpstreamProcess>> m_drafting;
     std::vector<std::unique_ptr<FakeUpstreamProcess>> m_booking;
-    std::unique_ptr<DaemonProcess> m_daemon;
+    std::vector<std::unique_ptr<DaemonProcess>> m_daemons;
 };
 
 /// A completion's request body.
