--- a/src/celltask/celltask.cpp
+++ b/src/celltask/celltask.cpp
@@ -23,7 +23,8 @@
 
 CellTask::CellTask(CellTaskOptions options, Metrics &metrics)
     : m_options(std::move(options))
-    , m_mailbox(m_loop, [this](CellTaskMessage &&message) { std::visit([this](auto &&kind) { handle(std::move(kind)); }, std::move(message)); })
+    , m_mailbox(m_loop,
+                [this](CellTaskMessage &&message) { std::visit([this](auto &&kind) { handle(std::forward<decltype(kind)>(kind)); }, std::move(message)); })
     , m_soon(m_loop, [this] { step(); })
     , m_regular(m_loop, [this] { step(); })
     , m_watch(m_loop, WatchInterval)
