Nothing is refused on a guess of the engines' speed

Found when the daemon took the classes in: a default of 25 ms a token had a request of 10,000 tokens refused before any engine was measured, and what is refused is never measured. The learned speed is now zero until a report gave it: no refusal on prediction, no deadline check in placement.

--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -276,7 +276,7 @@
     const auto tokens = static_cast<double>(load.generatedTokens - last.generatedTokens);
     const double measured = static_cast<double>((load.at - last.at).count()) * sequences / tokens;
     double &token = m_upstreams[index].tokenMicroseconds;
-    token = std::exchange(speed.learned, true) ? token + SpeedGain * (measured - token) : measured;
+    token = std::exchange(m_upstreams[index].speedLearned, true) ? token + SpeedGain * (measured - token) : measured;
 }
 
 void CellScheduler::takeCacheEvent(const UpstreamName &upstream, std::uint64_t prefix, bool stored)
@@ -499,9 +499,9 @@
     vm.answerDue = false;
     double token = std::numeric_limits<double>::max();
     for (const UpstreamState &upstream : m_upstreams) {
-        token = upstream.usable ? std::min(token, upstream.tokenMicroseconds) : token;
+        token = upstream.usable && upstream.speedLearned ? std::min(token, upstream.tokenMicroseconds) : token;
     }
-    token = token == std::numeric_limits<double>::max() ? DefaultTokenMicroseconds : token;
+    token = token == std::numeric_limits<double>::max() ? 0 : token;
     return Grants{
         .cell = m_options.cell,
         .epoch = m_options.epoch,
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -121,7 +121,6 @@
     {
         UpstreamLoad last;
         bool known = false;
-        bool learned = false;
     };
     struct OrganisationShare
     {
--- a/src/cell/grantbook.cpp
+++ b/src/cell/grantbook.cpp
@@ -409,7 +409,7 @@
 {
     RunSpeed best{.perToken = Duration::max()};
     for (const Cell &cell : m_cells) {
-        if (cell.service == service && cell.speed.perToken < best.perToken) {
+        if (cell.service == service && cell.speed.perToken > Duration::zero() && cell.speed.perToken < best.perToken) {
             best = cell.speed;
         }
     }
--- a/src/cell/grantbook.h
+++ b/src/cell/grantbook.h
@@ -28,11 +28,12 @@
     std::uint32_t count = 1;
 };
 
-/// How fast requests run on the best upstreams.
+/// How fast requests run on the best upstreams. Zero until a scheduler has measured it: then every run counts as short, and nothing
+/// is refused on a guess but only at its deadline.
 struct RunSpeed
 {
-    Duration perToken = std::chrono::milliseconds(25);
-    std::chrono::nanoseconds perPrefillToken = std::chrono::microseconds(50);
+    Duration perToken{};
+    std::chrono::nanoseconds perPrefillToken{};
 
     /// Prefill and answer of a request that starts at once.
     Duration run(const PendingRequest &request) const;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -29,6 +29,8 @@
     std::uint32_t inFlight = 0;
     std::uint32_t longInFlight = 0;
     double tokenMicroseconds = DefaultTokenMicroseconds;
+    /// Whether the speed was measured. On a guess nothing is held back, or a fast engine would never be measured.
+    bool speedLearned = false;
     /// Prompt tokens granted and probably not prefilled yet, as of backlogAt.
     double prefillBacklog = 0;
     TimePoint backlogAt;
--- a/src/policy/shedding.h
+++ b/src/policy/shedding.h
@@ -38,10 +38,13 @@
 TokenCount feasibleAnswer(const Source &source, const PendingRequest &request, TimePoint now)
 {
     const auto speed = source.speed(request.service);
+    if (speed.perToken == Duration::zero()) {
+        return request.answerTokens;
+    }
     PendingRequest promptOnly = request;
     promptOnly.answerTokens = TokenCount{0};
     const Duration left = (request.deadline - now) / 2 - speed.run(promptOnly);
-    const auto most = std::max<Duration::rep>(1, left / std::max(speed.perToken, Duration(1)));
+    const auto most = std::max<Duration::rep>(1, left / speed.perToken);
     return TokenCount{static_cast<std::uint32_t>(std::min<Duration::rep>(request.answerTokens.value, most))};
 }
 
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -1,6 +1,7 @@
 #include "cell/cellscheduler.h"
 #include "cell/convert.h"
 #include "cell/grantbook.h"
+#include "policy/shedding.h"
 
 #include <catch2/catch.hpp>
 
@@ -243,3 +244,32 @@
     load(4, 0, 3s);
     CHECK(window() == 5);
 }
+
+TEST_CASE("nothing is refused on a guess of the engines' speed")
+{
+    // A caller asks for ten thousand tokens within a minute, on an engine that nobody has measured yet. At a guessed 25 ms a token it
+    // could not be done, but the engine may be fast, and what is refused never shows it. It waits, is granted, and is refused only at
+    // its deadline. Once the engine is known to be slow, the answer is counted as what can be done.
+    Bench bench(1);
+    PendingRequest request = pending("long", 0, 60s);
+    request.answerTokens = TokenCount{10'000};
+    CHECK(feasibleAnswer(bench.books[0], request, at(0s)) == TokenCount{10'000});
+    bench.queues[0].add(request);
+    CHECK(takeHopeless(bench.queues[0], bench.books[0], Drafting, at(59s)).empty());
+    CHECK(takeHopeless(bench.queues[0], bench.books[0], Drafting, at(60s)).size() == 1);
+
+    bench.queues[0].add(request);
+    bench.report(0, bench.scheduler, at(1ms));
+    CHECK(granted(bench.deliver(bench.scheduler, at(2ms))) == 1);
+    CHECK(bench.books[0].speed(Drafting).perToken == Duration::zero());
+
+    for (int i = 1; i <= 3; ++i) {
+        const UpstreamLoad load{.running = 1, .generatedTokens = 50U * static_cast<std::uint64_t>(i), .at = at(1s * i)};
+        bench.scheduler.takeLoad(UpstreamName{"drafting-1"}, load, at(1s * i));
+    }
+    bench.queues[0].add(pending("short", 0));
+    bench.report(0, bench.scheduler, at(4s));
+    bench.deliver(bench.scheduler, at(4001ms));
+    CHECK(bench.books[0].speed(Drafting).perToken == 20ms);
+    CHECK(feasibleAnswer(bench.books[0], request, at(0s)).value < 1500);
+}
