--- a/src/entry/callerrequest.cpp
+++ b/src/entry/callerrequest.cpp
@@ -24,6 +24,30 @@
 constexpr std::size_t PrefixBytes = 256;
 constexpr std::size_t MaxKeyBytes = 200;
 
+/// Deeper bodies would end the process: the JSON library writes nested values by recursion, and 4 MiB of brackets exhaust the stack.
+constexpr int MaxJsonDepth = 64;
+
+bool isTooDeep(std::string_view text)
+{
+    int depth = 0;
+    bool inString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (inString) {
+            i += c == '\\' ? 1 : 0;
+            inString = c != '"';
+            continue;
+        }
+        inString = c == '"';
+        depth += (c == '[' || c == '{') ? 1 : 0;
+        depth -= (c == ']' || c == '}') ? 1 : 0;
+        if (depth > MaxJsonDepth) {
+            return true;
+        }
+    }
+    return false;
+}
+
 Error badRequest(std::string message)
 {
     return Error{ErrorKind::BadRequest, std::move(message)};
@@ -85,6 +109,9 @@
 
 std::optional<Error> readModelBody(const Exchange &exchange, bool chat, CallerRequest &request)
 {
+    if (isTooDeep(exchange.body())) {
+        return badRequest("the body is nested more than 64 levels deep: send a flatter one");
+    }
     json body = json::parse(exchange.body(), nullptr, false);
     if (!body.is_object()) {
         return badRequest("the body is not a JSON object: send one with 'model' and 'prompt' or 'messages'");
--- a/src/entry/upstreamrun.cpp
+++ b/src/entry/upstreamrun.cpp
@@ -56,6 +56,7 @@
     , wrongAnswers(metrics.counter("cumindyke_wrong_answers_total", "Answers dropped because they carried another request's id"))
     , duplicateEvents(metrics.counter("cumindyke_duplicate_events_total", "Events of resumed streams that were dropped as already handed on"))
     , cancels(metrics.counter("cumindyke_stream_cancels_total", "Streams cancelled at the upstream because the caller left"))
+    , pauses(metrics.counter("cumindyke_paused_streams_total", "Times an upstream was not read because its caller reads slowly"))
 {
 }
 
@@ -138,6 +139,7 @@
         return;
     }
     if (m_exchange->unreadBytes() > MaxUnreadBytes) {
+        m_counters.pauses.add();
         m_call->setPaused(true);
     }
 }
--- a/src/entry/upstreamrun.h
+++ b/src/entry/upstreamrun.h
@@ -38,6 +38,7 @@
     Counter wrongAnswers;
     Counter duplicateEvents;
     Counter cancels;
+    Counter pauses;
 };
 
 /// One dispatch of a request to one upstream, from the first byte out to the last byte back. Used in the entry task's loop.
--- a/tests/support/office.h
+++ b/tests/support/office.h
@@ -48,6 +48,10 @@
     {
         return *m_booking.at(index);
     }
+    Address daemonAddress(std::size_t vm = 0) const
+    {
+        return m_daemons.at(vm)->http();
+    }
     /// One completion, streamed, at one of the daemons.
     HttpAnswer draft(const std::string &prompt, int tokens, const HeaderList &more = {}, std::size_t vm = 0) const;
     HttpAnswer deposit(const std::string &key, const std::string &body, std::size_t vm = 0) const;
