History checker, and failures on real processes proved with it

One JSON line an event from daemons (setting history_file) and stand-ins, and the callers' records; the checker uses nothing of the program.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -69,6 +69,7 @@
                                      .address = settings.httpAddress,
                                      .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
+                                     .historyFile = settings.historyFile,
                                  },
                                  m_metrics);
     if (!ok(entry)) {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -31,6 +31,8 @@
     std::chrono::milliseconds keepAdmitting{0};
     /// How long a graceful shutdown may last; none is no limit.
     std::optional<std::chrono::milliseconds> drainLimit;
+    /// For tests: what happened to each request, a JSON object a line. Empty: none.
+    std::string historyFile;
 };
 
 /// Checks and reads settings. Error: Invalid, one line for each problem with file, line, key and remedy.
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -89,6 +89,7 @@
     , m_admission(m_options.vm)
     , m_runCounters(metrics)
     , m_canceller(m_loop)
+    , m_history(m_options.vm.value, m_options.historyFile)
     , m_requests(m_loop)
     , m_keyed(keyedOptions())
     , m_keyedSweep(m_loop, [this] {
@@ -208,6 +209,13 @@
     const ActiveRequest &active = m_requests.add(std::move(valueOf(admitted)), exchange);
     const RequestId id = active.request.id;
     exchange->callerLeft().connect([this, id] { callerLeft(id); });
+    m_history.write("admitted",
+                    id,
+                    now,
+                    {{"service", active.request.service.value},
+                     {"rank", std::to_string(active.request.rank.value)},
+                     {"organisation", active.request.organisation.value},
+                     {"key", active.request.idempotencyKey}});
     if (active.request.idempotencyKey.empty()) {
         enqueue(id);
         return;
@@ -269,6 +277,7 @@
         m_dispatcher.release(slot, EventLoop::now());
         return;
     }
+    m_history.write("dispatched", id, EventLoop::now(), {{"upstream", upstream.name.value}});
     active->slot = slot;
     active->run = std::make_unique<UpstreamRun>(m_loop, active->request, upstream, active->exchange, m_runCounters);
     active->run->began().connect([this, active, name = upstream.name] {
@@ -307,6 +316,7 @@
     const TimePoint now = EventLoop::now();
     releaseSlot(active);
     if (active.life.upstream()) {
+        m_history.write("proved-not-run", active.request.id, now, {{"upstream", active.life.upstream()->value}});
         m_dispatcher.upstreamRefused(*active.life.upstream(), now);
     }
     active.life.provedNotRun();
@@ -337,10 +347,12 @@
 void EntryTask::giveUpAs(const RequestId &id, const Error &error, RunOutcome outcome)
 {
     const ActiveRequest &active = *m_requests.find(id);
+    m_history.write("given-up", id, EventLoop::now(), {{"kind", toString(error.kind)}, {"outcome", toString(outcome)}});
     if (active.exchange->streamStarted()) {
         active.exchange->streamData(serialized(StreamEvent{.id = {}, .name = "error", .data = errorJson(error, outcome)}));
         active.exchange->endStream();
     } else {
+        active.exchange->addHeader(headers::RequestId, id.value);
         active.exchange->replyError(error, outcome);
     }
     finish(id, endOf(outcome));
@@ -356,6 +368,7 @@
                  "Requests by how they ended",
                  {{"service", request.service.value}, {"tier", request.tier.value}, {"end", toString(end)}})
         .add();
+    m_history.write("ended", id, EventLoop::now(), {{"end", toString(end)}});
     m_dispatcher.remove(request);
     releaseSlot(*ended);
     ended->life.ended();
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -7,6 +7,7 @@
 #include "entry/admission.h"
 #include "entry/dispatcher.h"
 #include "entry/frontdoor.h"
+#include "entry/historylog.h"
 #include "entry/keyedrequests.h"
 #include "entry/requeststore.h"
 #include "report/outcometally.h"
@@ -43,6 +44,8 @@
     /// Proposes a command to the control replicas, through the control task.
     std::function<void(Proposal)> propose;
     PeerSender send;
+    /// For tests: see HistoryLog. Empty: none.
+    std::string historyFile;
 };
 
 /// Owns the callers' connections and every request's life from its arrival to the last byte of its answer.
@@ -97,6 +100,7 @@
     Dispatcher m_dispatcher;
     RunCounters m_runCounters;
     StreamCanceller m_canceller;
+    HistoryLog m_history;
     RequestStore m_requests;
     KeyedRequests m_keyed;
     Timer m_keyedSweep;
--- a/tests/fakeupstream/fakeupstream.cpp
+++ b/tests/fakeupstream/fakeupstream.cpp
@@ -254,6 +254,12 @@
     if (!stream.reader) {
         return;
     }
+    // A reader that was killed: libevent has parted the request from its connection without a call to readerLeft, and frees it here.
+    if (!evhttp_request_get_connection(stream.reader)) {
+        evhttp_send_reply_end(stream.reader);
+        stream.reader = nullptr;
+        return;
+    }
     if (!stream.started) {
         stream.started = true;
         addHeader(stream.reader, "Content-Type", "text/event-stream");
--- a/tests/support/office.cpp
+++ b/tests/support/office.cpp
@@ -1,5 +1,6 @@
 #include "support/office.h"
 
+#include "common/eventloop.h"
 #include "common/hash.h"
 #include "fakeupstream/faketoken.h"
 #include "upstream/eventstream.h"
@@ -81,7 +82,7 @@
         replicas += (vm > 1 ? ", \"" : "\"") + nameOf(vm) + "\"";
     }
     for (int vm = 1; vm <= options.vms; ++vm) {
-        std::string settings = options.moreSettings + "replicas = [" + replicas + "]\n";
+        std::string settings = options.moreSettings + "history_file = \"" + m_folder.file(nameOf(vm) + ".history") + "\"\nreplicas = [" + replicas + "]\n";
         for (int peer = 1; peer <= options.vms; ++peer) {
             if (peer != vm) {
                 settings += "[[peer]]\nvm = \"" + nameOf(peer) + "\"\nrpc_address = \"" + m_network.host(peer) + ":8081\"\n";
@@ -124,6 +125,35 @@
     return text;
 }
 
+CallerRecord recordOf(const HttpAnswer &answer, const std::string &expected, const std::string &key)
+{
+    const StreamedText streamed = streamedText(answer.body);
+    return CallerRecord{
+        .id = answer.header("X-Cumindyke-Request"),
+        .key = key,
+        .outcome = answer.header("X-Cumindyke-Outcome"),
+        .whole = streamed.whole,
+        .text = streamed.text,
+        .expected = expected,
+        .answeredAtUs = EventLoop::now().time_since_epoch().count(),
+    };
+}
+
+std::string Office::history() const
+{
+    std::string lines;
+    for (std::size_t vm = 1; vm <= m_daemons.size(); ++vm) {
+        lines += contentOf(m_folder.file("vm-" + std::to_string(vm) + ".history"));
+    }
+    for (const auto &upstream : m_drafting) {
+        lines += upstream->log();
+    }
+    for (const auto &upstream : m_booking) {
+        lines += upstream->log();
+    }
+    return lines;
+}
+
 StreamedText streamedText(const std::string &body)
 {
     StreamedText result;
--- a/tests/support/office.h
+++ b/tests/support/office.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "support/historychecker.h"
 #include "support/processes.h"
 
 #include <string>
@@ -56,6 +57,8 @@
     HttpAnswer draft(const std::string &prompt, int tokens, const HeaderList &more = {}, std::size_t vm = 0) const;
     HttpAnswer deposit(const std::string &key, const std::string &body, std::size_t vm = 0) const;
     std::string metrics(std::size_t vm = 0) const;
+    /// What daemons and stand-ins wrote, for the history checker.
+    std::string history() const;
     const TemporaryFolder &folder() const
     {
         return m_folder;
@@ -84,6 +87,8 @@
     bool whole = false;
 };
 StreamedText streamedText(const std::string &body);
+/// What the history checker needs of an answer that has just come.
+CallerRecord recordOf(const HttpAnswer &answer, const std::string &expected, const std::string &key = {});
 /// How many lines of a stand-in's log have this event.
 int countOf(const std::string &log, const std::string &event);
 
