--- a/tests/support/historychecker.cpp
+++ b/tests/support/historychecker.cpp
@@ -146,7 +146,7 @@
                 continue;
             }
             if (dispatchedAt > shed->second.atUs + CoordinationUs && dispatchedAt < shedAt) {
-                found.push_back({Rule::TierOrder, id + " was refused after the lower " + other + " was sent out"});
+                found.push_back({Rule::TierOrder, id + " was refused after a lower one was sent out"});
             }
         }
     }
