--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -1,5 +1,6 @@
 #include "entry/entrytask.h"
 
+#include "cell/convert.h"
 #include "common/log.h"
 #include "entry/headers.h"
 #include "entry/pages.h"
@@ -10,6 +11,8 @@
 namespace
 {
 
+/// Changes within this time after a message to the schedulers are told together.
+constexpr Duration TellDelay = std::chrono::milliseconds(2);
 constexpr Duration SweepInterval = std::chrono::milliseconds(10);
 constexpr Duration KeyedSweepInterval = std::chrono::milliseconds(100);
 /// The largest answer of a keyed request that is kept for later sendings; the claims' own limit.
@@ -85,10 +88,13 @@
     : m_options(std::move(options))
     , m_metrics(metrics)
     , m_mailbox(m_loop, [this](EntryMessage &&message) { handle(std::move(message)); })
-    , m_sweep(m_loop, [this] { expireWaiting(); })
+    , m_sweep(m_loop, [this] { sweep(); })
+    , m_tell(m_loop, [this] { tellSchedulers(); })
     , m_admission(m_options.vm)
+    , m_dispatcher(m_options.vm, m_options.vms)
     , m_runCounters(metrics)
     , m_canceller(m_loop)
+    , m_history(m_options.vm.value, m_options.historyFile)
     , m_requests(m_loop)
     , m_keyed(keyedOptions())
     , m_keyedSweep(m_loop, [this] {
@@ -101,17 +107,16 @@
     m_keyed.refused().connect(sigc::mem_fun(*this, &EntryTask::giveUpAs));
     m_dispatcher.granted().connect(sigc::mem_fun(*this, &EntryTask::dispatch));
     m_requests.cleaned().connect([this] {
-        m_dispatcher.serveAll(EventLoop::now());
+        const TimePoint now = EventLoop::now();
+        m_dispatcher.serveAll(now);
+        tellSoon(now);
         finishDrainIfIdle();
     });
 }
 
 EntryTask::~EntryTask()
 {
-    m_loop.stop();
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    stop();
     m_requests.clear();
 }
 
@@ -120,6 +125,14 @@
     return m_door->port();
 }
 
+void EntryTask::stop()
+{
+    m_loop.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
 void EntryTask::post(EntryMessage message)
 {
     m_mailbox.post(std::move(message));
@@ -168,6 +181,10 @@
         m_keyed.handle(message.from, message.envelope.join());
     } else if (message.envelope.has_join_reply()) {
         m_keyed.handle(message.from, message.envelope.join_reply(), EventLoop::now());
+    } else if (message.envelope.has_grants()) {
+        const TimePoint now = EventLoop::now();
+        m_dispatcher.takeGrants(fromProto(message.envelope.grants()), now);
+        tellSoon(now);
     }
 }
 
@@ -205,9 +222,23 @@
         exchange->replyError(errorOf(admitted), outcomeOfRefusal(*exchange, errorOf(admitted)));
         return;
     }
+    const CallerRequest &request = valueOf(admitted);
+    // A later sending of a keyed request waits for an answer that exists already or will: it needs no capacity.
+    if (request.idempotencyKey.empty() && m_dispatcher.refuses(request.service, request.rank, now)) {
+        exchange->replyError(Error{ErrorKind::Overloaded, "requests of higher tiers need all capacity: try again later"}, RunOutcome::NotRun);
+        m_tally.add(request.service, request.tier, RequestEnd::Refused);
+        return;
+    }
     const ActiveRequest &active = m_requests.add(std::move(valueOf(admitted)), exchange);
     const RequestId id = active.request.id;
     exchange->callerLeft().connect([this, id] { callerLeft(id); });
+    m_history.write("admitted",
+                    id,
+                    now,
+                    {{"service", active.request.service.value},
+                     {"rank", std::to_string(active.request.rank.value)},
+                     {"organisation", active.request.organisation.value},
+                     {"key", active.request.idempotencyKey}});
     if (active.request.idempotencyKey.empty()) {
         enqueue(id);
         return;
@@ -225,7 +256,9 @@
     }
     const ServiceName service = active->request.service;
     m_dispatcher.add(active->request);
-    m_dispatcher.serve(service, EventLoop::now());
+    const TimePoint now = EventLoop::now();
+    m_dispatcher.serve(service, now);
+    tellSoon(now);
 }
 
 /// The sending gets what another sending under its key got.
@@ -252,13 +285,45 @@
     finish(id, EventLoop::now() <= active->request.deadline ? RequestEnd::OnTime : RequestEnd::Late);
 }
 
-void EntryTask::expireWaiting()
+void EntryTask::sweep()
 {
     const TimePoint now = EventLoop::now();
     m_dispatcher.refresh(now);
+    for (const PendingRequest &hopeless : m_dispatcher.takeHopeless(now)) {
+        const bool late = now >= hopeless.deadline;
+        giveUp(hopeless.id,
+               late ? Error{ErrorKind::DeadlinePassed, "no upstream had room before the deadline: allow more time or try again later"}
+                    : Error{ErrorKind::Overloaded, "the answer can't be made before the deadline: allow more time or try again later"});
+    }
     m_dispatcher.serveAll(now);
-    for (const RequestId &id : m_dispatcher.takeExpired(now)) {
-        giveUp(id, Error{ErrorKind::DeadlinePassed, "no upstream had room before the deadline: allow more time or try again later"});
+    tellSchedulers();
+}
+
+/// A change after a pause is told at once, since a request waits for it; in a burst the changes of some milliseconds go together.
+void EntryTask::tellSoon(TimePoint now)
+{
+    if (!std::exchange(m_tellDue, true)) {
+        m_tell.startOnce(std::max(m_lastTold + TellDelay - now, Duration::zero()));
+    }
+}
+
+void EntryTask::tellSchedulers()
+{
+    const TimePoint now = EventLoop::now();
+    m_tellDue = false;
+    m_lastTold = now;
+    for (const CellMessages &messages : m_dispatcher.cellMessages(now)) {
+        const auto holder = m_admission.configuration().cells.find(messages.demand.cell.value);
+        if (holder == m_admission.configuration().cells.end() || holder->second.vm().empty()) {
+            continue;
+        }
+        const VmName scheduler{holder->second.vm()};
+        v1::Envelope report;
+        *report.mutable_grant_report() = toProto(messages.report);
+        m_options.send(scheduler, std::move(report));
+        v1::Envelope demand;
+        *demand.mutable_demand() = toProto(messages.demand);
+        m_options.send(scheduler, std::move(demand));
     }
 }
 
@@ -269,6 +334,7 @@
         m_dispatcher.release(slot, EventLoop::now());
         return;
     }
+    m_history.write("dispatched", id, EventLoop::now(), {{"upstream", upstream.name.value}});
     active->slot = slot;
     active->run = std::make_unique<UpstreamRun>(m_loop, active->request, upstream, active->exchange, m_runCounters);
     active->run->began().connect([this, active, name = upstream.name] {
@@ -307,6 +373,7 @@
     const TimePoint now = EventLoop::now();
     releaseSlot(active);
     if (active.life.upstream()) {
+        m_history.write("proved-not-run", active.request.id, now, {{"upstream", active.life.upstream()->value}});
         m_dispatcher.upstreamRefused(*active.life.upstream(), now);
     }
     active.life.provedNotRun();
@@ -317,6 +384,7 @@
     const ServiceName service = active.request.service;
     m_dispatcher.add(active.request);
     m_dispatcher.serve(service, now);
+    tellSoon(now);
 }
 
 void EntryTask::callerLeft(const RequestId &id)
@@ -337,10 +405,12 @@
 void EntryTask::giveUpAs(const RequestId &id, const Error &error, RunOutcome outcome)
 {
     const ActiveRequest &active = *m_requests.find(id);
+    m_history.write("given-up", id, EventLoop::now(), {{"kind", toString(error.kind)}, {"outcome", toString(outcome)}});
     if (active.exchange->streamStarted()) {
         active.exchange->streamData(serialized(StreamEvent{.id = {}, .name = "error", .data = errorJson(error, outcome)}));
         active.exchange->endStream();
     } else {
+        active.exchange->addHeader(headers::RequestId, id.value);
         active.exchange->replyError(error, outcome);
     }
     finish(id, endOf(outcome));
@@ -356,6 +426,7 @@
                  "Requests by how they ended",
                  {{"service", request.service.value}, {"tier", request.tier.value}, {"end", toString(end)}})
         .add();
+    m_history.write("ended", id, EventLoop::now(), {{"end", toString(end)}});
     m_dispatcher.remove(request);
     releaseSlot(*ended);
     ended->life.ended();
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -7,6 +7,7 @@
 #include "entry/admission.h"
 #include "entry/dispatcher.h"
 #include "entry/frontdoor.h"
+#include "entry/historylog.h"
 #include "entry/keyedrequests.h"
 #include "entry/requeststore.h"
 #include "report/outcometally.h"
@@ -38,11 +39,15 @@
 {
     VmName vm;
     DataCentreName dataCentre;
+    /// All VMs, this one too.
+    std::set<VmName> vms;
     /// Where callers and the balancer connect.
     Address address;
     /// Proposes a command to the control replicas, through the control task.
     std::function<void(Proposal)> propose;
     PeerSender send;
+    /// For tests: see HistoryLog. Empty: none.
+    std::string historyFile;
 };
 
 /// Owns the callers' connections and every request's life from its arrival to the last byte of its answer.
@@ -58,6 +63,8 @@
     EntryTask &operator=(const EntryTask &) = delete;
 
     std::uint16_t port() const;
+    /// Ends the task's thread; what is posted from then on is not handled. Safe to call again.
+    void stop();
     /// Safe from any thread.
     void post(EntryMessage message);
 
@@ -74,9 +81,11 @@
 
     void arrived(const std::shared_ptr<Exchange> &exchange);
     void admit(const std::shared_ptr<Exchange> &exchange);
+    void sweep();
+    void tellSoon(TimePoint now);
+    void tellSchedulers();
     void enqueue(const RequestId &id);
     void answerKeyed(const RequestId &id, const KeyedResult &result);
-    void expireWaiting();
     void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
     void runEnded(const RequestId &id, const RunResult &result);
     void tryElsewhere(ActiveRequest &active);
@@ -92,11 +101,16 @@
     EventLoop m_loop;
     Mailbox<EntryMessage> m_mailbox;
     Timer m_sweep;
+    /// Sends what changed to the schedulers of the cells.
+    Timer m_tell;
+    TimePoint m_lastTold;
+    bool m_tellDue = false;
     std::unique_ptr<FrontDoor> m_door;
     Admission m_admission;
     Dispatcher m_dispatcher;
     RunCounters m_runCounters;
     StreamCanceller m_canceller;
+    HistoryLog m_history;
     RequestStore m_requests;
     KeyedRequests m_keyed;
     Timer m_keyedSweep;
