--- /dev/null
+++ b/tests/golden/threevmstest.cpp
@@ -0,0 +1,81 @@
+#include "support/office.h"
+#include "support/session.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <regex>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+std::string membersOf(const DaemonProcess &daemon)
+{
+    return daemon.ctl({"members"}).out;
+}
+
+bool allLive(const DaemonProcess &daemon)
+{
+    const std::string members = membersOf(daemon);
+    return members.find(" lost ") == std::string::npos && members.find(" leader") != std::string::npos && std::count(members.begin(), members.end(), '\n') == 3;
+}
+
+/// Index of the daemon that leads.
+std::size_t leaderOf(Office &office)
+{
+    std::smatch match;
+    const std::string members = membersOf(office.daemon());
+    REQUIRE(std::regex_search(members, match, std::regex("vm-([0-9]+) [^\n]* leader")));
+    return static_cast<std::size_t>(std::stoi(match[1])) - 1;
+}
+
+std::string organisation(const std::string &name)
+{
+    return "[[organisation]]\nname = \"" + name + "\"\nhighest_tier = \"routine\"\n";
+}
+
+}
+
+// Operators and callers of three VMs with a replica each: an accepted change, a race that is lost, a deposit sent again at other VMs,
+// the leader killed, a change and a draft without it, its return, and a snapshot brought back as a new revision.
+TEST_CASE("the whole session of three VMs whose leader is killed is as recorded")
+{
+    Office office(OfficeOptions{.vms = 3, .replicas = 3});
+    REQUIRE(eventually([&office] { return allLive(office.daemon()); }));
+    const TemporaryFolder saved;
+    const std::string declared = contentOf(office.declarations() + "/office.toml");
+    Session session;
+
+    const std::size_t leader = leaderOf(office);
+    const std::size_t second = (leader + 1) % 3;
+    const std::size_t third = (leader + 2) % 3;
+    DaemonProcess &one = office.daemon(second);
+
+    session.note("snapshot save", one.ctl({"snapshot", "save", saved.file("state")}));
+    writeFile(office.declarations() + "/zaria.toml", organisation("zaria"));
+    session.note("apply DIR --wait, with organisation zaria", one.ctl({"apply", office.declarations(), "--wait", "--author", "ade"}));
+    writeFile(office.declarations() + "/jos.toml", organisation("jos"));
+    session.note("apply DIR, made against revision 1", office.daemon(third).ctl({"apply", office.declarations(), "--base-revision", "1", "--author", "bisi"}));
+    session.note("POST deposit", office.deposit("deposit-1", "hall=3", second));
+    session.note("POST deposit again, at another VM", office.deposit("deposit-1", "hall=3", third));
+    session.note("POST deposit with another payload", office.deposit("deposit-1", "hall=4", third));
+
+    office.daemon(leader).process().signal(SIGKILL);
+    office.daemon(leader).process().wait();
+    session.note("the leader is killed; apply DIR", one.ctl({"apply", office.declarations(), "--author", "bisi"}));
+    REQUIRE(one.waitReady());
+    session.note("POST /v1/completions, without the leader", office.draft("Notice", 2, {}, second));
+    office.daemon(leader).start();
+    REQUIRE(eventually([&one] { return allLive(one); }));
+    session.note("snapshot restore", one.ctl({"snapshot", "restore", saved.file("state")}));
+    session.note("history", one.ctl({"history"}));
+
+    session.replace("vm-" + std::to_string(second + 1) + "-", "vm-0-");
+    session.replace("vm-" + std::to_string(third + 1) + "-", "vm-0-");
+    session.replace("vm-" + std::to_string(leader + 1) + "-", "vm-0-");
+    session.replace("drafting-engine-[0-9]+|booking-service-[0-9]+", "UPSTREAM");
+    session.compareWith("threevms");
+}
--- a/tests/support/office.h
+++ b/tests/support/office.h
@@ -59,6 +59,11 @@
     std::string metrics(std::size_t vm = 0) const;
     /// What daemons and stand-ins wrote, for the history checker.
     std::string history() const;
+    /// The folder of the declarations; the office's own stand in office.toml.
+    const std::string &declarations() const
+    {
+        return m_declarations.path();
+    }
     const TemporaryFolder &folder() const
     {
         return m_folder;
--- /dev/null
+++ b/tests/support/session.cpp
@@ -0,0 +1,50 @@
+#include "support/session.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <regex>
+
+namespace cumindyke::test
+{
+
+void Session::note(const std::string &line, const std::string &result)
+{
+    m_text += "$ " + line + "\n" + result + "\n";
+}
+
+void Session::note(const std::string &line, const Finished &finished)
+{
+    note(line, finished.out + finished.error + "exit " + std::to_string(finished.exitCode));
+}
+
+void Session::note(const std::string &line, const HttpAnswer &answer)
+{
+    std::string result = "status " + std::to_string(answer.status) + "\n";
+    for (const char *name : {"Content-Type", "X-Cumindyke-Outcome", "X-Cumindyke-Request", "Idempotent-Replayed", "Retry-After"}) {
+        result += answer.header(name).empty() ? "" : std::string(name) + ": " + answer.header(name) + "\n";
+    }
+    note(line, result + answer.body);
+}
+
+void Session::replace(const std::string &pattern, const std::string &by)
+{
+    m_text = std::regex_replace(m_text, std::regex(pattern), by);
+}
+
+std::string Session::normalised() const
+{
+    const std::string addresses = std::regex_replace(m_text, std::regex("127\\.[0-9.]+:[0-9]+"), "ADDRESS");
+    return std::regex_replace(addresses, std::regex("(vm-[0-9]+)-[0-9a-f]{8}-"), "$1-INCARNATION-");
+}
+
+void Session::compareWith(const std::string &name) const
+{
+    const std::string file = std::string(CUMINDYKE_SOURCE "/tests/golden/") + name + ".golden";
+    if (std::getenv("CUMINDYKE_RECORD")) {
+        writeFile(file, normalised());
+    }
+    CHECK(normalised() == contentOf(file));
+}
+
+}
