--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-/// Requests that one VM holds; more are refused, so that memory is bounded.
-constexpr std::size_t MaxHeld = 20'000;
-
 /// Differs at every start, so that request ids never repeat.
 std::string makeIncarnation()
 {
@@ -49,16 +46,12 @@
     return {};
 }
 
-Result<CallerRequest> Admission::admit(const Exchange &exchange, std::size_t held, TimePoint now)
+Result<CallerRequest> Admission::admit(const Exchange &exchange, TimePoint now)
 {
     if (std::optional<Error> refusal = unready(now)) {
         return *std::move(refusal);
     }
-    Result<CallerRequest> parsed = parseCallerRequest(exchange, *m_configuration.declarations, nextRequestId(), now);
-    if (ok(parsed) && held >= MaxHeld) {
-        return Error{ErrorKind::Overloaded, "this VM holds too many requests: try again later"};
-    }
-    return parsed;
+    return parseCallerRequest(exchange, *m_configuration.declarations, nextRequestId(), now);
 }
 
 RequestId Admission::nextRequestId()
--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -8,7 +8,7 @@
 namespace cumindyke
 {
 
-/// Decides whether this VM takes a request: its readiness, the caller's rights, and the bounds on what the VM holds.
+/// Decides whether this VM takes a request: its readiness, and the caller's rights.
 class Admission
 {
 public:
@@ -29,8 +29,8 @@
     }
     /// Why this VM takes no request at all now, if so: what the balancer is told.
     std::optional<Error> unready(TimePoint now) const;
-    /// The request, with an id of its own, or why it is refused. "held" is the number of requests that this VM holds.
-    Result<CallerRequest> admit(const Exchange &exchange, std::size_t held, TimePoint now);
+    /// The request, with an id of its own, or why it is refused.
+    Result<CallerRequest> admit(const Exchange &exchange, TimePoint now);
 
 private:
     RequestId nextRequestId();
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -149,6 +149,12 @@
     m_lengths.learn(request.service, request.route, request.answerTokens, answer);
 }
 
+std::size_t Dispatcher::waiting(const ServiceName &service) const
+{
+    const auto queue = m_queues.find(service);
+    return queue == m_queues.end() ? 0 : queue->second.size();
+}
+
 void Dispatcher::release(const Slot &slot, TimePoint now)
 {
     m_capacity.release(slot, now);
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -50,6 +50,8 @@
     /// How long an answer was, for the estimates of later ones.
     void learnAnswer(const CallerRequest &request, TokenCount answer);
     void release(const Slot &slot, TimePoint now);
+    /// How many requests of the service wait.
+    std::size_t waiting(const ServiceName &service) const;
     Capacity &capacity()
     {
         return m_capacity;
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -48,6 +48,17 @@
     return v1::ClaimEnd::OUTCOME_LOST;
 }
 
+/// Of the body, which stands in the request and in the exchange.
+std::size_t heldBytes(const CallerRequest &request)
+{
+    return 2 * request.body.size();
+}
+
+TokenCount workOf(const CallerRequest &request)
+{
+    return TokenCount{request.promptTokens.value + request.answerTokens.value};
+}
+
 /// An earlier sending under the same key may have run elsewhere: a VM that can't look must not say "not run".
 RunOutcome outcomeOfRefusal(const Exchange &exchange, const Error &error)
 {
@@ -95,6 +106,7 @@
     , m_runCounters(metrics)
     , m_canceller(m_loop)
     , m_history(m_options.vm.value, m_options.historyFile)
+    , m_limits(OrganisationLimitOptions{.vms = std::max<std::size_t>(1, m_options.vms.size())})
     , m_requests(m_loop)
     , m_keyed(keyedOptions())
     , m_keyedSweep(m_loop, [this] {
@@ -216,21 +228,19 @@
 void EntryTask::admit(const std::shared_ptr<Exchange> &exchange)
 {
     const TimePoint now = EventLoop::now();
-    Result<CallerRequest> admitted = m_admission.admit(*exchange, m_requests.size(), now);
+    Result<CallerRequest> admitted = m_admission.admit(*exchange, now);
     if (!ok(admitted)) {
         m_metrics.counter("cumindyke_rejected_requests_total", "Requests refused at their arrival", {{"kind", toString(errorOf(admitted).kind)}}).add();
         exchange->replyError(errorOf(admitted), outcomeOfRefusal(*exchange, errorOf(admitted)));
         return;
     }
-    const CallerRequest &request = valueOf(admitted);
-    // A later sending of a keyed request waits for an answer that exists already or will: it needs no capacity.
-    if (request.idempotencyKey.empty() && m_dispatcher.refuses(request.service, request.rank, now)) {
-        exchange->replyError(Error{ErrorKind::Overloaded, "requests of higher tiers need all capacity: try again later"}, RunOutcome::NotRun);
-        m_tally.add(request.service, request.tier, RequestEnd::Refused);
+    if (refusedForRoom(valueOf(admitted), *exchange, now)) {
         return;
     }
     const ActiveRequest &active = m_requests.add(std::move(valueOf(admitted)), exchange);
     const RequestId id = active.request.id;
+    const Declarations &declarations = *m_admission.configuration().declarations;
+    m_limits.add(*declarations.organisation(active.request.organisation), heldBytes(active.request), workOf(active.request), now);
     exchange->callerLeft().connect([this, id] { callerLeft(id); });
     m_history.write("admitted",
                     id,
@@ -244,8 +254,35 @@
         return;
     }
     exchange->record(MaxKeptAnswerBytes);
-    const Service *service = m_admission.configuration().declarations->service(active.request.service);
-    m_keyed.begin(active.request, service->keepAnswers, now);
+    m_keyed.begin(active.request, declarations.service(active.request.service)->keepAnswers, now);
+}
+
+bool EntryTask::refusedForRoom(const CallerRequest &request, Exchange &exchange, TimePoint now)
+{
+    const Organisation &organisation = *m_admission.configuration().declarations->organisation(request.organisation);
+    if (const auto refusal = m_limits.refusal(organisation, heldBytes(request), workOf(request), now)) {
+        refuseAtArrival(request, exchange, refusal->error, refusal->retryAfter);
+        return true;
+    }
+    // A later sending of a keyed request waits for an answer that exists already or will: it needs no capacity.
+    if (request.idempotencyKey.empty() && m_dispatcher.refuses(request.service, request.rank, now)) {
+        const Error error{ErrorKind::Overloaded, "requests of higher tiers need all capacity: try again later"};
+        refuseAtArrival(request, exchange, error, retryAfter(request.service, now));
+        return true;
+    }
+    return false;
+}
+
+void EntryTask::refuseAtArrival(const CallerRequest &request, Exchange &exchange, const Error &error, std::chrono::seconds retryAfter)
+{
+    m_metrics.counter("cumindyke_rejected_requests_total", "Requests refused at their arrival", {{"kind", toString(error.kind)}}).add();
+    exchange.replyError(error, outcomeOfRefusal(exchange, error), retryAfter);
+    m_tally.add(request.service, request.tier, RequestEnd::Refused);
+}
+
+std::chrono::seconds EntryTask::retryAfter(const ServiceName &service, TimePoint now)
+{
+    return m_rates[service].timeFor(m_dispatcher.waiting(service) + 1, now);
 }
 
 void EntryTask::enqueue(const RequestId &id)
@@ -411,7 +448,7 @@
         active.exchange->endStream();
     } else {
         active.exchange->addHeader(headers::RequestId, id.value);
-        active.exchange->replyError(error, outcome);
+        active.exchange->replyError(error, outcome, retryAfter(active.request.service, EventLoop::now()));
     }
     finish(id, endOf(outcome));
 }
@@ -427,6 +464,10 @@
                  {{"service", request.service.value}, {"tier", request.tier.value}, {"end", toString(end)}})
         .add();
     m_history.write("ended", id, EventLoop::now(), {{"end", toString(end)}});
+    m_limits.remove(request.organisation, heldBytes(request));
+    if (end != RequestEnd::Refused) {
+        m_rates[request.service].ended(EventLoop::now());
+    }
     m_dispatcher.remove(request);
     releaseSlot(*ended);
     ended->life.ended();
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -9,7 +9,9 @@
 #include "entry/frontdoor.h"
 #include "entry/historylog.h"
 #include "entry/keyedrequests.h"
+#include "entry/organisationlimits.h"
 #include "entry/requeststore.h"
+#include "entry/servicerate.h"
 #include "report/outcometally.h"
 #include "upstream/streamcanceller.h"
 
@@ -84,6 +86,9 @@
     void sweep();
     void tellSoon(TimePoint now);
     void tellSchedulers();
+    bool refusedForRoom(const CallerRequest &request, Exchange &exchange, TimePoint now);
+    void refuseAtArrival(const CallerRequest &request, Exchange &exchange, const Error &error, std::chrono::seconds retryAfter);
+    std::chrono::seconds retryAfter(const ServiceName &service, TimePoint now);
     void enqueue(const RequestId &id);
     void answerKeyed(const RequestId &id, const KeyedResult &result);
     void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
@@ -111,6 +116,8 @@
     RunCounters m_runCounters;
     StreamCanceller m_canceller;
     HistoryLog m_history;
+    OrganisationLimits m_limits;
+    std::map<ServiceName, ServiceRate> m_rates;
     RequestStore m_requests;
     KeyedRequests m_keyed;
     Timer m_keyedSweep;
