--- a/src/bench/benchcommand.cpp
+++ b/src/bench/benchcommand.cpp
@@ -1,5 +1,6 @@
 #include "bench/benchcommand.h"
 
+#include "bench/loadrun.h"
 #include "bench/report.h"
 #include "common/hash.h"
 
@@ -32,6 +33,7 @@
     std::uint64_t firstSeed = 1;
     std::uint64_t lastSeed = 1;
     bool json = false;
+    LoadOptions load;
 };
 
 std::optional<std::uint64_t> number(std::string_view text)
@@ -67,6 +69,13 @@
         ("policy", "Only these policies, with commas between (all: every one; default: baseline,oracle,cumindyke)", cxxopts::value<std::vector<std::string>>()->default_value("baseline,oracle,cumindyke"))
         ("json", "Print one JSON object")
         ("scenarios", "Folder of the scenarios that ship", cxxopts::value<std::string>()->default_value(CUMINDYKE_SCENARIOS))
+        ("requests", "load: requests at most", cxxopts::value<std::uint64_t>()->default_value("1000"))
+        ("duration", "load: seconds at most", cxxopts::value<double>()->default_value("10"))
+        ("concurrency", "load, closed loop: requests under way", cxxopts::value<std::uint32_t>()->default_value("16"))
+        ("rate", "load, open loop: requests a second (0: closed loop)", cxxopts::value<double>()->default_value("0"))
+        ("key", "load: API key", cxxopts::value<std::string>()->default_value(""))
+        ("body", "load: body of each request; empty sends GET", cxxopts::value<std::string>()->default_value(
+            R"({"model":"drafting","prompt":"Programme for the festival","max_tokens":16,"stream":true})"))
         ("help", "Print this");
     // clang-format on
     parser.parse_positional({"command", "target"});
@@ -138,6 +147,35 @@
     return 0;
 }
 
+int driveLoad(const Options &options, std::ostream &out, std::ostream &err)
+{
+    const Result<LoadOptions> url = parseLoadUrl(options.target);
+    if (!ok(url)) {
+        err << "cumindyke-bench: " << errorOf(url).message << "\n";
+        return WrongUsage;
+    }
+    LoadOptions load = options.load;
+    load.address = valueOf(url).address;
+    load.path = valueOf(url).path;
+    const LoadResult result = runLoad(load);
+    printLoad(out, result, options.json);
+    return result.whole.count() > 0 ? 0 : Failed;
+}
+
+LoadOptions loadOptions(const cxxopts::ParseResult &parsed)
+{
+    constexpr double MaxSeconds = 3600;
+    constexpr std::uint32_t MaxConcurrency = 2000;
+    LoadOptions load;
+    load.requests = parsed["requests"].as<std::uint64_t>();
+    load.duration = Duration(static_cast<Duration::rep>(std::clamp(parsed["duration"].as<double>(), 0.0, MaxSeconds) * 1e6));
+    load.concurrency = std::clamp<std::uint32_t>(parsed["concurrency"].as<std::uint32_t>(), 1, MaxConcurrency);
+    load.rate = std::max(0.0, parsed["rate"].as<double>());
+    load.key = parsed["key"].as<std::string>();
+    load.body = parsed["body"].as<std::string>();
+    return load;
+}
+
 }
 
 int runBenchCommand(int argc, const char *const *argv, std::ostream &out, std::ostream &err)
@@ -158,6 +196,7 @@
             options.policies.clear();
         }
         options.json = parsed.count("json") > 0;
+        options.load = loadOptions(parsed);
         if (const auto error = parseSeeds(parsed["seeds"].as<std::string>(), options)) {
             err << "cumindyke-bench: " << error->message << "\n";
             return WrongUsage;
@@ -175,6 +214,9 @@
     if (options.command == "signature") {
         return printSignature(options, out, err);
     }
+    if (options.command == "load" && !options.target.empty()) {
+        return driveLoad(options, out, err);
+    }
     err << parser.help();
     return WrongUsage;
 }
--- /dev/null
+++ b/tests/policy/allocationtest.cpp
@@ -0,0 +1,66 @@
+#include "policy/placement.h"
+#include "policy/prefixindex.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <cstdlib>
+#include <new>
+
+namespace
+{
+
+std::atomic<std::uint64_t> allocations = 0;
+
+}
+
+// Counts every allocation of this test program. Not inlined: the compiler would take malloc and free for a mismatched pair.
+[[gnu::noinline]] void *operator new(std::size_t size)
+{
+    ++allocations;
+    void *memory = std::malloc(size > 0 ? size : 1);
+    if (!memory) {
+        throw std::bad_alloc();
+    }
+    return memory;
+}
+
+[[gnu::noinline]] void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+[[gnu::noinline]] void operator delete(void *memory, std::size_t /*size*/) noexcept
+{
+    std::free(memory);
+}
+
+using namespace cumindyke;
+using namespace std::chrono_literals;
+
+TEST_CASE("a placement among 50 upstreams allocates nothing")
+{
+    std::vector<UpstreamState> upstreams(50, UpstreamState{.slots = 32, .window = 32, .speedLearned = true});
+    PrefixIndex prefixes(1000);
+    prefixes.stored(7, 3);
+    const std::uint64_t before = allocations;
+    std::uint64_t placed = 0;
+    for (std::uint32_t i = 0; i < 1000; ++i) {
+        const PlacementRequest request{
+            .prompt = TokenCount{600},
+            .answer = TokenCount{200},
+            .cachedOn = prefixes.holders(i % 10),
+            .deadline = TimePoint(60s),
+        };
+        const auto chosen = choosePlacement(upstreams, request, {}, TimePoint(1ms * i));
+        if (!chosen) {
+            continue;
+        }
+        ++placed;
+        ++upstreams[*chosen].inFlight;
+        upstreams[*chosen].addBacklog(600, TimePoint(1ms * i));
+    }
+    const std::uint64_t counted = allocations - before;
+    CHECK(placed == 1000);
+    CHECK(counted == 0);
+}
