Slots are kept while nobody waits; lower tiers are refused everywhere before a higher one is shed

Kept slots: a request without a prefix leaves its slot to the VM for 500 ms while every line of the cell got its grant, so that a steady load of such requests needs no message; the scheduler asks for them back as soon as one line gets nothing. Reports of freed slots are lazy meanwhile (200 ms).

--- a/src/bench/cumindykepolicy.cpp
+++ b/src/bench/cumindykepolicy.cpp
@@ -78,6 +78,7 @@
         .adaptWindows = m_options.adaptWindows,
         .useCacheEvents = m_options.useCacheEvents,
         .fairByWork = m_options.fairByWork,
+        .keepSlots = m_options.keepSlots,
     };
     for (std::uint32_t i = 0; i < m_vms.size(); ++i) {
         if (m_world.vmAlive(i) && now > TimePoint{}) {
--- a/src/bench/cumindykepolicy.h
+++ b/src/bench/cumindykepolicy.h
@@ -21,6 +21,7 @@
     bool useCacheEvents = true;
     bool fairByWork = true;
     bool useSchedulers = true;
+    bool keepSlots = true;
 };
 
 /// The shipped decision code on emulated VMs: queues, grant books and cell schedulers as the daemon runs them, with messages that take
--- a/src/bench/experiment.cpp
+++ b/src/bench/experiment.cpp
@@ -29,6 +29,9 @@
     result.wastedPrefill += onTime ? record.cachedElsewhere : record.prefilled;
     result.late += record.end == BenchEnd::Late ? 1 : 0;
     result.failed += record.end == BenchEnd::Failed ? 1 : 0;
+    if (record.upstream) {
+        result.wait.record(record.dispatched - request.arrival);
+    }
     result.shed += record.end == BenchEnd::Shed ? 1 : 0;
 }
 
@@ -87,6 +90,7 @@
         cumindyke("fixed-windows", {.adaptWindows = false}),
         cumindyke("no-cache-events", {.useCacheEvents = false}),
         cumindyke("no-fairness", {.fairByWork = false}),
+        cumindyke("no-kept-slots", {.keepSlots = false}),
         cumindyke("credit-split", {.useSchedulers = false}),
         {"baseline", [](const Scenario &scenario, std::uint64_t seed) { return runWith<BaselinePolicy>(scenario, seed); }},
         {"oracle", [](const Scenario &scenario, std::uint64_t seed) { return runWith<OraclePolicy>(scenario, seed); }},
@@ -107,6 +111,7 @@
     sum.late += run.late;
     sum.failed += run.failed;
     sum.shed += run.shed;
+    sum.wait.add(run.wait);
     sum.counters.dispatchedTwice += run.counters.dispatchedTwice;
     sum.counters.tierInversions += run.counters.tierInversions;
     sum.counters.controlMessages += run.counters.controlMessages;
--- a/src/bench/experiment.h
+++ b/src/bench/experiment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bench/histogram.h"
 #include "bench/scenario.h"
 #include "bench/world.h"
 
@@ -29,6 +30,8 @@
     std::uint64_t late = 0;
     std::uint64_t failed = 0;
     std::uint64_t shed = 0;
+    /// From arrival to dispatch.
+    Histogram wait;
     BenchCounters counters;
     /// Filled by the version-move experiments.
     std::uint64_t movesGood = 0;
--- a/src/cell/cellmessages.h
+++ b/src/cell/cellmessages.h
@@ -48,6 +48,8 @@
     /// From when the demand that the message answers was sent.
     Duration expires{};
     std::uint32_t key = 0;
+    /// The upstream's time between tokens; zero: not measured.
+    Duration perToken{};
 };
 
 struct Grants
@@ -62,6 +64,8 @@
     /// Zero while nothing has been learned.
     Duration perToken{};
     std::chrono::nanoseconds perPrefillToken{};
+    /// How long a VM may keep a slot whose request has ended for its next one; zero: it goes back at once.
+    Duration keep{};
 };
 
 struct InFlight
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -23,6 +23,8 @@
 constexpr Duration FairHold = std::chrono::seconds(5);
 /// Organisations whose served work differs by less than this many tokens count as even.
 constexpr double EvenWork = 8000;
+/// An ended slot may stay with its VM this long for the next request. At a steady load a VM then needs no message for a request.
+constexpr Duration KeepSlots = std::chrono::milliseconds(500);
 constexpr std::size_t MaxPrefixes = 100'000;
 /// Weight of a new measurement of speed.
 constexpr double SpeedGain = 0.3;
@@ -346,6 +348,7 @@
         begin = end;
     }
     // Step 4. The answers.
+    decideKeeping();
     std::vector<std::pair<VmName, Grants>> answers;
     for (std::size_t i = 0; i < m_vms.size(); ++i) {
         if (grants[i].empty() && !m_vms[i].answerDue) {
@@ -466,6 +469,7 @@
         .tier = line.tier,
         .expires = GrantExpiry,
         .key = line.key,
+        .perToken = Duration(upstream.speedLearned ? static_cast<Duration::rep>(upstream.tokenMicroseconds) : 0),
     });
     return true;
 }
@@ -475,6 +479,7 @@
 void CellScheduler::decideFloor(TimePoint now)
 {
     m_lowestWaiting.reset();
+    const std::optional<TierRank> refusedBefore = m_refuseFrom;
     std::optional<TierRank> mustShed;
     for (const Vm &vm : m_vms) {
         if (vm.lowestWaiting && (!m_lowestWaiting || *vm.lowestWaiting > *m_lowestWaiting)) {
@@ -492,6 +497,26 @@
     } else if (now >= m_refuseUntil) {
         m_refuseFrom.reset();
     }
+    if (m_refuseFrom == refusedBefore) {
+        return;
+    }
+    // Every VM hears of it at once: one that still admits lower tiers would have them wait while a higher one is shed elsewhere.
+    for (Vm &vm : m_vms) {
+        vm.answerDue = true;
+    }
+}
+
+/// Slots may stay with the VMs while every line got its grant. When one did not, each VM that holds something is told to give back
+/// what it keeps, so that a kept slot delays urgent work of another VM by two messages at most.
+void CellScheduler::decideKeeping()
+{
+    const bool kept = std::exchange(m_keep, m_options.keepSlots && std::ranges::all_of(m_waiting, [](const Line *line) { return line->count == 0; }));
+    if (!kept || m_keep) {
+        return;
+    }
+    for (Vm &vm : m_vms) {
+        vm.answerDue = vm.answerDue || !vm.held.empty() || !vm.unseen.empty();
+    }
 }
 
 Grants CellScheduler::answer(Vm &vm, std::vector<Grant> grants) const
@@ -512,6 +537,7 @@
         .refuseFrom = m_refuseFrom,
         .perToken = Duration(static_cast<Duration::rep>(token)),
         .perPrefillToken = std::chrono::nanoseconds(static_cast<std::int64_t>(token * 1000 / PrefillTokensPerToken)),
+        .keep = m_keep ? KeepSlots : Duration::zero(),
     };
 }
 
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -47,6 +47,8 @@
     bool adaptWindows = true;
     bool useCacheEvents = true;
     bool fairByWork = true;
+    /// Lets VMs keep ended slots while nobody waits.
+    bool keepSlots = true;
 };
 
 /// Schedules one cell: takes what waits on every entry VM, and gives them slots on the cell's upstreams. Strict tiers over all entry
@@ -146,6 +148,7 @@
     std::optional<std::uint32_t> nextOrganisation(const std::vector<std::deque<Line *>> &waiting, bool fair) const;
     bool grantLine(Line &line, TimePoint now, std::vector<Grant> &grants);
     void decideFloor(TimePoint now);
+    void decideKeeping();
     Grants answer(Vm &vm, std::vector<Grant> grants) const;
 
     CellOptions m_options;
@@ -164,6 +167,7 @@
     PrefixIndex m_prefixes;
     std::optional<TierRank> m_lowestWaiting;
     std::optional<TierRank> m_refuseFrom;
+    bool m_keep = false;
     TimePoint m_refuseUntil;
     /// Until when a tier counts as one that must be shed from.
     std::map<TierRank, TimePoint> m_shedUntil;
--- a/src/cell/convert.cpp
+++ b/src/cell/convert.cpp
@@ -91,6 +91,7 @@
     message.set_number(grants.number);
     message.set_lowest_waiting(rankOrNone(grants.lowestWaiting));
     message.set_refuse_from(rankOrNone(grants.refuseFrom));
+    message.set_keep_ms(toMilliseconds(grants.keep));
     message.set_token_us(static_cast<std::uint32_t>(grants.perToken.count()));
     message.set_prefill_token_ns(static_cast<std::uint32_t>(grants.perPrefillToken.count()));
     for (const Grant &grant : grants.grants) {
@@ -101,6 +102,7 @@
         added.set_tier_rank(grant.tier.value);
         added.set_expires_ms(toMilliseconds(grant.expires));
         added.set_key(grant.key);
+        added.set_token_us(static_cast<std::uint32_t>(grant.perToken.count()));
     }
     return message;
 }
@@ -117,6 +119,7 @@
         .refuseFrom = toRank(message.refuse_from()),
         .perToken = Duration(message.token_us()),
         .perPrefillToken = std::chrono::nanoseconds(message.prefill_token_ns()),
+        .keep = std::chrono::milliseconds(message.keep_ms()),
     };
     for (const v1::Grant &grant : message.grants()) {
         grants.grants.push_back(Grant{
@@ -126,6 +129,7 @@
             .tier = TierRank{static_cast<std::uint8_t>(grant.tier_rank())},
             .expires = std::chrono::milliseconds(grant.expires_ms()),
             .key = grant.key(),
+            .perToken = Duration(grant.token_us()),
         });
     }
     return grants;
--- a/src/cell/grantbook.cpp
+++ b/src/cell/grantbook.cpp
@@ -21,9 +21,9 @@
 constexpr Duration FallbackAfter = std::chrono::milliseconds(1000);
 constexpr Duration Unreachable = std::chrono::seconds(1);
 /// While the VM holds or wants something, the scheduler hears of it at least this often.
-constexpr Duration Heartbeat = std::chrono::milliseconds(250);
+constexpr Duration Heartbeat = std::chrono::milliseconds(500);
 /// Freed slots are told at once when somebody waits for them, else together.
-constexpr Duration LazyReport = std::chrono::milliseconds(50);
+constexpr Duration LazyReport = std::chrono::milliseconds(200);
 constexpr Duration FloorAge = std::chrono::milliseconds(1000);
 
 /// Rounded up to three significant bits, so that like lengths share a line.
@@ -115,7 +115,7 @@
         return;
     }
     if (grants.epoch > cell.epoch) {
-        giveBack(cell);
+        giveBack(cell, true, now);
     }
     cell.epoch = grants.epoch;
     cell.grantsSeen = grants.number;
@@ -123,6 +123,10 @@
     cell.lastHeard = now;
     cell.lowestWaiting = grants.lowestWaiting;
     cell.refuseFrom = grants.refuseFrom;
+    cell.keep = grants.keep;
+    if (cell.keep == Duration::zero()) {
+        giveBack(cell, true, now);
+    }
     if (grants.perToken > Duration::zero()) {
         cell.speed = RunSpeed{.perToken = grants.perToken, .perPrefillToken = grants.perPrefillToken};
     }
@@ -137,7 +141,7 @@
             continue;
         }
         for (std::uint32_t slot = 0; slot < grant.slots; ++slot) {
-            cell.unused.push_back(HeldGrant{.upstream = upstream->second, .tier = grant.tier, .key = grant.key, .expiry = expiry});
+            cell.unused.push_back(HeldGrant{.upstream = upstream->second, .tier = grant.tier, .key = grant.key, .expiry = expiry, .perToken = grant.perToken});
             ++m_upstreams[upstream->second].unused;
         }
         cell.heldChanged = true;
@@ -149,6 +153,9 @@
     if (auto slot = acquireGrant(request, version, demandKey(request, version), now)) {
         return slot;
     }
+    if (auto slot = acquireKept(request, version, now)) {
+        return slot;
+    }
     return acquireShare(request, version, now);
 }
 
@@ -162,22 +169,59 @@
             }
             const auto grant = std::ranges::find_if(cell.unused, [&](const HeldGrant &held) {
                 const UpstreamSlots &upstream = m_upstreams[held.upstream];
-                const bool fits = own ? held.key == key : held.tier > request.tier;
+                const bool fits = !held.kept && (own ? held.key == key : held.tier > request.tier);
                 return fits && held.expiry > now && upstream.upstream.version == version && upstream.unreachableUntil <= now;
             });
             if (grant == cell.unused.end()) {
                 continue;
             }
-            const std::uint32_t upstream = grant->upstream;
-            --m_upstreams[upstream].unused;
-            cell.unused.erase(grant);
             cell.heldChanged = true;
-            return use(upstream, request);
+            return takeGrant(cell, grant, request);
         }
     }
     return {};
 }
 
+std::optional<Slot> GrantBook::takeGrant(Cell &cell, std::vector<HeldGrant>::iterator grant, const PendingRequest &request)
+{
+    const HeldGrant used = *grant;
+    --m_upstreams[used.upstream].unused;
+    cell.unused.erase(grant);
+    return use(used.upstream, request, &used);
+}
+
+/// The kept slot on the fastest upstream. Not for a request with a prefix: the scheduler knows the caches and had better place it.
+std::optional<Slot> GrantBook::acquireKept(const PendingRequest &request, const VersionName &version, TimePoint now)
+{
+    Cell *bestCell = nullptr;
+    std::vector<HeldGrant>::iterator best;
+    for (Cell &cell : m_cells) {
+        if (cell.service != request.service || cell.keep == Duration::zero()) {
+            continue;
+        }
+        for (auto grant = cell.unused.begin(); grant != cell.unused.end(); ++grant) {
+            if (mayUseKept(*grant, request, version, now) && (!bestCell || grant->perToken < best->perToken)) {
+                bestCell = &cell;
+                best = grant;
+            }
+        }
+    }
+    return bestCell ? takeGrant(*bestCell, best, request) : std::nullopt;
+}
+
+bool GrantBook::mayUseKept(const HeldGrant &grant, const PendingRequest &request, const VersionName &version, TimePoint now) const
+{
+    const UpstreamSlots &upstream = m_upstreams[grant.upstream];
+    if (!grant.kept || grant.expiry <= now || !upstream.declared || upstream.upstream.version != version || upstream.unreachableUntil > now) {
+        return false;
+    }
+    if (request.prefix != 0 || isLong(request.promptTokens, request.answerTokens)) {
+        return false;
+    }
+    // With half of the time to spare, for the speed is some hundred milliseconds old.
+    return grant.perToken * request.answerTokens.value <= (request.deadline - now) / 2;
+}
+
 std::optional<Slot> GrantBook::acquireShare(const PendingRequest &request, const VersionName &version, TimePoint now)
 {
     std::optional<std::uint32_t> best;
@@ -196,21 +240,25 @@
             bestPart = part;
         }
     }
-    return best ? use(*best, request) : std::nullopt;
+    return best ? use(*best, request, nullptr) : std::nullopt;
 }
 
-std::optional<Slot> GrantBook::use(std::uint32_t index, const PendingRequest &request)
+std::optional<Slot> GrantBook::use(std::uint32_t index, const PendingRequest &request, const HeldGrant *grant)
 {
     UpstreamSlots &slots = m_upstreams[index];
     const bool longWork = isLong(request.promptTokens, request.answerTokens);
     ++slots.running;
     slots.longRunning += longWork ? 1 : 0;
     slots.tokens += request.work.value;
-    m_inUse.emplace(++m_lastSlot, InUse{.upstream = index, .isLong = longWork, .tokens = request.work.value});
+    const Duration perToken = grant ? grant->perToken : Duration::zero();
+    m_inUse.emplace(
+        ++m_lastSlot,
+        InUse{
+            .upstream = index, .isLong = longWork, .tokens = request.work.value, .perToken = perToken, .mayBeKept = grant && request.prefix == 0 && !longWork});
     return Slot{.upstream = slots.upstream.name, .grant = m_lastSlot};
 }
 
-void GrantBook::release(const Slot &slot, TimePoint /*now*/)
+void GrantBook::release(const Slot &slot, TimePoint now)
 {
     const auto found = m_inUse.find(slot.grant);
     if (found == m_inUse.end()) {
@@ -220,8 +268,16 @@
     --slots.running;
     slots.longRunning -= found->second.isLong ? 1 : 0;
     slots.tokens -= found->second.tokens;
-    m_cells[slots.cell].heldChanged = true;
+    Cell &cell = m_cells[slots.cell];
+    const InUse used = found->second;
     m_inUse.erase(found);
+    // Only what a scheduler granted can be kept: it counts as held there. An upstream that left or refused gets nothing more.
+    if (!used.mayBeKept || cell.keep == Duration::zero() || !slots.declared || slots.unreachableUntil > now) {
+        cell.heldChanged = true;
+        return;
+    }
+    ++slots.unused;
+    cell.unused.push_back(HeldGrant{.upstream = used.upstream, .expiry = now + cell.keep, .perToken = used.perToken, .kept = true});
 }
 
 void GrantBook::noteUnreachable(const UpstreamName &upstream, TimePoint now)
@@ -250,13 +306,19 @@
     return index && fallback(m_cells[*index], now);
 }
 
-void GrantBook::giveBack(Cell &cell)
+/// Gives back grants that found no request here, and kept slots that have expired, or all of them.
+void GrantBook::giveBack(Cell &cell, bool keptToo, TimePoint now)
 {
-    for (const HeldGrant &grant : cell.unused) {
+    const std::size_t before = cell.unused.size();
+    std::erase_if(cell.unused, [&](const HeldGrant &grant) {
+        const UpstreamSlots &slots = m_upstreams[grant.upstream];
+        if (grant.kept && !keptToo && grant.expiry > now && slots.declared && slots.unreachableUntil <= now) {
+            return false;
+        }
         --m_upstreams[grant.upstream].unused;
-    }
-    cell.heldChanged = cell.heldChanged || !cell.unused.empty();
-    cell.unused.clear();
+        return true;
+    });
+    cell.heldChanged = cell.heldChanged || cell.unused.size() != before;
 }
 
 /// Rendezvous hashing (Thaler, Ravishankar 1998): each VM finds the same home for a prefix, and a cell that comes or goes moves only
@@ -337,10 +399,11 @@
 {
     const bool holds = std::ranges::any_of(m_upstreams, [index](const UpstreamSlots &slots) { return slots.cell == index && slots.running > 0; });
     const Duration quiet = now - cell.lastSent;
-    if (linesNow != cell.lastLines || ((waits || holds) && quiet >= Heartbeat)) {
+    const bool asks = linesNow != 0 && linesNow != cell.lastLines;
+    if (asks || ((waits || holds) && quiet >= Heartbeat)) {
         return true;
     }
-    return cell.heldChanged && (cell.lowestWaiting || quiet >= LazyReport);
+    return (cell.heldChanged || linesNow != cell.lastLines) && (cell.keep == Duration::zero() || quiet >= LazyReport);
 }
 
 std::vector<CellMessages> GrantBook::messages(const ServiceName &service, const PendingQueue &queue, const VersionName &serviceVersion, TimePoint now)
@@ -353,11 +416,13 @@
             continue;
         }
         // Step 1. Grants that nobody here could use go back, for another VM may wait for them.
-        giveBack(cell);
+        giveBack(cell, cell.keep == Duration::zero(), now);
         // Step 2. Says what waits, when the scheduler does not know it yet.
         Demand demand{.cell = cell.name, .vm = m_vm, .lines = lines(i, queue, serviceVersion, now), .lowestWaiting = queue.lowestTier()};
         demand.mustShed = mustShed == m_mustShed.end() ? std::nullopt : mustShed->second;
-        std::uint64_t linesNow = demand.mustShed ? demand.mustShed->value + 1 : 0;
+        constexpr std::uint64_t AfterRanks = 256;
+        std::uint64_t linesNow
+            = (demand.mustShed ? demand.mustShed->value + 1U : 0U) * AfterRanks + (demand.lowestWaiting ? demand.lowestWaiting->value + 1U : 0U);
         for (const DemandLine &line : demand.lines) {
             linesNow = mixed(linesNow ^ line.key) + line.count;
         }
@@ -389,7 +454,11 @@
 bool GrantBook::mayShed(const ServiceName &service, TierRank tier, TimePoint now) const
 {
     return std::ranges::none_of(m_cells, [&](const Cell &cell) {
-        return cell.service == service && now - cell.lastHeard < FloorAge && cell.lowestWaiting && *cell.lowestWaiting > tier;
+        if (cell.service != service || now - cell.lastHeard >= FloorAge) {
+            return false;
+        }
+        const bool lowerRefused = cell.refuseFrom && cell.refuseFrom->value <= tier.value + 1U;
+        return !lowerRefused || (cell.lowestWaiting && *cell.lowestWaiting > tier);
     });
 }
 
--- a/src/cell/grantbook.h
+++ b/src/cell/grantbook.h
@@ -51,7 +51,8 @@
 ///
 /// A request first asks the home cell of its prompt's prefix; when that has given nothing for some milliseconds, every cell of the
 /// service. What comes too much is given back at once. While a cell's scheduler does not answer, this VM uses its fixed share of
-/// the cell's slots, so that all VMs together can't overrun an engine. Pure: the caller passes the time.
+/// the cell's slots, so that all VMs together can't overrun an engine. While nobody waits in a cell, a slot whose request has ended
+/// and had no prefix stays here for the next request for some hundred milliseconds, and no message is needed. Pure: the caller passes the time.
 class GrantBook
 {
 public:
@@ -76,7 +77,8 @@
 
     /// Asks the schedulers to have lower tiers refused, because requests of this tier must be shed soon; nothing withdraws it.
     void setMustShed(const ServiceName &service, std::optional<TierRank> tier);
-    /// Whether a request of the tier may be shed for want of capacity: no lower tier waits in any cell of the service.
+    /// Whether a request of the tier may be shed for want of capacity: lower tiers are refused in every cell of the service that answers,
+    /// and none waits there any more.
     bool mayShed(const ServiceName &service, TierRank tier, TimePoint now) const;
     /// The highest tier whose waiting and new requests are to be refused now, with all lower ones.
     std::optional<TierRank> refuseFrom(const ServiceName &service, TimePoint now) const;
@@ -91,12 +93,18 @@
         TierRank tier;
         std::uint32_t key = 0;
         TimePoint expiry;
+        Duration perToken{};
+        /// Its request has ended; any request may use it.
+        bool kept = false;
     };
     struct InUse
     {
         std::uint32_t upstream = 0;
         bool isLong = false;
         std::uint32_t tokens = 0;
+        Duration perToken{};
+        /// Granted by a scheduler, where it counts as held, and used by a request that needs no particular upstream.
+        bool mayBeKept = false;
     };
     struct UpstreamSlots
     {
@@ -129,16 +137,20 @@
         std::optional<TierRank> lowestWaiting;
         std::optional<TierRank> refuseFrom;
         RunSpeed speed;
+        Duration keep{};
     };
 
     std::optional<std::uint32_t> cellIndex(const CellName &cell) const;
     std::uint32_t addCell(const BookUpstream &upstream);
     bool fallback(const Cell &cell, TimePoint now) const;
     std::uint32_t homeCell(const ServiceName &service, std::uint64_t prefix) const;
-    std::optional<Slot> use(std::uint32_t upstream, const PendingRequest &request);
+    std::optional<Slot> use(std::uint32_t upstream, const PendingRequest &request, const HeldGrant *grant);
+    std::optional<Slot> takeGrant(Cell &cell, std::vector<HeldGrant>::iterator grant, const PendingRequest &request);
+    std::optional<Slot> acquireKept(const PendingRequest &request, const VersionName &version, TimePoint now);
+    bool mayUseKept(const HeldGrant &grant, const PendingRequest &request, const VersionName &version, TimePoint now) const;
     std::optional<Slot> acquireGrant(const PendingRequest &request, const VersionName &version, std::uint32_t key, TimePoint now);
     std::optional<Slot> acquireShare(const PendingRequest &request, const VersionName &version, TimePoint now);
-    void giveBack(Cell &cell);
+    void giveBack(Cell &cell, bool keptToo, TimePoint now);
     std::vector<DemandLine> lines(std::uint32_t cell, const PendingQueue &queue, const VersionName &serviceVersion, TimePoint now) const;
     GrantReport report(const Cell &cell, std::uint32_t index, TimePoint now) const;
     bool isDue(const Cell &cell, std::uint32_t index, std::uint64_t linesNow, bool waits, TimePoint now) const;
