--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -76,6 +76,7 @@
         .peers = settings.peers,
         .address = settings.rpcAddress,
         .keepAdmitting = settings.keepAdmitting,
+        .replaceReplicaAfter = settings.replaceReplicaAfter,
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     });
     if (!ok(control)) {
@@ -106,6 +107,7 @@
                                      .address = settings.httpAddress,
                                      .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
+                                     .historyFile = settings.historyFile,
                                  },
                                  m_metrics);
     if (!ok(entry)) {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -28,6 +28,8 @@
     std::map<VmName, Address> peers;
     /// The VMs that hold the first replicas of the control log; this VM alone when none are named.
     std::vector<VmName> replicas;
+    /// A replica that was silent for so long is replaced by another VM with a disk.
+    std::chrono::milliseconds replaceReplicaAfter{30'000};
     /// For operators and peers; without it, plaintext.
     std::optional<TlsFiles> tls;
     /// Plaintext on an address that others can reach, said in plain words.
@@ -36,6 +38,8 @@
     std::chrono::milliseconds keepAdmitting{0};
     /// How long a graceful shutdown may last; none is no limit.
     std::optional<std::chrono::milliseconds> drainLimit;
+    /// For tests: what happened to each request, a JSON object a line. Empty: none.
+    std::string historyFile;
 };
 
 /// Checks and reads settings. Error: Invalid, one line for each problem with file, line, key and remedy.
