Appends carry what was proposed since the last flush; figures of the log by measure-log

Each proposal was sent to each follower as a message of its own. Now the messages are made once before each flush. Members are shown to operators when their change is committed: the leader's uncommitted view could name a replica that the next leader doesn't know.

--- a/src/raft/core.cpp
+++ b/src/raft/core.cpp
@@ -141,7 +141,7 @@
     }
 }
 
-std::optional<Index> Core::propose(std::string command, TimePoint now)
+std::optional<Index> Core::propose(std::string command)
 {
     if (m_role != Role::Leader || m_transfer) {
         return {};
@@ -151,10 +151,19 @@
     entry.set_index(m_log.last() + 1);
     entry.set_command(std::move(command));
     append(std::move(entry));
-    syncProgress(now);
     return m_log.last();
 }
 
+void Core::replicate(TimePoint now)
+{
+    if (m_role != Role::Leader) {
+        return;
+    }
+    for (const auto &[member, progress] : m_progress) {
+        sendMore(member, now);
+    }
+}
+
 Result<Index> Core::changeMembership(const v1::Membership &next, TimePoint now)
 {
     // A leader changes members only after it committed an entry of its own term: otherwise changes of two leaders could overlap
--- a/src/raft/core.h
+++ b/src/raft/core.h
@@ -54,7 +54,6 @@
     State state = State::Probe;
     Index match = 0;
     Index next = 1;
-    bool probeSent = false;
     /// Last index of each append under way.
     std::deque<Index> inFlight;
     SnapshotPointer snapshot;
@@ -86,7 +85,9 @@
     void step(const v1::RaftMessage &message, TimePoint now);
     void tick(TimePoint now);
     /// Only on the leader: adds a command to the log. It may still be lost until it comes back as committed.
-    std::optional<Index> propose(std::string command, TimePoint now);
+    std::optional<Index> propose(std::string command);
+    /// Sends what was proposed since, as few messages: call before takeEffects().
+    void replicate(TimePoint now);
     /// Errors: Unavailable (not the leader, or a change is under way), Invalid (more than one voter differs, or a learner is behind).
     Result<Index> changeMembership(const v1::Membership &next, TimePoint now);
     /// Hands leadership over when the voter has the whole log; no commands are taken meanwhile. False: not the leader, or no such voter.
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -71,6 +71,7 @@
     /// Does what the core asks for. After an error the disk's content is unknown: promise nothing more, stop the process.
     Result<Done> flush(TimePoint now)
     {
+        m_core.replicate(now);
         for (Effects effects = m_core.takeEffects(); !effects.empty(); effects = m_core.takeEffects()) {
             sendAll(effects.messages);
             if constexpr (Order::PromiseBeforeSync) {
--- a/src/raft/replicatedlog.cpp
+++ b/src/raft/replicatedlog.cpp
@@ -304,12 +304,12 @@
     d->wantFlush();
 }
 
-std::optional<Index> ReplicatedLog::propose(std::string command, TimePoint now)
+std::optional<Index> ReplicatedLog::propose(std::string command, TimePoint /*now*/)
 {
     if (!d->replica || d->stopped) {
         return {};
     }
-    const auto index = d->replica->core().propose(std::move(command), now);
+    const auto index = d->replica->core().propose(std::move(command));
     d->wantFlush();
     return index;
 }
@@ -346,7 +346,7 @@
 
 v1::Membership ReplicatedLog::membership() const
 {
-    return d->replica ? d->replica->core().membership() : v1::Membership();
+    return d->replica ? d->replica->core().membershipAt(d->replica->applied()) : v1::Membership();
 }
 
 Result<Index> ReplicatedLog::changeMembership(const v1::Membership &next, TimePoint now)
--- a/src/raft/replicatedlog.h
+++ b/src/raft/replicatedlog.h
@@ -59,6 +59,7 @@
     Index appliedIndex() const;
     /// The applied state answers linearizable reads now: this VM leads, holds its lease and has applied what is committed.
     bool hasReadableState(TimePoint now) const;
+    /// Of the applied state: a change shows when it is committed, and so survives the loss of this VM.
     v1::Membership membership() const;
     /// Errors: Unavailable, Invalid.
     Result<Index> changeMembership(const v1::Membership &next, TimePoint now);
--- /dev/null
+++ b/tests/measure/logmeasure.cpp
@@ -0,0 +1,211 @@
+#include "common/hash.h"
+#include "control/statemachine.h"
+#include "ctl/client.h"
+#include "raft/replicacluster.h"
+#include "raft/replicatedlog.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <thread>
+
+/// Figures of the replicated log on real disks; docs/measurements/control-log.md. Nothing is asserted about time.
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+using Clock = std::chrono::steady_clock;
+
+double millisecondsSince(Clock::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
+}
+
+void printLatencies(const char *what, int replicas, std::size_t clients, std::vector<double> latencies, double elapsed)
+{
+    std::ranges::sort(latencies);
+    const auto at = [&latencies](double share) { return latencies[static_cast<std::size_t>(share * static_cast<double>(latencies.size() - 1))]; };
+    std::printf("%s: %d replicas, %zu clients: %zu answered, %.0f/s, p50 %.2f ms, p99 %.2f ms, max %.2f ms\n",
+                what,
+                replicas,
+                clients,
+                latencies.size(),
+                1000.0 * static_cast<double>(latencies.size()) / elapsed,
+                at(0.5),
+                at(0.99),
+                latencies.back());
+    std::fflush(stdout);
+}
+
+void printSpread(const char *what, std::vector<double> times)
+{
+    std::ranges::sort(times);
+    std::printf("%s, %zu times: min %.0f, median %.0f, max %.0f ms\n", what, times.size(), times.front(), times[times.size() / 2], times.back());
+    std::fflush(stdout);
+}
+
+/// The newest term that a VM of five says it leads.
+std::uint64_t newestLedTerm(ReplicaCluster &cluster)
+{
+    std::uint64_t newest = 0;
+    for (int vm = 1; vm <= 5; ++vm) {
+        const std::string log = cluster.daemon(vm).log();
+        const std::string led = "change=leader leader=vm-" + std::to_string(vm) + " term=";
+        const std::size_t last = log.rfind(led);
+        if (last != std::string::npos) {
+            newest = std::max(newest, static_cast<std::uint64_t>(std::stoull(log.substr(last + led.size()))));
+        }
+    }
+    return newest;
+}
+
+/// Commands that lose (their base revision doesn't exist) go through the log like those that win, and don't wait for each other.
+void concurrentCommands(ReplicaCluster &cluster, int replicas, std::size_t clients, int each)
+{
+    const std::string server = cluster.daemon(cluster.leader()).rpc();
+    std::vector<std::vector<double>> latencies(clients);
+    std::vector<std::thread> threads;
+    const auto start = Clock::now();
+    for (std::size_t client = 0; client < clients; ++client) {
+        threads.emplace_back([&server, &mine = latencies[client], client, clients, each] {
+            OperatorClient calls(server, Patience);
+            for (int i = 0; i < each; ++i) {
+                v1::ApplyRequest request;
+                request.set_command_id("load-" + std::to_string(clients) + "-" + std::to_string(client) + "-" + std::to_string(i));
+                request.set_base_revision(1'000'000'000);
+                const auto sent = Clock::now();
+                if (ok(calls.apply(request))) {
+                    mine.push_back(millisecondsSince(sent));
+                }
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    const double elapsed = millisecondsSince(start);
+    std::vector<double> all;
+    for (const std::vector<double> &some : latencies) {
+        all.insert(all.end(), some.begin(), some.end());
+    }
+    printLatencies("commands", replicas, clients, std::move(all), elapsed);
+}
+
+void measureApplies(int replicas)
+{
+    ReplicaCluster cluster(replicas, replicas);
+    REQUIRE(eventually([&] { return cluster.leader() != 0; }));
+    std::vector<double> latencies;
+    const auto start = Clock::now();
+    for (int i = 1; i <= 500; ++i) {
+        const auto sent = Clock::now();
+        cluster.change(i);
+        latencies.push_back(millisecondsSince(sent));
+    }
+    printLatencies("applies one after the other, at VMs in turn", replicas, 1, std::move(latencies), millisecondsSince(start));
+    concurrentCommands(cluster, replicas, 1, 500);
+    concurrentCommands(cluster, replicas, 16, 250);
+}
+
+v1::Command organisationCommand(int number, std::uint64_t base)
+{
+    v1::Command command;
+    command.set_command_id("change-" + std::to_string(number));
+    command.mutable_apply()->set_base_revision(base);
+    if (base == 0) {
+        command.mutable_apply()->add_changes()->mutable_tier()->set_name("committee");
+    }
+    v1::Organisation &organisation = *command.mutable_apply()->add_changes()->mutable_organisation();
+    organisation.set_name("organisation-" + std::to_string(number % 100));
+    organisation.set_highest_tier("committee");
+    organisation.add_key_sha256(hashKey(std::to_string(number)).value);
+    return command;
+}
+
+/// Opens a single replica in a folder; returns the milliseconds until it answers reads.
+double openLog(const std::string &folder, raft::SnapshotPolicy policy, StateMachine &state, std::unique_ptr<raft::ReplicatedLog> &log)
+{
+    const auto start = Clock::now();
+    raft::ReplicatedLogOptions options{.vm = VmName{"vm-1"}, .dataFolder = folder, .initialVoters = {VmName{"vm-1"}}};
+    options.send = [](const VmName &, const v1::Envelope &) {};
+    options.snapshots = policy;
+    auto opened = raft::ReplicatedLog::open(std::move(options));
+    REQUIRE(ok(opened));
+    log = std::move(valueOf(opened));
+    log->applied().connect([&state](raft::Index, raft::Term, const std::string &bytes) {
+        v1::Command command;
+        if (!bytes.empty() && command.ParseFromString(bytes)) {
+            state.apply(command);
+        }
+    });
+    log->snapshotWanted().connect([&state] { return state.snapshot(); });
+    log->snapshotInstalled().connect([&state](const std::string &bytes) { REQUIRE(ok(state.restore(bytes))); });
+    log->start(EventLoop::now());
+    log->flush(EventLoop::now());
+    REQUIRE(log->hasReadableState(EventLoop::now()));
+    return millisecondsSince(start);
+}
+
+void measureRecovery(const char *what, raft::SnapshotPolicy policy)
+{
+    const TemporaryFolder folder;
+    {
+        StateMachine state;
+        std::unique_ptr<raft::ReplicatedLog> log;
+        openLog(folder.path(), policy, state, log);
+        for (int i = 0; i < 10'000; ++i) {
+            log->propose(organisationCommand(i, static_cast<std::uint64_t>(i)).SerializeAsString(), EventLoop::now());
+            if (i % 100 == 99) {
+                log->flush(EventLoop::now());
+            }
+        }
+        REQUIRE(state.declarations().revision().value == 10'000);
+    }
+    StateMachine state;
+    std::unique_ptr<raft::ReplicatedLog> log;
+    const double elapsed = openLog(folder.path(), policy, state, log);
+    REQUIRE(state.declarations().revision().value == 10'000);
+    std::printf("recovery after 10,000 changes, %s: %.0f ms\n", what, elapsed);
+    std::fflush(stdout);
+}
+
+}
+
+TEST_CASE("applies")
+{
+    measureApplies(3);
+    measureApplies(5);
+}
+
+TEST_CASE("failover")
+{
+    ReplicaCluster cluster(5, 5);
+    REQUIRE(eventually([&] { return cluster.leader() != 0; }));
+    cluster.change(1);
+    std::vector<double> times;
+    std::vector<double> accepted;
+    for (int i = 0; i < 20; ++i) {
+        const int leader = cluster.leader();
+        REQUIRE(leader != 0);
+        const std::uint64_t term = newestLedTerm(cluster);
+        const auto killed = Clock::now();
+        cluster.kill(leader);
+        const auto newLeader = [&] { return newestLedTerm(cluster) > term; };
+        REQUIRE(eventually(newLeader));
+        times.push_back(millisecondsSince(killed));
+        cluster.change(2 + i);
+        accepted.push_back(millisecondsSince(killed));
+        cluster.restart(leader);
+    }
+    printSpread("no leader after kill -9, 5 replicas", times);
+    printSpread("until a change is accepted after kill -9, 5 replicas", accepted);
+}
+
+TEST_CASE("recovery")
+{
+    measureRecovery("no snapshot", raft::SnapshotPolicy{.every = 1'000'000, .keep = 1024});
+    measureRecovery("a snapshot every 4,096 entries", raft::SnapshotPolicy{});
+}
--- a/tests/raft/simulation.cpp
+++ b/tests/raft/simulation.cpp
@@ -407,7 +407,7 @@
         }
         const std::size_t id = m_appends.size();
         const std::string command = "command-" + std::to_string(id);
-        const auto index = node.replica->core().propose(command, now);
+        const auto index = node.replica->core().propose(command);
         if (!index) {
             return;
         }
