--- /dev/null
+++ b/src/control/orderrunner.cpp
@@ -0,0 +1,153 @@
+#include "control/orderrunner.h"
+
+#include "common/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+/// Together shorter than the longest order of OrderOptions: after that, nothing of a call may still be on its way from here.
+constexpr ProgressTimeouts Timeouts{
+    .connect = std::chrono::seconds(1),
+    .firstByte = std::chrono::seconds(2),
+    .betweenBytes = std::chrono::seconds(1),
+};
+constexpr std::size_t MaxBodyBytes = 64 << 10;
+constexpr int StatusConflict = 409;
+
+const char *argumentName(OrderKind kind)
+{
+    switch (kind) {
+    case OrderKind::LoadVersion:
+        return "version";
+    case OrderKind::LoadAdapter:
+        return "adapter";
+    case OrderKind::ChangeRole:
+        return "role";
+    }
+    return "version";
+}
+
+UpstreamRequest requestFor(const OrderStep &step, const Address &address)
+{
+    UpstreamRequest request{.id = {}, .address = address, .method = "GET", .target = "/load", .headers = {}, .body = {}};
+    if (step.action == OrderStep::Action::Send) {
+        const nlohmann::ordered_json order{
+            {"epoch", step.epoch.value}, {"kind", toString(step.order.kind)}, {argumentName(step.order.kind), step.order.argument}};
+        request.method = "POST";
+        request.target = "/orders";
+        request.headers.emplace_back("Content-Type", "application/json");
+        request.body = order.dump();
+    }
+    return request;
+}
+
+}
+
+std::optional<UpstreamState> parseUpstreamState(const std::string &json)
+{
+    const auto parsed = nlohmann::json::parse(json, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("version") || !parsed["version"].is_string()) {
+        return {};
+    }
+    const bool loading = parsed.contains("loading") && parsed["loading"].is_boolean() && parsed["loading"].get<bool>();
+    return UpstreamState{.argument = parsed["version"].get<std::string>(), .loading = loading};
+}
+
+OrderRunner::OrderRunner(EventLoop &loop, OrderOptions options, std::uint64_t seed)
+    : m_loop(loop)
+    , m_book(options, seed)
+{
+}
+
+OrderRunner::~OrderRunner() = default;
+
+void OrderRunner::lead(Epoch epoch, TimePoint formerLeaderUntil)
+{
+    m_book.lead(epoch, formerLeaderUntil);
+}
+
+void OrderRunner::stopLeading()
+{
+    m_book.stopLeading();
+    m_calls.clear();
+}
+
+void OrderRunner::declared(const Declarations &declarations)
+{
+    std::vector<Order> orders;
+    m_addresses.clear();
+    for (const auto &[name, upstream] : declarations.upstreams()) {
+        const Service *service = declarations.service(upstream.service);
+        if (!service || service->kind != ServiceKind::Model) {
+            continue;
+        }
+        m_addresses[name] = upstream.address;
+        orders.push_back(Order{.upstream = name, .kind = OrderKind::LoadVersion, .argument = upstream.version.value});
+    }
+    m_book.want(orders);
+}
+
+void OrderRunner::tick(TimePoint now)
+{
+    m_endedCalls.clear();
+    for (const OrderStep &step : m_book.due(now)) {
+        start(step);
+    }
+}
+
+void OrderRunner::start(const OrderStep &step)
+{
+    const std::uint64_t number = m_nextCall++;
+    Call &call = m_calls[number];
+    call.step = step;
+    call.call = std::make_unique<UpstreamCall>(m_loop, requestFor(step, m_addresses[step.order.upstream]), Timeouts);
+    if (step.action == OrderStep::Action::Send) {
+        logChange("control", "order-given", {{"upstream", step.order.upstream.value}, {"version", step.order.argument}});
+    }
+    call.call->head().connect([&call](const AnswerHead &head) { call.status = head.status; });
+    call.call->data().connect([&call](std::string_view bytes) {
+        if (call.body.size() < MaxBodyBytes) {
+            call.body += bytes;
+        }
+    });
+    call.call->finished().connect([this, number] { ended(number, true); });
+    call.call->failed().connect([this, number](CallFailure /*failure*/) { ended(number, false); });
+    call.call->start();
+}
+
+void OrderRunner::ended(std::uint64_t number, bool whole)
+{
+    auto found = m_calls.extract(number);
+    if (found.empty()) {
+        return;
+    }
+    m_endedCalls.push_back(std::move(found.mapped()));
+    const Call &call = m_endedCalls.back();
+    const TimePoint now = EventLoop::now();
+    const UpstreamName &upstream = call.step.order.upstream;
+    const bool good = whole && call.status >= 200 && call.status < 300;
+    if (call.step.action == OrderStep::Action::Send) {
+        if (whole && call.status == StatusConflict) {
+            logWarning("control", "order-epoch-refused", {{"upstream", upstream.value}});
+            m_book.refusedEpoch();
+        } else if (good) {
+            m_book.sent(upstream, now);
+        } else {
+            m_book.failed(upstream, now);
+        }
+        return;
+    }
+    const std::optional<UpstreamState> state = good ? parseUpstreamState(call.body) : std::nullopt;
+    if (state) {
+        m_book.state(upstream, *state, now);
+    } else {
+        m_book.failed(upstream, now);
+    }
+}
+
+}
--- a/src/control/orders.cpp
+++ b/src/control/orders.cpp
@@ -75,12 +75,14 @@
     }
     // Step 1. Ask before anything else, also those that are loading: loads that a former leader began count against the weight store.
     bool allAsked = true;
+    auto asking = static_cast<std::size_t>(std::ranges::count_if(m_entries, [](const auto &held) { return held.second.phase == Phase::Asking; }));
     for (auto &[name, entry] : m_entries) {
-        const bool waits = entry.phase == Phase::Waiting || entry.phase == Phase::Loading;
-        if (waits && now >= entry.next) {
+        const bool mayAsk = entry.phase == Phase::Waiting || entry.phase == Phase::Loading || entry.phase == Phase::Done;
+        if (mayAsk && now >= entry.next && asking < m_options.asksAtOnce) {
+            ++asking;
             steps.push_back(OrderStep{.action = OrderStep::Action::Ask, .order = entry.order, .epoch = m_epoch});
             entry.next = now + LookInterval;
-            entry.phase = entry.phase == Phase::Loading ? Phase::Loading : Phase::Asking;
+            entry.phase = entry.phase == Phase::Waiting ? Phase::Asking : entry.phase;
         }
         const bool unknown = entry.phase == Phase::Waiting || entry.phase == Phase::Asking;
         allAsked = allAsked && (!unknown || entry.failures > 0);
@@ -106,12 +108,14 @@
 void OrderBook::state(const UpstreamName &upstream, const UpstreamState &state, TimePoint now)
 {
     const auto found = m_entries.find(upstream);
-    if (found == m_entries.end() || (found->second.phase != Phase::Asking && found->second.phase != Phase::Loading)) {
+    if (found == m_entries.end() || found->second.phase == Phase::Waiting || found->second.phase == Phase::Sending) {
         return;
     }
     Entry &entry = found->second;
     if (state.argument == entry.order.argument && !state.loading) {
         entry.phase = Phase::Done;
+        entry.failures = 0;
+        entry.next = now + m_options.reviewInterval;
         return;
     }
     if (state.loading) {
@@ -149,10 +153,14 @@
 void OrderBook::failed(const UpstreamName &upstream, TimePoint now)
 {
     const auto found = m_entries.find(upstream);
-    if (found == m_entries.end() || found->second.phase == Phase::Done) {
+    if (found == m_entries.end()) {
         return;
     }
     Entry &entry = found->second;
+    if (entry.phase == Phase::Done) {
+        entry.next = now + m_options.reviewInterval;
+        return;
+    }
     // A look that failed says nothing about the load; the load is given up only after the longest time.
     if (entry.phase == Phase::Loading && now < entry.loadingSince + m_options.longestLoad) {
         entry.next = now + LookInterval;
--- a/src/control/orders.h
+++ b/src/control/orders.h
@@ -42,6 +42,10 @@
     Duration reportLag = std::chrono::seconds(5);
     /// The longest that a load may take before it is tried again.
     Duration longestLoad = std::chrono::minutes(10);
+    /// Upstreams that are asked at the same time.
+    std::size_t asksAtOnce = 64;
+    /// How often an upstream that has what it should is asked again: it may have restarted with something else.
+    Duration reviewInterval = std::chrono::minutes(5);
     Duration firstBackoff = std::chrono::seconds(1);
     Duration longestBackoff = std::chrono::seconds(60);
 };
@@ -114,7 +118,7 @@
         Ready, ///< asked, and neither loaded nor loading: may be sent when the weight store allows
         Sending,
         Loading, ///< the upstream has the order; asked again until it is done
-        Done,
+        Done, ///< asked again now and then
     };
     struct Entry
     {
