--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -32,6 +32,8 @@
     std::optional<TlsFiles> tls;
     /// Plaintext on an address that others can reach, said in plain words.
     bool plaintext = false;
+    /// A replica that was silent for so long is replaced by another VM with a disk.
+    std::chrono::milliseconds replaceReplicaAfter{30'000};
     /// How long work is admitted under the last configuration after the lease ended; docs/notes/quorum-loss.md.
     std::chrono::milliseconds keepAdmitting{0};
     /// How long a graceful shutdown may last; none is no limit.
