--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -86,10 +86,7 @@
 
 ControlTask::~ControlTask()
 {
-    m_loop.stop();
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    stop();
 }
 
 std::optional<Error> ControlTask::recover()
@@ -175,6 +172,14 @@
     }
 }
 
+void ControlTask::stop()
+{
+    m_loop.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
 void ControlTask::post(ControlMessage message)
 {
     m_mailbox.post(std::move(message));
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -7,6 +7,7 @@
 #include "entry/admission.h"
 #include "entry/dispatcher.h"
 #include "entry/frontdoor.h"
+#include "entry/keyedrequests.h"
 #include "entry/requeststore.h"
 #include "report/outcometally.h"
 #include "upstream/streamcanceller.h"
@@ -31,12 +32,14 @@
     std::function<void(const v1::ReportReply &)> answer;
 };
 
-using EntryMessage = std::variant<Configuration, DrainRequest, ReportQuery, PeerMessage>;
+using EntryMessage = std::variant<Configuration, DrainRequest, ReportQuery, ClaimDecision, ClaimEndSaved, PeerMessage>;
 
 struct EntryOptions
 {
     VmName vm;
     DataCentreName dataCentre;
+    /// All VMs, this one too.
+    std::set<VmName> vms;
     /// Where callers and the balancer connect.
     Address address;
     /// Proposes a command to the control replicas, through the control task.
@@ -57,6 +60,8 @@
     EntryTask &operator=(const EntryTask &) = delete;
 
     std::uint16_t port() const;
+    /// Ends the task's thread; what is posted from then on is not handled. Safe to call again.
+    void stop();
     /// Safe from any thread.
     void post(EntryMessage message);
 
@@ -66,16 +71,24 @@
     void handle(Configuration &&configuration);
     void handle(DrainRequest &&drain);
     void handle(const ReportQuery &query);
+    void handle(const ClaimDecision &decision);
+    void handle(const ClaimEndSaved &saved);
     void handle(PeerMessage &&message);
+    KeyedOptions keyedOptions();
 
     void arrived(const std::shared_ptr<Exchange> &exchange);
     void admit(const std::shared_ptr<Exchange> &exchange);
-    void expireWaiting();
+    void sweep();
+    void tellSoon(TimePoint now);
+    void tellSchedulers();
+    void enqueue(const RequestId &id);
+    void answerKeyed(const RequestId &id, const KeyedResult &result);
     void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
     void runEnded(const RequestId &id, const RunResult &result);
     void tryElsewhere(ActiveRequest &active);
     void callerLeft(const RequestId &id);
     void giveUp(const RequestId &id, const Error &error);
+    void giveUpAs(const RequestId &id, const Error &error, RunOutcome outcome);
     void finish(const RequestId &id, RequestEnd end);
     void releaseSlot(ActiveRequest &active);
     void finishDrainIfIdle();
@@ -85,12 +98,18 @@
     EventLoop m_loop;
     Mailbox<EntryMessage> m_mailbox;
     Timer m_sweep;
+    /// Sends what changed to the schedulers of the cells.
+    Timer m_tell;
+    TimePoint m_lastTold;
+    bool m_tellDue = false;
     std::unique_ptr<FrontDoor> m_door;
     Admission m_admission;
     Dispatcher m_dispatcher;
     RunCounters m_runCounters;
     StreamCanceller m_canceller;
     RequestStore m_requests;
+    KeyedRequests m_keyed;
+    Timer m_keyedSweep;
     OutcomeTally m_tally;
     std::function<void()> m_drained;
     std::thread m_thread;
