The leader gives orders for declared versions; it begins anew when it leads again in another term

A VM that lost and won an election between two ticks still took itself for the leader of before: another leader may have granted leases in between that it knew nothing of, and it could have given a cell away while its holder had a lease. The term is compared now. The control task's part of the leader has a file of its own.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -2,7 +2,7 @@
 
 #include "common/log.h"
 
-#include <cstdlib>
+#include <algorithm>
 #include <random>
 
 namespace cumindyke
@@ -72,6 +72,7 @@
               .hasQuorum = [this](TimePoint now) { return hasQuorum(now); },
           },
           m_state)
+    , m_orders(m_loop, {}, randomIncarnation())
     , m_search(leaderCandidates(m_options))
     , m_forwarder({}, randomIncarnation())
     , m_follower(FollowerOptions{
@@ -89,89 +90,6 @@
     stop();
 }
 
-std::optional<Error> ControlTask::recover()
-{
-    const bool named = std::ranges::find(m_options.replicas, m_options.vm) != m_options.replicas.end();
-    if (m_options.dataFolder.empty()) {
-        const Error noFolder{ErrorKind::Invalid, "replicas names this VM, which has no data_folder: set one, or name other VMs in replicas on every VM"};
-        return named ? std::optional(noFolder) : std::nullopt;
-    }
-    raft::ReplicatedLogOptions logOptions{.vm = m_options.vm, .dataFolder = m_options.dataFolder, .initialVoters = m_options.replicas, .send = m_options.send};
-    logOptions.replaceAfter = m_options.replaceReplicaAfter;
-    for (const auto &[peer, address] : m_options.peers) {
-        logOptions.peers.push_back(peer);
-    }
-    auto log = raft::ReplicatedLog::open(std::move(logOptions));
-    if (!ok(log)) {
-        return errorOf(log);
-    }
-    m_log = std::move(valueOf(log));
-    connectLog();
-    m_log->start(EventLoop::now());
-    logChange("control", "recovered", {{"revision", std::to_string(m_state.declarations().revision().value)}});
-    flushLog();
-    return {};
-}
-
-void ControlTask::connectLog()
-{
-    const auto die = [](const Error &error) {
-        logWarning("control", "stopped-by-storage", {{"error", error.message}});
-        // What the disk holds is no longer known. A process that went on could promise what it doesn't keep; a restart recovers
-        // what was synced, and the other replicas go on meanwhile.
-        std::_Exit(EXIT_FAILURE);
-    };
-    m_log->failed().connect(die);
-    m_log->flushWanted().connect([this] { m_flush.startOnce(Duration::zero()); });
-    m_log->applied().connect(sigc::mem_fun(*this, &ControlTask::applyEntry));
-    m_log->snapshotWanted().connect([this] { return m_state.snapshot(); });
-    m_log->snapshotInstalled().connect([this, die](const std::string &bytes) {
-        if (const Result<Done> restored = m_state.restore(bytes); !ok(restored)) {
-            die(errorOf(restored));
-        }
-    });
-    m_log->leaderChanged().connect([this](const std::optional<VmName> &leader) {
-        if (leader) {
-            m_search.learned(*leader);
-        }
-    });
-}
-
-void ControlTask::applyEntry(raft::Index index, raft::Term term, const std::string &bytes)
-{
-    v1::ProposeReply reply;
-    v1::Command command;
-    // Empty on the log's own entries.
-    if (!bytes.empty() && command.ParseFromString(bytes)) {
-        const Revision before = m_state.declarations().revision();
-        reply = m_state.apply(command);
-        if (m_leadership.leads() && m_state.declarations().revision() != before) {
-            logChange("control", "revision-accepted", {{"revision", std::to_string(m_state.declarations().revision().value)}});
-        }
-    }
-    m_pending.applied(index, term, reply);
-}
-
-void ControlTask::flushLog()
-{
-    const TimePoint now = EventLoop::now();
-    m_log->flush(now);
-    followLeadership(now);
-    m_leadership.applied(now);
-    m_pending.answerDecided();
-}
-
-/// This VM leads from the moment it has applied everything that earlier leaders committed.
-void ControlTask::followLeadership(TimePoint now)
-{
-    if (m_log->isLeader() && !m_leadership.leads() && m_log->hasReadableState(now)) {
-        m_leadership.lead(now);
-    } else if (!m_log->isLeader() && m_leadership.leads()) {
-        m_leadership.stopLeading();
-        m_pending.forget();
-    }
-}
-
 void ControlTask::stop()
 {
     m_loop.stop();
@@ -192,6 +110,9 @@
         m_log->tick(now);
         followLeadership(now);
     }
+    if (hasQuorum(now)) {
+        m_orders.tick(now);
+    }
     for (const v1::CellAssignment &assignment : m_leadership.tick(now)) {
         v1::Command command;
         // The same decision has the same id, so that a repeat while the first is on its way changes nothing.
@@ -299,124 +220,6 @@
     }
 }
 
-bool ControlTask::hasQuorum(TimePoint now) const
-{
-    return m_log && m_log->hasReadableState(now);
-}
-
-void ControlTask::propose(v1::Command command, const std::function<void(const Result<v1::ProposeReply> &)> &answer)
-{
-    command.set_at_ms(EventLoop::wallNow().value);
-    const std::optional<raft::Index> index = m_log ? m_log->propose(command.SerializeAsString(), EventLoop::now()) : std::nullopt;
-    if (!index) {
-        answer(Error{ErrorKind::Unavailable, "this VM doesn't lead the control replicas: send the command again"});
-        return;
-    }
-    m_pending.add(*index, m_log->term(), answer);
-}
-
-void ControlTask::proposeHere(const VmName &from, const v1::ProposeRequest &request)
-{
-    const TimePoint now = EventLoop::now();
-    const std::uint64_t call = request.call();
-    if (!m_leadership.leads() || !hasQuorum(now)) {
-        v1::ProposeReply hint;
-        hint.set_leader(m_search.leader() == from || m_search.leader() == m_options.vm ? "" : m_search.leader().value);
-        sendReply(from, call, std::move(hint));
-        return;
-    }
-    if (request.has_question()) {
-        if (std::optional<v1::LeaderAnswer> answer = answerHere(request.question(), now)) {
-            v1::ProposeReply reply;
-            *reply.mutable_answer() = std::move(*answer);
-            sendReply(from, call, std::move(reply));
-        }
-        return;
-    }
-    v1::Command command;
-    if (!command.ParseFromString(request.command())) {
-        return;
-    }
-    const bool wait = command.apply().wait();
-    propose(std::move(command), [this, from, call, wait](const Result<v1::ProposeReply> &result) {
-        // Nothing is sent on a failure: whether the command is in the log is unknown, and the resend finds out.
-        if (!ok(result)) {
-            return;
-        }
-        if (wait && valueOf(result).reply().outcome() == v1::CommandReply::ACCEPTED) {
-            replyWhenInForce(from, call, valueOf(result));
-            return;
-        }
-        sendReply(from, call, valueOf(result));
-    });
-}
-
-void ControlTask::replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply)
-{
-    const auto inForce = [this, from, call, reply](const std::vector<std::string> &lapsed) {
-        v1::ProposeReply waited = reply;
-        waited.mutable_reply()->mutable_lapsed_vms()->Assign(lapsed.begin(), lapsed.end());
-        sendReply(from, call, std::move(waited));
-    };
-    m_leadership.waitUntilInForce(inForce, EventLoop::now());
-}
-
-void ControlTask::sendReply(const VmName &to, std::uint64_t call, v1::ProposeReply reply)
-{
-    v1::Envelope envelope;
-    reply.set_call(call);
-    *envelope.mutable_propose_reply() = std::move(reply);
-    m_options.send(to, std::move(envelope));
-}
-
-std::optional<v1::LeaderAnswer> ControlTask::answerHere(const v1::LeaderQuestion &question, TimePoint now) const
-{
-    v1::LeaderAnswer answer;
-    switch (question.question_case()) {
-    case v1::LeaderQuestion::kHistory:
-        answer.mutable_history();
-        for (const v1::HistoryEntry &entry : m_state.historyAfter(Revision{question.history().after_revision()})) {
-            *answer.mutable_history()->add_entries() = entry;
-        }
-        return answer;
-    case v1::LeaderQuestion::kMembers: {
-        const v1::Membership replicas = m_log->membership();
-        *answer.mutable_members() = m_leadership.members(now);
-        for (v1::Member &member : *answer.mutable_members()->mutable_members()) {
-            member.set_learner(std::ranges::find(replicas.learners(), member.vm()) != replicas.learners().end());
-            member.set_replica(std::ranges::find(replicas.voters(), member.vm()) != replicas.voters().end());
-        }
-        return answer;
-    }
-    case v1::LeaderQuestion::kSaveSnapshot:
-        answer.mutable_save_snapshot()->set_revision(m_state.declarations().revision().value);
-        answer.mutable_save_snapshot()->set_snapshot(m_state.snapshot());
-        return answer;
-    case v1::LeaderQuestion::kChangeMembers:
-        answer.mutable_change_members()->set_outcome(v1::CommandReply::INVALID);
-        answer.mutable_change_members()->set_message(
-            "replicas are not changed by hand: one that is silent for replace_replica_after_ms is replaced by a VM with a data_folder");
-        return answer;
-    case v1::LeaderQuestion::QUESTION_NOT_SET:
-        break;
-    }
-    return {};
-}
-
-void ControlTask::takeBeat(const VmName &from, const v1::ConfigHeartbeat &beat)
-{
-    if (m_leadership.leads()) {
-        m_leadership.heartbeat(from, beat, EventLoop::now());
-        return;
-    }
-    v1::Envelope hint;
-    hint.mutable_config_lease()->set_beat(beat.beat());
-    if (m_search.leader() != from && m_search.leader() != m_options.vm) {
-        hint.mutable_config_lease()->set_leader(m_search.leader().value);
-    }
-    m_options.send(from, std::move(hint));
-}
-
 void ControlTask::beat(TimePoint now)
 {
     m_nextBeat = now + BeatInterval;
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -5,6 +5,7 @@
 #include "control/follower.h"
 #include "control/forwarder.h"
 #include "control/leadership.h"
+#include "control/orderrunner.h"
 #include "control/pendingproposals.h"
 #include "control/statemachine.h"
 #include "control/watchers.h"
@@ -162,6 +163,8 @@
     Timer m_flush;
     PendingProposals m_pending;
     Leadership m_leadership;
+    raft::Term m_ledTerm = 0;
+    OrderRunner m_orders;
     LeaderSearch m_search;
     Forwarder m_forwarder;
     Follower m_follower;
--- a/src/control/orderrunner.cpp
+++ b/src/control/orderrunner.cpp
@@ -48,14 +48,14 @@
 
 }
 
-std::optional<UpstreamState> parseUpstreamState(const std::string &json)
+std::optional<LoadedState> parseLoadedState(const std::string &json)
 {
     const auto parsed = nlohmann::json::parse(json, nullptr, false);
     if (!parsed.is_object() || !parsed.contains("version") || !parsed["version"].is_string()) {
         return {};
     }
     const bool loading = parsed.contains("loading") && parsed["loading"].is_boolean() && parsed["loading"].get<bool>();
-    return UpstreamState{.argument = parsed["version"].get<std::string>(), .loading = loading};
+    return LoadedState{.argument = parsed["version"].get<std::string>(), .loading = loading};
 }
 
 OrderRunner::OrderRunner(EventLoop &loop, OrderOptions options, std::uint64_t seed)
@@ -142,7 +142,7 @@
         }
         return;
     }
-    const std::optional<UpstreamState> state = good ? parseUpstreamState(call.body) : std::nullopt;
+    const std::optional<LoadedState> state = good ? parseLoadedState(call.body) : std::nullopt;
     if (state) {
         m_book.state(upstream, *state, now);
     } else {
--- a/src/control/orderrunner.h
+++ b/src/control/orderrunner.h
@@ -49,6 +49,6 @@
 };
 
 /// What GET /load says: {"version": …, "loading": …}. Nothing, when it names no version: such an upstream is given no orders.
-std::optional<UpstreamState> parseUpstreamState(const std::string &json);
+std::optional<LoadedState> parseLoadedState(const std::string &json);
 
 }
--- a/src/control/orders.cpp
+++ b/src/control/orders.cpp
@@ -105,7 +105,7 @@
     return steps;
 }
 
-void OrderBook::state(const UpstreamName &upstream, const UpstreamState &state, TimePoint now)
+void OrderBook::state(const UpstreamName &upstream, const LoadedState &state, TimePoint now)
 {
     const auto found = m_entries.find(upstream);
     if (found == m_entries.end() || found->second.phase == Phase::Waiting || found->second.phase == Phase::Sending) {
--- a/src/control/orders.h
+++ b/src/control/orders.h
@@ -51,7 +51,7 @@
 };
 
 /// What an upstream says of itself.
-struct UpstreamState
+struct LoadedState
 {
     /// What it has loaded, or its role, by the kind of the order that is wanted.
     std::string argument;
@@ -99,7 +99,7 @@
     /// lease has ended.
     std::vector<OrderStep> due(TimePoint now);
     /// The upstream's answer to Ask.
-    void state(const UpstreamName &upstream, const UpstreamState &state, TimePoint now);
+    void state(const UpstreamName &upstream, const LoadedState &state, TimePoint now);
     /// The upstream took the order (Send).
     void sent(const UpstreamName &upstream, TimePoint now);
     /// No answer, or a failure: the order may have been taken or not.
--- a/tests/control/orderrunnertest.cpp
+++ b/tests/control/orderrunnertest.cpp
@@ -55,7 +55,7 @@
 
 bool serves(const FakeUpstreamProcess &upstream, const std::string &version)
 {
-    const auto state = parseUpstreamState(http(upstream.address(), "GET", "/load").body);
+    const auto state = parseLoadedState(http(upstream.address(), "GET", "/load").body);
     return state && state->argument == version;
 }
 
@@ -78,9 +78,9 @@
 
 TEST_CASE("an upstream that names no version is given no orders")
 {
-    CHECK_FALSE(parseUpstreamState("{}"));
-    CHECK_FALSE(parseUpstreamState("not JSON"));
-    CHECK_FALSE(parseUpstreamState(R"({"version":3})"));
-    CHECK(parseUpstreamState(R"({"version":"v1","loading":true})")->loading);
-    CHECK_FALSE(parseUpstreamState(R"({"version":"v1"})")->loading);
+    CHECK_FALSE(parseLoadedState("{}"));
+    CHECK_FALSE(parseLoadedState("not JSON"));
+    CHECK_FALSE(parseLoadedState(R"({"version":3})"));
+    CHECK(parseLoadedState(R"({"version":"v1","loading":true})")->loading);
+    CHECK_FALSE(parseLoadedState(R"({"version":"v1"})")->loading);
 }
--- a/tests/control/orderstest.cpp
+++ b/tests/control/orderstest.cpp
@@ -145,7 +145,7 @@
         Engine &engine = m_engines[step.order.upstream];
         if (step.action == OrderStep::Action::Ask) {
             if (!answerLost && current()) {
-                book->state(step.order.upstream, UpstreamState{.argument = engine.loaded, .loading = engine.loading.has_value()}, m_now);
+                book->state(step.order.upstream, LoadedState{.argument = engine.loaded, .loading = engine.loading.has_value()}, m_now);
             }
             return;
         }
