--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -7,8 +7,11 @@
 #include "entry/admission.h"
 #include "entry/dispatcher.h"
 #include "entry/frontdoor.h"
+#include "entry/historylog.h"
 #include "entry/keyedrequests.h"
+#include "entry/organisationlimits.h"
 #include "entry/requeststore.h"
+#include "entry/servicerate.h"
 #include "report/outcometally.h"
 #include "upstream/streamcanceller.h"
 
@@ -45,6 +48,8 @@
     /// Proposes a command to the control replicas, through the control task.
     std::function<void(Proposal)> propose;
     PeerSender send;
+    /// For tests: see HistoryLog. Empty: none.
+    std::string historyFile;
 };
 
 /// Owns the callers' connections and every request's life from its arrival to the last byte of its answer.
@@ -81,6 +86,9 @@
     void sweep();
     void tellSoon(TimePoint now);
     void tellSchedulers();
+    bool refusedForRoom(const CallerRequest &request, Exchange &exchange, TimePoint now);
+    void refuseAtArrival(const CallerRequest &request, Exchange &exchange, const Error &error, std::chrono::seconds retryAfter);
+    std::chrono::seconds retryAfter(const ServiceName &service, TimePoint now);
     void enqueue(const RequestId &id);
     void answerKeyed(const RequestId &id, const KeyedResult &result);
     void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
@@ -107,6 +115,9 @@
     Dispatcher m_dispatcher;
     RunCounters m_runCounters;
     StreamCanceller m_canceller;
+    HistoryLog m_history;
+    OrganisationLimits m_limits;
+    std::map<ServiceName, ServiceRate> m_rates;
     RequestStore m_requests;
     KeyedRequests m_keyed;
     Timer m_keyedSweep;
