--- a/src/bench/benchcommand.cpp
+++ b/src/bench/benchcommand.cpp
@@ -19,9 +19,19 @@
 constexpr int Failed = 1;
 constexpr int WrongUsage = 2;
 constexpr std::uint64_t MaxSeeds = 100'000;
-/// The fixed set behind the signature.
-constexpr std::uint64_t SignatureSeeds = 3;
+/// The fixed set behind the signature, one seed of each: a scenario that is added later leaves it as it is.
+constexpr std::uint64_t SignatureSeed = 1;
 constexpr std::array SignaturePolicies{"baseline", "oracle", "cumindyke"};
+constexpr std::array SignatureScenarios{"amman-cache-gaps",
+                                        "amman-lost-engine",
+                                        "amman-overload-faults",
+                                        "amman-stale-load",
+                                        "lagos-burst",
+                                        "lagos-entry-loss",
+                                        "lagos-overload-faults",
+                                        "lagos-scheduler-loss",
+                                        "lagos-slow-engine",
+                                        "lagos-steady"};
 
 struct Options
 {
@@ -121,26 +131,18 @@
     return 0;
 }
 
-/// One number over every shipped scenario, some seeds, and the policies that drive shipped decisions.
+/// One number over the fixed set.
 int printSignature(const Options &options, std::ostream &out, std::ostream &err)
 {
-    const auto names = listScenarios(options.folder);
-    if (!ok(names)) {
-        err << "cumindyke-bench: " << errorOf(names).message << "\n";
-        return Failed;
-    }
-    const std::vector<std::string> known = policyNames();
     std::string text;
-    for (const std::string &name : valueOf(names)) {
+    for (const char *name : SignatureScenarios) {
         const Result<Scenario> scenario = readScenario(options.folder + "/" + name + ".toml");
         if (!ok(scenario)) {
             err << "cumindyke-bench: " << errorOf(scenario).message << "\n";
             return Failed;
         }
         for (const char *policy : SignaturePolicies) {
-            if (std::ranges::find(known, policy) != known.end()) {
-                text += name + " " + policy + " " + std::to_string(runSeeds(valueOf(scenario), policy, 1, SignatureSeeds).signature) + "\n";
-            }
+            text += std::string(name) + " " + policy + " " + std::to_string(runOnce(valueOf(scenario), policy, SignatureSeed).signature) + "\n";
         }
     }
     out << checksum(text) << "\n";
--- a/tests/bench/histogramtest.cpp
+++ b/tests/bench/benchcommandtest.cpp
@@ -1,5 +1,5 @@
-#include "bench/histogram.h"
 #include "bench/benchcommand.h"
+#include "bench/histogram.h"
 #include "bench/loadrun.h"
 
 #include <catch2/catch.hpp>
@@ -79,3 +79,9 @@
     CHECK_THAT(runTool({"run", "no-such-scenario"}, 1), Catch::Contains("no-such-scenario"));
     CHECK_THAT(runTool({"load", "127.0.0.1:80"}, 2), Catch::Contains("http://HOST:PORT/PATH"));
 }
+
+TEST_CASE("the signature is the recorded one")
+{
+    // It changes exactly when a decision changes. Then the new number goes here and into the commit, with the figures that justify it.
+    CHECK(runTool({"signature"}) == "17992148674867586486\n");
+}
