--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -108,6 +108,7 @@
                                      .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
                                      .historyFile = settings.historyFile,
+                                     .platformList = settings.platformList,
                                  },
                                  m_metrics);
     if (!ok(entry)) {
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -62,6 +62,7 @@
     settings.httpAddress = readAddress(root, "http_address", settings.httpAddress);
     settings.rpcAddress = readAddress(root, "rpc_address", settings.rpcAddress);
     settings.dataFolder = root.text("data_folder", settings.dataFolder);
+    settings.platformList = root.text("platform_list", "");
     settings.historyFile = root.text("history_file", "");
     if (root.has("drain_limit_ms")) {
         settings.drainLimit = std::chrono::milliseconds(root.integer("drain_limit_ms", 0, 0, MaxDrainMs));
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -38,6 +38,8 @@
     std::chrono::milliseconds keepAdmitting{0};
     /// How long a graceful shutdown may last; none is no limit.
     std::optional<std::chrono::milliseconds> drainLimit;
+    /// File or "http://HOST:PORT/PATH" of the platform's list of live and leaving VMs. Empty: none.
+    std::string platformList;
     /// For tests: what happened to each request, a JSON object a line. Empty: none.
     std::string historyFile;
 };
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -3,6 +3,7 @@
 #include "cell/convert.h"
 #include "common/log.h"
 #include "entry/headers.h"
+#include "entry/outcomes.h"
 #include "entry/pages.h"
 
 namespace cumindyke
@@ -20,60 +21,6 @@
 /// Dispatches that were proved not to have run before the request is given up.
 constexpr int MaxFailedDispatches = 3;
 
-RequestEnd endOf(RunOutcome outcome)
-{
-    switch (outcome) {
-    case RunOutcome::NotRun:
-        return RequestEnd::Refused;
-    case RunOutcome::Unknown:
-        return RequestEnd::Unknown;
-    case RunOutcome::Ran:
-        return RequestEnd::Failed;
-    }
-    return RequestEnd::Unknown;
-}
-
-v1::ClaimEnd::End claimEndOf(RequestEnd end)
-{
-    switch (end) {
-    case RequestEnd::OnTime:
-    case RequestEnd::Late:
-        return v1::ClaimEnd::ANSWERED;
-    case RequestEnd::Refused:
-        return v1::ClaimEnd::NOT_RUN;
-    case RequestEnd::Failed:
-    case RequestEnd::Unknown:
-        break;
-    }
-    return v1::ClaimEnd::OUTCOME_LOST;
-}
-
-/// Of the body, which stands in the request and in the exchange.
-std::size_t heldBytes(const CallerRequest &request)
-{
-    return 2 * request.body.size();
-}
-
-TokenCount workOf(const CallerRequest &request)
-{
-    return TokenCount{request.promptTokens.value + request.answerTokens.value};
-}
-
-/// An earlier sending under the same key may have run elsewhere: a VM that can't look must not say "not run".
-RunOutcome outcomeOfRefusal(const Exchange &exchange, const Error &error)
-{
-    const bool refusedUnseen = error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::Overloaded;
-    return refusedUnseen && !exchange.header(headers::IdempotencyKey).empty() ? RunOutcome::Unknown : RunOutcome::NotRun;
-}
-
-Error lostAnswer(const RequestLife &life)
-{
-    if (life.outcomeIfGivenUp() == RunOutcome::Ran) {
-        return Error{ErrorKind::UpstreamFailed, "the upstream ran the request in part and the rest of its answer is lost: send it again if it may run twice"};
-    }
-    return Error{ErrorKind::OutcomeUnknown, "the connection to the upstream was lost before the answer was whole: check before you send it again"};
-}
-
 }
 
 Result<std::unique_ptr<EntryTask>> EntryTask::open(EntryOptions options, Metrics &metrics)
@@ -114,6 +61,10 @@
         finishDrainIfIdle();
     })
 {
+    if (!m_options.platformList.empty()) {
+        m_platformList = std::make_unique<PlatformList>(m_loop, m_options.platformList);
+        m_platformList->changed().connect(sigc::mem_fun(*this, &EntryTask::platformListed));
+    }
     m_keyed.claimed().connect(sigc::mem_fun(*this, &EntryTask::enqueue));
     m_keyed.answered().connect(sigc::mem_fun(*this, &EntryTask::answerKeyed));
     m_keyed.refused().connect(sigc::mem_fun(*this, &EntryTask::giveUpAs));
@@ -162,6 +113,9 @@
     }
     m_admission.setConfiguration(std::move(configuration));
     m_dispatcher.setDeclarations(m_admission.configuration().declarations, EventLoop::now());
+    if (m_platformList) {
+        platformListed(m_platformList->leaving());
+    }
 }
 
 void EntryTask::handle(DrainRequest &&drain)
@@ -257,6 +211,11 @@
     m_keyed.begin(active.request, declarations.service(active.request.service)->keepAnswers, now);
 }
 
+void EntryTask::platformListed(const LeavingVms &leaving)
+{
+    m_dispatcher.setLeaving(leavingUpstreams(leaving, *m_admission.configuration().declarations), EventLoop::now());
+}
+
 bool EntryTask::refusedForRoom(const CallerRequest &request, Exchange &exchange, TimePoint now)
 {
     const Organisation &organisation = *m_admission.configuration().declarations->organisation(request.organisation);
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -13,6 +13,7 @@
 #include "entry/requeststore.h"
 #include "entry/servicerate.h"
 #include "report/outcometally.h"
+#include "upstream/platformlist.h"
 #include "upstream/streamcanceller.h"
 
 #include <functional>
@@ -50,6 +51,8 @@
     PeerSender send;
     /// For tests: see HistoryLog. Empty: none.
     std::string historyFile;
+    /// File or "http://HOST:PORT/PATH" of the platform's list of VMs: see PlatformList. Empty: none.
+    std::string platformList;
 };
 
 /// Owns the callers' connections and every request's life from its arrival to the last byte of its answer.
@@ -89,6 +92,7 @@
     bool refusedForRoom(const CallerRequest &request, Exchange &exchange, TimePoint now);
     void refuseAtArrival(const CallerRequest &request, Exchange &exchange, const Error &error, std::chrono::seconds retryAfter);
     std::chrono::seconds retryAfter(const ServiceName &service, TimePoint now);
+    void platformListed(const LeavingVms &leaving);
     void enqueue(const RequestId &id);
     void answerKeyed(const RequestId &id, const KeyedResult &result);
     void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
@@ -121,6 +125,7 @@
     RequestStore m_requests;
     KeyedRequests m_keyed;
     Timer m_keyedSweep;
+    std::unique_ptr<PlatformList> m_platformList;
     OutcomeTally m_tally;
     std::function<void()> m_drained;
     std::thread m_thread;
--- /dev/null
+++ b/src/upstream/platformlist.cpp
@@ -0,0 +1,136 @@
+#include "upstream/platformlist.h"
+
+#include "common/address.h"
+#include "common/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+constexpr Duration PollInterval = std::chrono::milliseconds(500);
+constexpr std::string_view HttpPrefix = "http://";
+constexpr std::size_t MaxListBytes = 4U << 20;
+constexpr ProgressTimeouts FetchTimeouts{.connect = std::chrono::seconds(1), .firstByte = std::chrono::seconds(1), .betweenBytes = std::chrono::seconds(1)};
+
+}
+
+Result<LeavingVms> parsePlatformList(const std::string &json)
+{
+    const nlohmann::json list = nlohmann::json::parse(json, nullptr, false);
+    if (!list.is_object() || !list.contains("vms") || !list["vms"].is_array()) {
+        return Error{ErrorKind::Invalid, R"(the platform's list is no JSON object with "vms": check the setting platform_list)"};
+    }
+    LeavingVms leaving;
+    for (const nlohmann::json &vm : list["vms"]) {
+        const bool hasFields = vm.is_object() && vm.contains("address") && vm["address"].is_string() && vm.contains("state") && vm["state"].is_string();
+        if (!hasFields) {
+            return Error{ErrorKind::Invalid, R"(a VM in the platform's list has no "address" or "state": check what writes the list)"};
+        }
+        if (vm["state"] == "leaving") {
+            leaving.insert(vm["address"].get<std::string>());
+        }
+    }
+    return leaving;
+}
+
+std::set<UpstreamName> leavingUpstreams(const LeavingVms &leaving, const Declarations &declarations)
+{
+    std::set<UpstreamName> names;
+    if (leaving.empty()) {
+        return names;
+    }
+    for (const auto &[name, upstream] : declarations.upstreams()) {
+        if (leaving.contains(upstream.address.host) || leaving.contains(toString(upstream.address))) {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
+PlatformList::PlatformList(EventLoop &loop, const std::string &source)
+    : m_loop(loop)
+    , m_source(source)
+    , m_poll(loop, [this] { read(); })
+{
+    m_poll.startEvery(PollInterval);
+}
+
+void PlatformList::read()
+{
+    if (m_source.starts_with(HttpPrefix)) {
+        fetch();
+        return;
+    }
+    std::ifstream file(m_source);
+    std::stringstream content;
+    content << file.rdbuf();
+    take(content.str());
+}
+
+void PlatformList::fetch()
+{
+    if (m_call) {
+        return;
+    }
+    const std::string rest = m_source.substr(HttpPrefix.size());
+    const std::size_t slash = rest.find('/');
+    const Result<Address> address = parseAddress(rest.substr(0, slash));
+    if (!ok(address)) {
+        noteReadable(false);
+        return;
+    }
+    m_body.clear();
+    m_call = std::make_unique<UpstreamCall>(m_loop,
+                                            UpstreamRequest{
+                                                .id = {},
+                                                .address = valueOf(address),
+                                                .method = "GET",
+                                                .target = slash == std::string::npos ? "/" : rest.substr(slash),
+                                                .headers = {},
+                                                .body = {},
+                                            },
+                                            FetchTimeouts);
+    m_call->data().connect([this](std::string_view bytes) { m_body += bytes.substr(0, MaxListBytes - std::min(MaxListBytes, m_body.size())); });
+    m_call->finished().connect([this] {
+        m_call.reset();
+        take(m_body);
+    });
+    m_call->failed().connect([this](CallFailure) {
+        m_call.reset();
+        noteReadable(false);
+    });
+    m_call->start();
+}
+
+void PlatformList::take(const std::string &json)
+{
+    Result<LeavingVms> list = parsePlatformList(json);
+    noteReadable(ok(list));
+    if (!ok(list) || valueOf(list) == m_leaving) {
+        return;
+    }
+    m_leaving = std::move(valueOf(list));
+    logChange("upstream", "leaving-vms", {{"count", std::to_string(m_leaving.size())}});
+    m_changed.emit(m_leaving);
+}
+
+void PlatformList::noteReadable(bool readable)
+{
+    if (std::exchange(m_readable, readable) == readable) {
+        return;
+    }
+    if (readable) {
+        logChange("upstream", "platform-list-readable");
+    } else {
+        logWarning("upstream", "platform-list-unreadable", {{"source", m_source}});
+    }
+}
+
+}
