--- a/src/control/orders.h
+++ b/src/control/orders.h
@@ -42,12 +42,16 @@
     Duration reportLag = std::chrono::seconds(5);
     /// The longest that a load may take before it is tried again.
     Duration longestLoad = std::chrono::minutes(10);
+    /// Upstreams that are asked at the same time.
+    std::size_t asksAtOnce = 64;
+    /// How often an upstream that has what it should is asked again: it may have restarted with something else.
+    Duration reviewInterval = std::chrono::minutes(5);
     Duration firstBackoff = std::chrono::seconds(1);
     Duration longestBackoff = std::chrono::seconds(60);
 };
 
 /// What an upstream says of itself.
-struct UpstreamState
+struct LoadedState
 {
     /// What it has loaded, or its role, by the kind of the order that is wanted.
     std::string argument;
@@ -95,7 +99,7 @@
     /// lease has ended.
     std::vector<OrderStep> due(TimePoint now);
     /// The upstream's answer to Ask.
-    void state(const UpstreamName &upstream, const UpstreamState &state, TimePoint now);
+    void state(const UpstreamName &upstream, const LoadedState &state, TimePoint now);
     /// The upstream took the order (Send).
     void sent(const UpstreamName &upstream, TimePoint now);
     /// No answer, or a failure: the order may have been taken or not.
@@ -114,7 +118,7 @@
         Ready, ///< asked, and neither loaded nor loading: may be sent when the weight store allows
         Sending,
         Loading, ///< the upstream has the order; asked again until it is done
-        Done,
+        Done, ///< asked again now and then
     };
     struct Entry
     {
