Version moves in the log: the Move aggregate, its commands and its rules

A move is open while ramping or soaking and closed for good once done, taken back or aborted: a verdict decided before an abort and applied after it changes nothing. While a move is open, declarations keep the service, its version and at least one upstream of each of the two versions. A move that is done makes its version the declared one as a revision of its own, with the move as author, so history shows it and an apply against the older revision gets a conflict.

Weighed: leaving the declared version to the operator after 'done' (then a restart between the two would send the traffic back), and letting apply change the version during a move (two authorities on one fact).

--- a/src/control/statemachine.cpp
+++ b/src/control/statemachine.cpp
@@ -1,6 +1,7 @@
 #include "control/statemachine.h"
 
 #include "control/convert.h"
+#include "control/movecommands.h"
 
 namespace cumindyke
 {
@@ -34,10 +35,13 @@
         *reply.mutable_reply() = applyChanges(command, command.apply());
         break;
     case v1::Command::kStartMove:
-        *reply.mutable_reply() = startMove(command, command.start_move());
+        *reply.mutable_reply() = startMove(m_moves, m_declarations, command.start_move(), WallTime{command.at_ms()});
         break;
     case v1::Command::kAbortMove:
-        *reply.mutable_reply() = abortMove(command, command.abort_move());
+        *reply.mutable_reply() = abortMove(m_moves, m_declarations, command.abort_move(), WallTime{command.at_ms()});
+        break;
+    case v1::Command::kMoveVerdict:
+        *reply.mutable_reply() = decideMove(command);
         break;
     default:
         *reply.mutable_reply() = invalid(m_declarations.revision(), "the command is not known to this version: upgrade this VM");
@@ -72,30 +76,40 @@
     if (!ok(next)) {
         return invalid(m_declarations.revision(), errorOf(next).message);
     }
-    m_declarations = valueOf(next);
+    if (const std::optional<Error> broken = brokenMoveRule(m_moves, valueOf(next))) {
+        return invalid(m_declarations.revision(), broken->message);
+    }
+    acceptChanges(command, request.author(), changes, valueOf(next));
+    reply.set_outcome(v1::CommandReply::ACCEPTED);
+    reply.set_revision(m_declarations.revision().value);
+    return reply;
+}
+
+void StateMachine::acceptChanges(const v1::Command &command, const std::string &author, const std::vector<Change> &changes, const Declarations &next)
+{
+    m_declarations = next;
     v1::HistoryEntry entry;
     entry.set_revision(m_declarations.revision().value);
     entry.set_command_id(command.command_id());
-    entry.set_author(request.author());
+    entry.set_author(author);
     entry.set_at_ms(command.at_ms());
-    *entry.mutable_changes() = request.changes();
+    for (const Change &change : changes) {
+        *entry.add_changes() = toWire(change);
+    }
     m_history.push_back(entry);
     if (m_history.size() > MaxHistory) {
         m_history.pop_front();
     }
-    reply.set_outcome(v1::CommandReply::ACCEPTED);
-    reply.set_revision(m_declarations.revision().value);
-    return reply;
 }
 
-v1::CommandReply StateMachine::startMove(const v1::Command & /*command*/, const v1::StartMoveRequest & /*request*/)
+v1::CommandReply StateMachine::decideMove(const v1::Command &command)
 {
-    return invalid(m_declarations.revision(), "moves are not served by this version: upgrade this VM");
-}
-
-v1::CommandReply StateMachine::abortMove(const v1::Command & /*command*/, const v1::AbortMoveRequest & /*request*/)
-{
-    return invalid(m_declarations.revision(), "moves are not served by this version: upgrade this VM");
+    const AppliedVerdict applied = applyVerdict(m_moves, m_declarations, command.move_verdict(), WallTime{command.at_ms()});
+    if (applied.declared) {
+        const std::vector<Change> changes{*applied.declared};
+        acceptChanges(command, "move " + command.move_verdict().move(), changes, valueOf(m_declarations.apply(changes)));
+    }
+    return applied.reply;
 }
 
 void StateMachine::remember(const std::string &commandId, const v1::ProposeReply &reply)
--- a/src/control/statemachine.h
+++ b/src/control/statemachine.h
@@ -37,8 +37,9 @@
 
 private:
     v1::CommandReply applyChanges(const v1::Command &command, const v1::ApplyRequest &request);
-    v1::CommandReply startMove(const v1::Command &command, const v1::StartMoveRequest &request);
-    v1::CommandReply abortMove(const v1::Command &command, const v1::AbortMoveRequest &request);
+    /// Takes checked changes into force and into the history.
+    void acceptChanges(const v1::Command &command, const std::string &author, const std::vector<Change> &changes, const Declarations &next);
+    v1::CommandReply decideMove(const v1::Command &command);
     void remember(const std::string &commandId, const v1::ProposeReply &reply);
 
     Declarations m_declarations;
--- /dev/null
+++ b/src/domain/move.cpp
@@ -0,0 +1,140 @@
+#include "domain/move.h"
+
+#include <algorithm>
+
+namespace cumindyke
+{
+
+const char *toString(MoveState state)
+{
+    switch (state) {
+    case MoveState::Ramping:
+        return "ramping";
+    case MoveState::Soaking:
+        return "soaking";
+    case MoveState::Done:
+        return "done";
+    case MoveState::TakenBack:
+        return "taken back";
+    case MoveState::Aborted:
+        return "aborted";
+    }
+    return "unknown";
+}
+
+namespace
+{
+
+bool mayFollow(MoveState state, MoveState next)
+{
+    switch (next) {
+    case MoveState::Ramping:
+        return state == MoveState::Ramping;
+    case MoveState::Soaking:
+        return state == MoveState::Ramping || state == MoveState::Soaking;
+    case MoveState::Done:
+        return state == MoveState::Soaking;
+    case MoveState::TakenBack:
+    case MoveState::Aborted:
+        return state == MoveState::Ramping || state == MoveState::Soaking;
+    }
+    return false;
+}
+
+}
+
+Result<Move> Move::start(const Declarations &declarations, const ServiceName &service, const VersionName &to, WallTime deadline, WallTime now)
+{
+    const Service *declared = declarations.service(service);
+    if (!declared) {
+        return Error{ErrorKind::NotFound, "no service '" + service.value + "': declare it first"};
+    }
+    if (declared->version == to) {
+        return Error{ErrorKind::Invalid, "service '" + service.value + "' is on version '" + to.value + "' already: name another version"};
+    }
+    if (upstreamCount(declarations, service, to) == 0) {
+        return Error{ErrorKind::NotFound,
+                     "service '" + service.value + "' has no upstream of version '" + to.value + "': declare at least one, then start the move"};
+    }
+    if (deadline <= now) {
+        return Error{ErrorKind::Invalid, "the move's deadline has passed: give a later one"};
+    }
+    return Move{
+        .name = MoveName{service.value + "-" + to.value + "-" + std::to_string(now.value)},
+        .service = service,
+        .from = declared->version,
+        .to = to,
+        .started = now,
+        .deadline = deadline,
+        .state = MoveState::Ramping,
+        .share = Permille{0},
+        .reason = "started",
+        .stateSince = now,
+    };
+}
+
+Result<cumindyke::Done> Move::decide(MoveState next, Permille newShare, std::string newReason, WallTime now)
+{
+    if (!mayFollow(state, next)) {
+        return Error{ErrorKind::Invalid, "move '" + name.value + "' is " + toString(state) + " and can't become " + toString(next) + ": start a new move"};
+    }
+    if (newShare > WholeShare) {
+        return Error{ErrorKind::Invalid, "a share over 1000 thousandths: give 0 to 1000"};
+    }
+    if (next != state) {
+        stateSince = now;
+    }
+    state = next;
+    const bool goesBack = next == MoveState::TakenBack || next == MoveState::Aborted;
+    share = goesBack ? Permille{0} : next == MoveState::Done ? WholeShare : newShare;
+    reason = std::move(newReason);
+    return cumindyke::Done{};
+}
+
+Result<cumindyke::Done> Move::abort(const std::string &author, WallTime now)
+{
+    return decide(MoveState::Aborted, Permille{0}, author.empty() ? "aborted by an operator" : "aborted by " + author, now);
+}
+
+std::optional<Error> brokenMoveRule(const Move &move, const Declarations &declarations)
+{
+    if (!move.isOpen()) {
+        return {};
+    }
+    const std::string remedy = ": abort the move '" + move.name.value + "' or wait for its end";
+    const Service *service = declarations.service(move.service);
+    if (!service) {
+        return Error{ErrorKind::Invalid, "service '" + move.service.value + "' can't be removed during a move" + remedy};
+    }
+    if (service->version != move.from) {
+        return Error{ErrorKind::Invalid, "the version of service '" + move.service.value + "' can't be changed during a move" + remedy};
+    }
+    for (const VersionName &version : {move.from, move.to}) {
+        if (upstreamCount(declarations, move.service, version) == 0) {
+            return Error{ErrorKind::Invalid, "the last upstream of version '" + version.value + "' can't be removed during a move" + remedy};
+        }
+    }
+    return {};
+}
+
+std::vector<UpstreamName> upstreamsInMove(const Declarations &declarations, const Move &move)
+{
+    std::vector<UpstreamName> all;
+    for (const auto &[name, upstream] : declarations.upstreams()) {
+        if (upstream.service == move.service && upstream.version == move.to) {
+            all.push_back(name);
+        }
+    }
+    // Rounded down: 10% of the requests on one of twelve upstreams loads it a fifth more than the others, never less.
+    const std::size_t wanted = std::max<std::size_t>(1, all.size() * move.share.value / WholeShare.value);
+    all.resize(std::min(all.size(), move.state == MoveState::Ramping ? wanted : all.size()));
+    return all;
+}
+
+std::size_t upstreamCount(const Declarations &declarations, const ServiceName &service, const VersionName &version)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(declarations.upstreams(), [&](const auto &entry) { return entry.second.service == service && entry.second.version == version; }));
+}
+
+}
