--- a/src/domain/move.cpp
+++ b/src/domain/move.cpp
@@ -117,17 +117,24 @@
     return {};
 }
 
-std::vector<UpstreamName> upstreamsInMove(const Declarations &declarations, const Move &move)
+std::vector<UpstreamName> upstreamsInMove(const Declarations &declarations, const Move &move, const VersionName &version)
 {
     std::vector<UpstreamName> all;
     for (const auto &[name, upstream] : declarations.upstreams()) {
-        if (upstream.service == move.service && upstream.version == move.to) {
+        if (upstream.service == move.service && upstream.version == version) {
             all.push_back(name);
         }
     }
-    // Rounded down: 10% of the requests on one of twelve upstreams loads it a fifth more than the others, never less.
-    const std::size_t wanted = std::max<std::size_t>(1, all.size() * move.share.value / WholeShare.value);
-    all.resize(std::min(all.size(), move.state == MoveState::Ramping ? wanted : all.size()));
+    const bool isNew = version == move.to;
+    const bool isFew = isNew ? move.state == MoveState::Ramping : move.state == MoveState::Soaking;
+    const std::size_t share = isNew ? move.share.value : WholeShare.value - move.share.value;
+    if (!isFew || share >= WholeShare.value) {
+        return all;
+    }
+    // As many as make each at least as full as the other version's upstreams are with the rest of the requests; rounded down.
+    const std::size_t others = upstreamCount(declarations, move.service, isNew ? move.from : move.to);
+    const std::size_t wanted = others * share / (WholeShare.value - share);
+    all.resize(std::clamp<std::size_t>(wanted, 1, std::max<std::size_t>(1, all.size())));
     return all;
 }
 
--- a/src/domain/move.h
+++ b/src/domain/move.h
@@ -64,9 +64,11 @@
 /// service, the service's declared version, and at least one upstream of each of the two versions.
 std::optional<Error> brokenMoveRule(const Move &move, const Declarations &declarations);
 
-/// The upstreams of the new version that take part at a share: few at full load each rather than all at a trickle, so that a fault that
-/// shows only under load shows while the share is small. In the order of their names, so every VM picks the same ones.
-std::vector<UpstreamName> upstreamsInMove(const Declarations &declarations, const Move &move);
+/// The upstreams of one of the two versions that take part at a share, in the order of their names, so every VM picks the same ones.
+/// The version with the small share (the new one while ramping, the old one while soaking) gets few upstreams at full load each rather
+/// than many at a trickle: a fault that shows only under load shows while the share is small, and the two versions can be compared at
+/// like loads. The old version's other upstreams stay warm; they may take what the ones in use have no room for.
+std::vector<UpstreamName> upstreamsInMove(const Declarations &declarations, const Move &move, const VersionName &version);
 
 /// How many upstreams a version of a service has.
 std::size_t upstreamCount(const Declarations &declarations, const ServiceName &service, const VersionName &version);
