--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -14,12 +14,14 @@
     if (const auto error = daemon->startControl(settings)) {
         return *error;
     }
-    if (const auto error = daemon->startEntry(settings)) {
+    if (const auto error = daemon->openEntry(settings)) {
         return *error;
     }
     if (const auto error = daemon->startRpc(settings)) {
         return *error;
     }
+    // Last, so that a VM that answers /healthz answers operators too.
+    daemon->m_entry->start();
     return daemon;
 }
 
@@ -48,6 +50,8 @@
         .dataFolder = settings.dataFolder,
         .replicas = settings.replicas,
         .peers = settings.peers,
+        .address = settings.rpcAddress,
+        .keepAdmitting = settings.keepAdmitting,
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     });
     if (!ok(control)) {
@@ -57,16 +61,16 @@
     return {};
 }
 
-std::optional<Error> Daemon::startEntry(const Settings &settings)
+std::optional<Error> Daemon::openEntry(const Settings &settings)
 {
-    auto entry = EntryTask::start(EntryOptions{
-                                      .vm = settings.vm,
-                                      .dataCentre = settings.dataCentre,
-                                      .address = settings.httpAddress,
-                                      .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
-                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
-                                  },
-                                  m_metrics);
+    auto entry = EntryTask::open(EntryOptions{
+                                     .vm = settings.vm,
+                                     .dataCentre = settings.dataCentre,
+                                     .address = settings.httpAddress,
+                                     .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
+                                     .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
+                                 },
+                                 m_metrics);
     if (!ok(entry)) {
         return errorOf(entry);
     }
@@ -112,6 +116,7 @@
 
 void Daemon::drain(std::function<void()> drained)
 {
+    m_control->post(DrainNotice{});
     m_entry->post(DrainRequest{std::move(drained)});
 }
 
