--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -125,6 +125,9 @@
         *command.mutable_assign_cell() = assignment;
         propose(std::move(command), [](const Result<v1::ProposeReply> &) {});
     }
+    if (now >= m_nextLook) {
+        decideMoves(now);
+    }
     if (now >= m_leaderHeard + LeaderSilence) {
         m_search.gaveNoAnswer(m_search.leader());
         m_leaderHeard = now;
@@ -216,11 +219,39 @@
     case v1::Envelope::kConfigUpdate:
         takeUpdate(message.envelope.config_update());
         break;
+    case v1::Envelope::kOutcomeReport:
+        takeOutcomes(message.from, message.envelope);
+        break;
     default:
         break;
     }
 }
 
+void ControlTask::decideMoves(TimePoint now)
+{
+    m_nextLook = now + std::chrono::milliseconds(LookIntervalMs);
+    if (!m_leadership.leads()) {
+        m_moveLeader.reset();
+        return;
+    }
+    for (const v1::MoveVerdict &verdict : m_moveLeader.advance(m_state, EventLoop::wallNow())) {
+        v1::Command command;
+        command.set_command_id(commandIdOf(verdict, m_state));
+        *command.mutable_move_verdict() = verdict;
+        propose(std::move(command), [](const Result<v1::ProposeReply> &) {});
+    }
+}
+
+/// The entry task hands its report to the control task of its own VM, which knows the leader.
+void ControlTask::takeOutcomes(const VmName &from, v1::Envelope &envelope)
+{
+    if (m_leadership.leads()) {
+        m_moveLeader.take(envelope.outcome_report());
+    } else if (from == m_options.vm && m_search.leader() != m_options.vm) {
+        m_options.send(m_search.leader(), std::move(envelope));
+    }
+}
+
 bool ControlTask::hasQuorum(TimePoint /*now*/) const
 {
     return m_journal != nullptr;
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -6,6 +6,7 @@
 #include "control/forwarder.h"
 #include "control/journal.h"
 #include "control/leadership.h"
+#include "control/moveleader.h"
 #include "control/statemachine.h"
 #include "control/watchers.h"
 #include "peer/peertransport.h"
@@ -133,6 +134,8 @@
     void takeBeat(const VmName &from, const v1::ConfigHeartbeat &beat);
 
     // The VM's side.
+    void decideMoves(TimePoint now);
+    void takeOutcomes(const VmName &from, v1::Envelope &envelope);
     void beat(TimePoint now);
     void sendDue(TimePoint now);
     void takeUpdate(const v1::ConfigUpdate &update);
@@ -148,6 +151,8 @@
     StateMachine m_state;
     std::unique_ptr<Journal> m_journal;
     Leadership m_leadership;
+    MoveLeader m_moveLeader;
+    TimePoint m_nextLook{};
     LeaderSearch m_search;
     Forwarder m_forwarder;
     Follower m_follower;
--- /dev/null
+++ b/src/control/moveleader.cpp
@@ -0,0 +1,65 @@
+#include "control/moveleader.h"
+
+#include "control/movecommands.h"
+#include "report/outcomereport.h"
+
+namespace cumindyke
+{
+
+namespace
+{
+
+v1::MoveVerdict toWire(const Move &move, const MoveDecision &decision)
+{
+    v1::MoveVerdict verdict;
+    verdict.set_move(move.name.value);
+    Move decided = move;
+    decided.state = decision.state;
+    verdict.set_state(cumindyke::toWire(decided).state());
+    verdict.set_share_permille(decision.share.value);
+    verdict.set_reason(decision.reason);
+    return verdict;
+}
+
+}
+
+void MoveLeader::take(const v1::OutcomeReport &report)
+{
+    m_collector.take(VmName{report.vm()}, report.incarnation(), report.sequence(), fromWire(report));
+}
+
+std::vector<v1::MoveVerdict> MoveLeader::advance(const StateMachine &state, WallTime now)
+{
+    m_growth = m_collector.takeGrowth();
+    std::erase_if(m_ramps, [&state](const auto &entry) { return !state.moves().contains(entry.first); });
+    std::vector<v1::MoveVerdict> verdicts;
+    for (const auto &[name, wire] : state.moves()) {
+        const Move move = fromWire(wire);
+        if (!move.isOpen()) {
+            m_ramps.erase(name);
+            continue;
+        }
+        auto ramp = m_ramps.find(name);
+        if (ramp == m_ramps.end()) {
+            ramp = m_ramps.emplace(name, MoveRamp(move, upstreamCount(state.declarations(), move.service, move.from), now)).first;
+        }
+        if (const auto decision = ramp->second.advance(move, lookAt(m_growth, move.service, move.from, move.to), now)) {
+            verdicts.push_back(toWire(move, *decision));
+        }
+    }
+    return verdicts;
+}
+
+void MoveLeader::reset()
+{
+    *this = MoveLeader();
+}
+
+std::string commandIdOf(const v1::MoveVerdict &verdict, const StateMachine &state)
+{
+    const auto move = state.moves().find(verdict.move());
+    const std::string from = move == state.moves().end() ? "" : std::to_string(move->second.state()) + "/" + std::to_string(move->second.share_permille());
+    return "move-verdict/" + verdict.move() + "/" + from + "/" + std::to_string(verdict.state()) + "/" + std::to_string(verdict.share_permille());
+}
+
+}
--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -19,6 +19,11 @@
     {
         return m_configuration;
     }
+    /// Differs at every start of the process.
+    const std::string &incarnation() const
+    {
+        return m_incarnation;
+    }
     void beginDrain()
     {
         m_draining = true;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -31,6 +31,9 @@
 void Dispatcher::refresh(TimePoint now)
 {
     std::set<UpstreamName> unusable = m_availability.unusable(now);
+    if (m_versions) {
+        unusable.insert(m_versions->restingUpstreams().begin(), m_versions->restingUpstreams().end());
+    }
     if (unusable != m_unusable) {
         m_unusable = std::move(unusable);
         rebuildUsable();
@@ -51,7 +54,7 @@
     m_usable = std::make_shared<const Declarations>(Declarations::restored(m_declarations->revision(), puts));
 }
 
-void Dispatcher::add(const CallerRequest &request)
+void Dispatcher::add(const CallerRequest &request, TimePoint now)
 {
     m_queues[request.service].add(PendingRequest{
         .id = request.id,
@@ -61,6 +64,7 @@
         .arrival = request.arrival,
         .deadline = request.deadline,
         .work = TokenCount{request.promptTokens.value + request.answerTokens.value},
+        .version = m_versions ? m_versions->choose(request, now) : VersionName{},
     });
 }
 
@@ -90,7 +94,7 @@
 {
     while (const PendingRequest *first = queue.first()) {
         const std::shared_ptr<const Declarations> declarations = m_usable;
-        const std::optional<Slot> slot = m_capacity.acquire(*first, *declarations, versionFor(service, *first), now);
+        const std::optional<Slot> slot = acquire(service, *first, *declarations, now);
         if (!slot) {
             return;
         }
@@ -107,9 +111,15 @@
     }
 }
 
-VersionName Dispatcher::versionFor(const Service &service, const PendingRequest & /*request*/) const
+/// A request that was meant for a move's new version and finds it full takes the old one: it must not wait for an experiment.
+std::optional<Slot> Dispatcher::acquire(const Service &service, const PendingRequest &request, const Declarations &declarations, TimePoint now)
 {
-    return service.version;
+    const VersionName version = m_versions ? m_versions->confirm(service, request.version, now) : service.version;
+    std::optional<Slot> slot = m_capacity.acquire(request, declarations, version, now);
+    if (!slot && version != service.version) {
+        slot = m_capacity.acquire(request, declarations, service.version, now);
+    }
+    return slot;
 }
 
 std::vector<RequestId> Dispatcher::takeExpired(TimePoint now)
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "domain/declarations.h"
 #include "entry/callerrequest.h"
+#include "entry/versiontraffic.h"
 #include "policy/leastoutstanding.h"
 #include "policy/pendingqueue.h"
 #include "upstream/availability.h"
@@ -22,8 +23,13 @@
     using Capacity = LeastOutstanding;
 
     void setDeclarations(std::shared_ptr<const Declarations> declarations, TimePoint now);
+    /// Where the version of each request comes from; lives as long as this.
+    void setVersions(const VersionTraffic *versions)
+    {
+        m_versions = versions;
+    }
     /// The request waits from now on; serve() may let it go.
-    void add(const CallerRequest &request);
+    void add(const CallerRequest &request, TimePoint now);
     /// False when the request was not waiting.
     bool remove(const CallerRequest &request);
     /// Lets go what there is capacity for.
@@ -51,7 +57,7 @@
 
 private:
     void serveQueue(const Service &service, PendingQueue &queue, TimePoint now);
-    VersionName versionFor(const Service &service, const PendingRequest &request) const;
+    std::optional<Slot> acquire(const Service &service, const PendingRequest &request, const Declarations &declarations, TimePoint now);
 
     void rebuildUsable();
 
@@ -59,6 +65,7 @@
     /// The declarations without the upstreams that get no new work now.
     std::shared_ptr<const Declarations> m_usable = m_declarations;
     std::set<UpstreamName> m_unusable;
+    const VersionTraffic *m_versions = nullptr;
     Availability m_availability;
     std::map<ServiceName, PendingQueue> m_queues;
     Capacity m_capacity;
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr Duration SweepInterval = std::chrono::milliseconds(10);
+/// Outcomes go to the leader this often.
+constexpr Duration ReportInterval = std::chrono::milliseconds(250);
 /// Dispatches that were proved not to have run before the request is given up.
 constexpr int MaxFailedDispatches = 3;
 
@@ -46,6 +48,7 @@
     task->m_door = std::move(valueOf(door));
     task->m_door->arrived().connect(sigc::mem_fun(*task, &EntryTask::arrived));
     task->m_sweep.startEvery(SweepInterval);
+    task->m_report.startEvery(ReportInterval);
     return task;
 }
 
@@ -59,11 +62,14 @@
     , m_metrics(metrics)
     , m_mailbox(m_loop, [this](EntryMessage &&message) { handle(std::move(message)); })
     , m_sweep(m_loop, [this] { expireWaiting(); })
+    , m_report(m_loop, [this] { reportOutcomes(); })
     , m_admission(m_options.vm)
+    , m_versions(m_options.vm, m_admission.incarnation(), metrics)
     , m_runCounters(metrics)
     , m_canceller(m_loop)
     , m_requests(m_loop)
 {
+    m_dispatcher.setVersions(&m_versions);
     m_dispatcher.granted().connect(sigc::mem_fun(*this, &EntryTask::dispatch));
     m_requests.cleaned().connect([this] {
         m_dispatcher.serveAll(EventLoop::now());
@@ -100,6 +106,7 @@
     if (configuration.declarations->revision() != m_admission.configuration().declarations->revision()) {
         logChange("entry", "configuration-in-force", {{"revision", std::to_string(configuration.declarations->revision().value)}});
     }
+    m_versions.setMoves(configuration.moves, *configuration.declarations);
     m_admission.setConfiguration(std::move(configuration));
     m_dispatcher.setDeclarations(m_admission.configuration().declarations, EventLoop::now());
 }
@@ -147,7 +154,7 @@
     const ActiveRequest &active = m_requests.add(std::move(valueOf(admitted)), exchange);
     const ServiceName service = active.request.service;
     exchange->callerLeft().connect([this, id = active.request.id] { callerLeft(id); });
-    m_dispatcher.add(active.request);
+    m_dispatcher.add(active.request, now);
     m_dispatcher.serve(service, now);
 }
 
@@ -174,6 +181,8 @@
         active->life.answerBegan();
         m_dispatcher.upstreamTook(name, EventLoop::now());
     });
+    m_versions.sent(active->request, upstream, EventLoop::now());
+    active->run->tokensCame().connect([this, id](std::uint64_t tokens) { m_versions.tokensCame(id, tokens, EventLoop::now()); });
     active->run->ended().connect([this, id](const RunResult &result) { runEnded(id, result); });
     active->run->start();
 }
@@ -184,6 +193,7 @@
     if (!active) {
         return;
     }
+    m_versions.ended(id, result.kind, active->request.deadline, EventLoop::now());
     switch (result.kind) {
     case RunResult::Kind::Whole:
         finish(id, EventLoop::now() <= active->request.deadline ? RequestEnd::OnTime : RequestEnd::Late);
@@ -214,7 +224,7 @@
         return;
     }
     const ServiceName service = active.request.service;
-    m_dispatcher.add(active.request);
+    m_dispatcher.add(active.request, now);
     m_dispatcher.serve(service, now);
 }
 
@@ -248,6 +258,7 @@
                  "Requests by how they ended",
                  {{"service", request.service.value}, {"tier", request.tier.value}, {"end", toString(end)}})
         .add();
+    m_versions.forgotten(id);
     m_dispatcher.remove(request);
     releaseSlot(*ended);
     ended->life.ended();
@@ -265,6 +276,13 @@
     }
 }
 
+void EntryTask::reportOutcomes()
+{
+    v1::Envelope envelope;
+    *envelope.mutable_outcome_report() = m_versions.report(EventLoop::now());
+    m_options.send(m_options.vm, std::move(envelope));
+}
+
 void EntryTask::finishDrainIfIdle()
 {
     if (m_admission.isDraining() && m_requests.size() == 0 && m_drained) {
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -8,6 +8,7 @@
 #include "entry/dispatcher.h"
 #include "entry/frontdoor.h"
 #include "entry/requeststore.h"
+#include "entry/versiontraffic.h"
 #include "report/outcometally.h"
 #include "upstream/streamcanceller.h"
 
@@ -79,14 +80,17 @@
     void finish(const RequestId &id, RequestEnd end);
     void releaseSlot(ActiveRequest &active);
     void finishDrainIfIdle();
+    void reportOutcomes();
 
     const EntryOptions m_options;
     Metrics &m_metrics;
     EventLoop m_loop;
     Mailbox<EntryMessage> m_mailbox;
     Timer m_sweep;
+    Timer m_report;
     std::unique_ptr<FrontDoor> m_door;
     Admission m_admission;
+    VersionTraffic m_versions;
     Dispatcher m_dispatcher;
     RunCounters m_runCounters;
     StreamCanceller m_canceller;
--- a/src/entry/upstreamrun.cpp
+++ b/src/entry/upstreamrun.cpp
@@ -131,6 +131,7 @@
     if (m_stream && m_stream->offset() > before) {
         m_progressAt = EventLoop::now();
         m_failedResumes = 0;
+        m_tokensCame.emit(m_stream->offset());
     }
     if (m_stream && m_stream->broken()) {
         m_call->cancel();
--- a/src/entry/upstreamrun.h
+++ b/src/entry/upstreamrun.h
@@ -68,6 +68,11 @@
     {
         return m_began;
     }
+    /// More tokens of a model's answer came: how many in all.
+    sigc::signal<void, std::uint64_t> &tokensCame()
+    {
+        return m_tokensCame;
+    }
     sigc::signal<void, const RunResult &> &ended()
     {
         return m_ended;
@@ -103,6 +108,7 @@
     bool m_answerBegan = false;
     bool m_over = false;
     sigc::signal<void> m_began;
+    sigc::signal<void, std::uint64_t> m_tokensCame;
     sigc::signal<void, const RunResult &> m_ended;
     sigc::connection m_callerRead;
 };
--- a/src/policy/moveramp.cpp
+++ b/src/policy/moveramp.cpp
@@ -26,6 +26,8 @@
 constexpr std::uint64_t LeastAnswers = 50;
 constexpr std::uint64_t LeastInPart = 5;
 constexpr double PartThatCounts = 0.05;
+/// The load of the new version's upstreams against the old one's that counts as even.
+constexpr double EvenPart = 0.8;
 /// The share does not grow while the evidence against the new version is over this.
 constexpr double Calm = 5;
 
@@ -163,8 +165,10 @@
             return "too few answers of up to " + std::to_string(1ULL << std::min<unsigned>(length, 40)) + " tokens";
         }
     }
-    // A higher load than the old version's proves as much as an equal one. Not asked of a soak, where the load is what the service has.
-    if (m_state == MoveState::Soaking) {
+    // A higher load than the old version's proves as much as an equal one. Not asked where the new version can't be as full: in a soak,
+    // and where one upstream gets less than an even part because the old version has few.
+    const bool canBeFull = EvenPart * (WholeShare.value - m_share.value) <= static_cast<double>(m_upstreams) * m_share.value;
+    if (m_state == MoveState::Soaking || !canBeFull) {
         return {};
     }
     Coverage atLeast;
--- /dev/null
+++ b/tests/control/moveprocesstest.cpp
@@ -0,0 +1,125 @@
+#include "support/office.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+/// An office whose drafting service has an engine of version v1 and one of v2, under steady traffic of short drafts.
+class MovingOffice
+{
+public:
+    MovingOffice()
+        : m_new(m_folder, "drafting-new", m_network.host(21), {"--step-ms", "2", "--version", "v2"})
+        , m_office(OfficeOptions{.upstreamArguments = {"--step-ms", "2"},
+                                 .moreDeclarations = "[[upstream]]\nname = \"drafting-new\"\nservice = \"drafting\"\nversion = \"v2\"\ndata_centre = \"local\"\n"
+                                                     "slots = 16\naddress = \""
+                                     + toString(m_new.address()) + "\"\n"})
+    {
+        for (int i = 0; i < Callers; ++i) {
+            m_callers.emplace_back([this](const std::stop_token &stop) { call(stop); });
+        }
+    }
+
+    Office &office()
+    {
+        return m_office;
+    }
+    FakeUpstreamProcess &newEngine()
+    {
+        return m_new;
+    }
+    void start(const std::string &deadline)
+    {
+        const Finished started = m_office.daemon().ctl({"move", "start", "drafting", "v2", "--deadline", deadline});
+        INFO(started.out << started.error);
+        REQUIRE(started.exitCode == 0);
+    }
+    nlohmann::json move()
+    {
+        const Finished status = m_office.daemon().ctl({"move", "status", "drafting", "--output", "json"});
+        const nlohmann::json json = nlohmann::json::parse(status.out, nullptr, false);
+        return json.is_object() && json.contains("moves") && !json["moves"].empty() ? json["moves"][0] : nlohmann::json::object();
+    }
+    bool reaches(const std::string &state)
+    {
+        return eventually([&] { return move().value("state", "") == state; }, std::chrono::seconds(150));
+    }
+    int wrongAnswers() const
+    {
+        return m_wrong;
+    }
+
+private:
+    static constexpr int Callers = 8;
+
+    void call(const std::stop_token &stop)
+    {
+        while (!stop.stop_requested()) {
+            const HttpAnswer answer = m_office.draft("Guest list", 3);
+            m_wrong += answer.status == 200 && !streamedText(answer.body).whole && streamedText(answer.body).error.empty() ? 1 : 0;
+            // Not faster than this, so that a failing engine, which answers at once, does not make the callers a flood.
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    TemporaryFolder m_folder;
+    TestNetwork m_network;
+    FakeUpstreamProcess m_new;
+    Office m_office;
+    std::atomic<int> m_wrong = 0;
+    std::vector<std::jthread> m_callers;
+};
+
+}
+
+// The operator sees "taken back" and why; callers see some failed answers, then none. The new engine begins to fail when it has part of
+// the traffic; VMs trip, the leader finds the failures against the old version's answers, and the old version has all traffic again.
+TEST_CASE("a new version that begins to fail is taken back, and operators are told so")
+{
+    MovingOffice moving;
+    moving.start("10m");
+    REQUIRE(eventually([&] { return countOf(moving.newEngine().log(), "run") > 20; }));
+    moving.newEngine().faults(R"({"fail":true})");
+    REQUIRE(moving.reaches("MOVE_STATE_TAKEN_BACK"));
+    const Finished status = moving.office().daemon().ctl({"move", "status"});
+    CHECK(status.out.find("taken back") != std::string::npos);
+    CHECK(status.out.find("answers fail") != std::string::npos);
+    // Nothing goes to it any more: what the VM still had under way ends, then its runs stand still.
+    int runs = -1;
+    CHECK(eventually([&] {
+        const int before = std::exchange(runs, countOf(moving.newEngine().log(), "run"));
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        return before == runs;
+    }));
+    CHECK(moving.office().daemon().log().find("move-taken back") != std::string::npos);
+    CHECK(moving.office().metrics().find("cumindyke_move_states_total{service=\"drafting\",state=\"taken back\"} 1") != std::string::npos);
+    CHECK(moving.office().daemon().ctl({"get"}).out.find("service drafting version v1") != std::string::npos);
+    CHECK(moving.wrongAnswers() == 0);
+}
+
+// The operator sees "done" by the deadline although the leader was killed on the way: the next start goes on from the log's share with
+// evidence gathered anew, and the declared version is the new one in the end.
+TEST_CASE("a good version is done by its deadline, also when the leader is killed in between")
+{
+    MovingOffice moving;
+    moving.start("90s");
+    REQUIRE(eventually([&] { return moving.move().value("share_permille", 0) > 0; }));
+    moving.office().daemon().process().signal(SIGKILL);
+    moving.office().daemon().process().wait();
+    moving.office().daemon().start();
+    REQUIRE(moving.reaches("MOVE_STATE_DONE"));
+    const nlohmann::json move = moving.move();
+    CHECK(std::stoll(move["state_since_ms"].get<std::string>()) <= std::stoll(move["deadline_ms"].get<std::string>()));
+    CHECK(moving.office().daemon().ctl({"get"}).out.find("service drafting version v2") != std::string::npos);
+    CHECK(moving.office().daemon().ctl({"move", "status"}).out.find("done") != std::string::npos);
+    CHECK(moving.wrongAnswers() == 0);
+}
