--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -1,6 +1,8 @@
 #include "control/controltask.h"
 
 #include "common/log.h"
+#include "control/movecommands.h"
+#include "report/burn.h"
 
 #include <random>
 
@@ -240,6 +242,11 @@
         *command.mutable_move_verdict() = verdict;
         propose(std::move(command), [](const Result<v1::ProposeReply> &) {});
     }
+    if (std::optional<v1::BurnBucket> burn = m_moveLeader.burnDue(EventLoop::wallNow())) {
+        v1::Command command;
+        *command.mutable_record_burn() = std::move(*burn);
+        propose(std::move(command), [](const Result<v1::ProposeReply> &) {});
+    }
 }
 
 /// The entry task hands its report to the control task of its own VM, which knows the leader.
@@ -356,6 +363,9 @@
         answer.mutable_change_members()->set_outcome(v1::CommandReply::INVALID);
         answer.mutable_change_members()->set_message("this system has a single replica: set replicas in the settings of every VM");
         return answer;
+    case v1::LeaderQuestion::kReport:
+        answer.mutable_report()->set_burn_json(burnJson(m_state.declarations(), m_state.burn(), fromWire(m_state.moves()), EventLoop::wallNow()));
+        return answer;
     case v1::LeaderQuestion::QUESTION_NOT_SET:
         break;
     }
--- a/src/control/movecommands.cpp
+++ b/src/control/movecommands.cpp
@@ -88,6 +88,15 @@
     };
 }
 
+std::vector<Move> fromWire(const MoveMap &moves)
+{
+    std::vector<Move> parsed;
+    for (const auto &[name, wire] : moves) {
+        parsed.push_back(fromWire(wire));
+    }
+    return parsed;
+}
+
 v1::CommandReply startMove(MoveMap &moves, const Declarations &declarations, const v1::StartMoveRequest &request, WallTime now)
 {
     for (const auto &[name, wire] : moves) {
--- a/src/control/movecommands.h
+++ b/src/control/movecommands.h
@@ -16,6 +16,8 @@
 
 using MoveMap = std::map<std::string, v1::Move>;
 
+std::vector<Move> fromWire(const MoveMap &moves);
+
 /// Starts a move. A closed move of the same service is dropped; an open one refuses the new one (INVALID).
 v1::CommandReply startMove(MoveMap &moves, const Declarations &declarations, const v1::StartMoveRequest &request, WallTime now);
 v1::CommandReply abortMove(MoveMap &moves, const Declarations &declarations, const v1::AbortMoveRequest &request, WallTime now);
--- a/src/control/moveleader.cpp
+++ b/src/control/moveleader.cpp
@@ -1,8 +1,11 @@
 #include "control/moveleader.h"
 
 #include "control/movecommands.h"
+#include "report/burnwire.h"
 #include "report/outcomereport.h"
 
+#include <utility>
+
 namespace cumindyke
 {
 
@@ -30,7 +33,10 @@
 
 std::vector<v1::MoveVerdict> MoveLeader::advance(const StateMachine &state, WallTime now)
 {
-    m_growth = m_collector.takeGrowth();
+    const OutcomeMap growth = m_collector.takeGrowth();
+    for (const auto &[of, counts] : burnCounts(growth, state.declarations())) {
+        m_minute[of] += counts;
+    }
     std::erase_if(m_ramps, [&state](const auto &entry) { return !state.moves().contains(entry.first); });
     std::vector<v1::MoveVerdict> verdicts;
     for (const auto &[name, wire] : state.moves()) {
@@ -43,13 +49,26 @@
         if (ramp == m_ramps.end()) {
             ramp = m_ramps.emplace(name, MoveRamp(move, upstreamCount(state.declarations(), move.service, move.from), now)).first;
         }
-        if (const auto decision = ramp->second.advance(move, lookAt(m_growth, move.service, move.from, move.to), now)) {
+        if (const auto decision = ramp->second.advance(move, lookAt(growth, move.service, move.from, move.to), now)) {
             verdicts.push_back(toWire(move, *decision));
         }
     }
     return verdicts;
 }
 
+std::optional<v1::BurnBucket> MoveLeader::burnDue(WallTime now)
+{
+    if (now < m_minuteEnds) {
+        return {};
+    }
+    const bool isFirst = m_minuteEnds == WallTime{};
+    m_minuteEnds = WallTime{now.value - now.value % MinuteMs + MinuteMs};
+    if (isFirst || m_minute.empty()) {
+        return {};
+    }
+    return cumindyke::toWire(BurnBucket{.start = now, .counts = std::exchange(m_minute, {})});
+}
+
 void MoveLeader::reset()
 {
     *this = MoveLeader();
--- a/src/control/moveleader.h
+++ b/src/control/moveleader.h
@@ -22,15 +22,13 @@
     std::vector<v1::MoveVerdict> advance(const StateMachine &state, WallTime now);
     /// This VM no longer leads, or leads anew: evidence from before is of no use.
     void reset();
-    /// The growth of all counters in the last look, for the burn report.
-    const OutcomeMap &lastGrowth() const
-    {
-        return m_growth;
-    }
+    /// Once a minute: what the burn report is made from, to be proposed. What a leader counted in its last minute is lost with it.
+    std::optional<v1::BurnBucket> burnDue(WallTime now);
 
 private:
     OutcomeCollector m_collector;
-    OutcomeMap m_growth;
+    BurnCountMap m_minute;
+    WallTime m_minuteEnds;
     std::map<std::string, MoveRamp> m_ramps;
 };
 
--- a/src/control/operatorhandlers.cpp
+++ b/src/control/operatorhandlers.cpp
@@ -58,6 +58,11 @@
         *question.mutable_change_members() = request;
         ask(control, question, answer, &v1::LeaderAnswer::change_members);
     };
+    handlers.report = [&control](const v1::ReportRequest &request, const Answer<v1::ReportReply> &answer) {
+        v1::LeaderQuestion question;
+        *question.mutable_report() = request;
+        ask(control, question, answer, &v1::LeaderAnswer::report);
+    };
     handlers.saveSnapshot = [&control](const v1::SaveSnapshotRequest & /*request*/, const Answer<v1::SaveSnapshotReply> &answer) {
         v1::LeaderQuestion question;
         question.mutable_save_snapshot();
--- a/src/control/statemachine.cpp
+++ b/src/control/statemachine.cpp
@@ -2,6 +2,7 @@
 
 #include "control/convert.h"
 #include "control/movecommands.h"
+#include "report/burnwire.h"
 
 #include <algorithm>
 
@@ -45,6 +46,10 @@
     case v1::Command::kMoveVerdict:
         *reply.mutable_reply() = decideMove(command);
         break;
+    case v1::Command::kRecordBurn:
+        m_burn.record(fromWire(command.record_burn().counts()), WallTime{command.at_ms()});
+        // Nothing that VMs must have in force, so no new version; and an answer that nobody asks for again is not kept.
+        return reply;
     case v1::Command::kAssignCell:
         *reply.mutable_reply() = assignCell(command.assign_cell());
         break;
@@ -233,6 +238,7 @@
         *snapshot.add_cells() = cell;
     }
     snapshot.set_version(m_version);
+    *snapshot.mutable_burn() = toWire(m_burn);
     for (const std::string &id : m_answerOrder) {
         v1::Answered &answered = *snapshot.add_answers();
         answered.set_command_id(id);
@@ -260,6 +266,7 @@
         m_cells.emplace(cell.cell(), cell);
     }
     m_version = snapshot.version();
+    m_burn = fromWire(snapshot.burn());
     m_history.assign(snapshot.history().begin(), snapshot.history().end());
     for (const v1::Answered &answered : snapshot.answers()) {
         remember(answered.command_id(), answered.reply());
--- a/src/control/statemachine.h
+++ b/src/control/statemachine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "domain/declarations.h"
+#include "report/burnseries.h"
 
 #include "control.pb.h"
 
@@ -38,6 +39,11 @@
     {
         return m_version;
     }
+    /// What the burn report is made from.
+    const BurnSeries &burn() const
+    {
+        return m_burn;
+    }
     /// Accepted changes after a revision, oldest first; empty when they are older than what is kept.
     std::vector<v1::HistoryEntry> historyAfter(Revision revision) const;
 
@@ -58,6 +64,7 @@
     std::map<std::string, v1::Move> m_moves;
     std::map<std::string, v1::CellAssignment> m_cells;
     std::uint64_t m_version = 0;
+    BurnSeries m_burn;
     std::deque<v1::HistoryEntry> m_history;
     /// Answers by command id, and the ids in the order they came, so that the oldest go first.
     std::map<std::string, v1::ProposeReply> m_answers;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -82,7 +82,11 @@
 std::optional<Error> Daemon::startRpc(const Settings &settings)
 {
     OperatorHandlers handlers = operatorHandlers(*m_control);
-    handlers.report = [entry = m_entry.get()](const v1::ReportRequest & /*request*/, const Answer<v1::ReportReply> &answer) {
+    handlers.report = [entry = m_entry.get(), burn = handlers.report](const v1::ReportRequest &request, const Answer<v1::ReportReply> &answer) {
+        if (request.burn()) {
+            burn(request, answer);
+            return;
+        }
         entry->post(ReportQuery{[answer](const v1::ReportReply &reply) { answer(reply); }});
     };
     auto rpc = RpcServer::start(
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -258,7 +258,7 @@
                  "Requests by how they ended",
                  {{"service", request.service.value}, {"tier", request.tier.value}, {"end", toString(end)}})
         .add();
-    m_versions.forgotten(id);
+    m_versions.finished(request, end);
     m_dispatcher.remove(request);
     releaseSlot(*ended);
     ended->life.ended();
--- a/src/entry/versiontraffic.cpp
+++ b/src/entry/versiontraffic.cpp
@@ -63,7 +63,8 @@
     }
     known->second = move.state;
     m_metrics.counter("cumindyke_move_states_total", "States that moves came into", {{"service", move.service.value}, {"state", toString(move.state)}}).add();
-    logChange("move", std::string("move-") + toString(move.state),
+    logChange("move",
+              std::string("move-") + toString(move.state),
               {{"move", move.name.value}, {"from", move.from.value}, {"to", move.to.value}, {"reason", move.reason}});
 }
 
@@ -150,9 +151,28 @@
     forget(found);
 }
 
-void VersionTraffic::forgotten(const RequestId &id)
+void VersionTraffic::finished(const CallerRequest &request, RequestEnd end)
 {
-    const auto found = m_running.find(id);
+    OutcomeCounts &counts
+        = m_counters.ended(OutcomeKey{.service = request.service, .version = {}, .route = {}, .lengthClass = 0, .loadClass = 0, .tier = request.rank});
+    switch (end) {
+    case RequestEnd::OnTime:
+        ++counts.onTime;
+        break;
+    case RequestEnd::Late:
+        ++counts.late;
+        break;
+    case RequestEnd::Failed:
+        ++counts.failed;
+        break;
+    case RequestEnd::Refused:
+        ++counts.refused;
+        break;
+    case RequestEnd::Unknown:
+        ++counts.unknown;
+        break;
+    }
+    const auto found = m_running.find(request.id);
     if (found != m_running.end()) {
         forget(found);
     }
--- a/src/entry/versiontraffic.h
+++ b/src/entry/versiontraffic.h
@@ -4,6 +4,7 @@
 #include "entry/activerequest.h"
 #include "policy/outcomecounters.h"
 #include "policy/versionrouter.h"
+#include "report/outcometally.h"
 
 #include "declarations.pb.h"
 #include "report.pb.h"
@@ -38,8 +39,8 @@
     void tokensCame(const RequestId &id, std::uint64_t tokens, TimePoint now);
     /// Its run ended.
     void ended(const RequestId &id, RunResult::Kind kind, TimePoint deadline, TimePoint now);
-    /// Its caller needs no answer any more: says nothing about the version.
-    void forgotten(const RequestId &id);
+    /// The request is over for its caller, sent or not: counted for the burn report. A run still under way says nothing of the version.
+    void finished(const CallerRequest &request, RequestEnd end);
 
     /// All counters, for the leader; counts what waits too long meanwhile.
     v1::OutcomeReport report(TimePoint now);
--- a/src/policy/moveramp.cpp
+++ b/src/policy/moveramp.cpp
@@ -29,7 +29,7 @@
 /// The load of the new version's upstreams against the old one's that counts as even.
 constexpr double EvenPart = 0.8;
 /// The share does not grow while the evidence against the new version is over this.
-constexpr double Calm = 5;
+constexpr double Calm = 20;
 
 std::string percent(Permille share)
 {
@@ -74,7 +74,8 @@
         return now.value - m_stepBegan.value >= WatchOldMs ? nextStep(move, now) : std::nullopt;
     }
     if (now >= move.deadline) {
-        return MoveDecision{.state = MoveState::TakenBack, .share = {}, .reason = "no evidence by the deadline: " + missing()};
+        const std::string why = coveredEnough() ? "the new version looks worse, but not clearly" : missing();
+        return MoveDecision{.state = MoveState::TakenBack, .share = {}, .reason = "no evidence by the deadline: " + why};
     }
     return {};
 }
--- a/src/policy/moveverdict.cpp
+++ b/src/policy/moveverdict.cpp
@@ -200,11 +200,16 @@
              FaultKind::SlowFirstToken,
              stratum,
              logSplitRatios(real(seen.newVersion.firstTokenOver[first + margin]), real(seen.oldVersion.firstTokenOver[first]), newSent, oldSent));
-    const std::size_t between = boundFor(recent.betweenTokensOver, recent.sent);
+    // Against the answers whose pace was measured at the same time, not those sent lately: when a whole fleet slows down, the versions'
+    // requests leave a load class at different moments, and what was sent just before would count as if it should have been slow.
+    const std::size_t between = boundFor(recent.betweenTokensOver, recent.betweenTokensOver[0]);
     multiply(factors,
              FaultKind::SlowTokens,
              stratum,
-             logSplitRatios(real(seen.newVersion.betweenTokensOver[between + margin]), real(seen.oldVersion.betweenTokensOver[between]), newSent, oldSent));
+             logSplitRatios(real(seen.newVersion.betweenTokensOver[between + margin]),
+                            real(seen.oldVersion.betweenTokensOver[between]),
+                            real(seen.newVersion.paced()),
+                            real(seen.oldVersion.paced())));
 }
 
 void MoveVerdict::multiply(FactorMap &factors, FaultKind kind, const Stratum &stratum, const Factors &logs)
--- a/src/policy/outcomecounters.cpp
+++ b/src/policy/outcomecounters.cpp
@@ -83,7 +83,7 @@
 void OutcomeCounters::betweenTokens(const OutcomeKey &key, Duration mean)
 {
     OutcomeCounts &counts = m_counts[key];
-    for (std::size_t k = 0; k < WaitBounds && mean > betweenTokensBound(k); ++k) {
+    for (std::size_t k = 0; k < WaitBounds && (k == 0 || mean > betweenTokensBound(k)); ++k) {
         ++counts.betweenTokensOver[k];
     }
 }
--- a/src/policy/outcomecounters.h
+++ b/src/policy/outcomecounters.h
@@ -47,6 +47,7 @@
     /// Requests whose wait for the first token went over the bound. Counted when the bound is passed, not when the token comes, so that an
     /// engine that falls silent shows as a slow one without waiting for a timeout.
     std::array<std::uint64_t, WaitBounds> firstTokenOver{};
+    /// Bound 0 counts every answer whose pace is known, whatever it is.
     std::array<std::uint64_t, WaitBounds> betweenTokensOver{};
 
     OutcomeCounts &operator+=(const OutcomeCounts &other);
@@ -56,6 +57,10 @@
     {
         return onTime + late;
     }
+    std::uint64_t paced() const
+    {
+        return betweenTokensOver[0];
+    }
     /// Ended badly after being sent. Refusals that say "not run" are capacity, not a fault of the version.
     std::uint64_t bad() const
     {
--- a/src/report/burn.cpp
+++ b/src/report/burn.cpp
@@ -22,7 +22,11 @@
 }
 
 /// The burn rates of one kind of objective, by window, and which alerts fire.
-Json burnOf(const BurnSeries &series, const ServiceTier &of, double allowed, std::uint64_t BurnCounts::*bad, std::uint64_t (*all)(const BurnCounts &),
+Json burnOf(const BurnSeries &series,
+            const ServiceTier &of,
+            double allowed,
+            std::uint64_t BurnCounts::*bad,
+            std::uint64_t (*all)(const BurnCounts &),
             WallTime now)
 {
     const auto rate = [&](std::int64_t lengthMs) {
--- /dev/null
+++ b/src/report/burnwire.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "report/burnseries.h"
+
+#include "report.pb.h"
+
+/// Between the burn series and its form on the wire.
+namespace cumindyke
+{
+
+v1::BurnBucket toWire(const BurnBucket &bucket);
+v1::BurnSeries toWire(const BurnSeries &series);
+BurnCountMap fromWire(const google::protobuf::RepeatedPtrField<v1::BurnCounts> &counts);
+BurnSeries fromWire(const v1::BurnSeries &series);
+
+}
