--- a/src/policy/moveverdict.cpp
+++ b/src/policy/moveverdict.cpp
@@ -32,6 +32,8 @@
 constexpr double ToleratedRate = 0.005;
 /// Requests and events fade by this a look: a time constant of about two seconds at four looks a second.
 constexpr double ExposureFade = 0.88;
+/// The same for answers whose pace was measured: about half a second, so that both versions have some in most looks.
+constexpr double PacedFade = 0.65;
 /// The old version's distribution of waits fades over about two minutes.
 constexpr double RecentFade = 0.998;
 /// Part of the old version's waits that lie over the bound that is compared.
@@ -119,6 +121,10 @@
         exposure.first *= ExposureFade;
         exposure.second *= ExposureFade;
     }
+    for (auto &[stratum, paced] : m_paced) {
+        paced.first *= PacedFade;
+        paced.second *= PacedFade;
+    }
     FactorMap factors;
     Look anyLoad;
     for (const auto &[stratum, seen] : look) {
@@ -203,13 +209,13 @@
     // Against the answers whose pace was measured at the same time, not those sent lately: when a whole fleet slows down, the versions'
     // requests leave a load class at different moments, and what was sent just before would count as if it should have been slow.
     const std::size_t between = boundFor(recent.betweenTokensOver, recent.betweenTokensOver[0]);
+    auto &[newPaced, oldPaced] = m_paced[stratum];
+    newPaced += real(seen.newVersion.paced());
+    oldPaced += real(seen.oldVersion.paced());
     multiply(factors,
              FaultKind::SlowTokens,
              stratum,
-             logSplitRatios(real(seen.newVersion.betweenTokensOver[between + margin]),
-                            real(seen.oldVersion.betweenTokensOver[between]),
-                            real(seen.newVersion.paced()),
-                            real(seen.oldVersion.paced())));
+             logSplitRatios(real(seen.newVersion.betweenTokensOver[between + margin]), real(seen.oldVersion.betweenTokensOver[between]), newPaced, oldPaced));
 }
 
 void MoveVerdict::multiply(FactorMap &factors, FaultKind kind, const Stratum &stratum, const Factors &logs)
--- a/src/policy/moveverdict.h
+++ b/src/policy/moveverdict.h
@@ -118,6 +118,8 @@
     std::map<std::pair<FaultKind, Group>, Martingales> m_martingales;
     /// Requests of the recent looks, by stratum: what events of this look are split like.
     std::map<Stratum, std::pair<double, double>> m_exposure;
+    /// Answers whose pace was measured lately, by stratum.
+    std::map<Stratum, std::pair<double, double>> m_paced;
     /// The old version's recent counts by stratum, fading; the bounds are chosen from them.
     struct Recent
     {
