--- a/src/bench/benchcommand.cpp
+++ b/src/bench/benchcommand.cpp
@@ -1,5 +1,6 @@
 #include "bench/benchcommand.h"
 
+#include "bench/movereport.h"
 #include "bench/report.h"
 #include "common/hash.h"
 
@@ -75,6 +76,10 @@
 
 int runScenario(const Options &options, std::ostream &out, std::ostream &err)
 {
+    if (const MoveScenario *moves = moveScenario(options.target)) {
+        out << toJson(*moves, runMoves(*moves, options.firstSeed, options.lastSeed)) << "\n";
+        return 0;
+    }
     const bool isFile = options.target.ends_with(".toml");
     const Result<Scenario> scenario = readScenario(isFile ? options.target : options.folder + "/" + options.target + ".toml");
     if (!ok(scenario)) {
@@ -109,6 +114,9 @@
         const Result<Scenario> scenario = readScenario(options.folder + "/" + name + ".toml");
         out << name << "\t" << (ok(scenario) ? valueOf(scenario).description : errorOf(scenario).message) << "\n";
     }
+    for (const MoveScenario &moves : moveScenarios()) {
+        out << moves.name << "\ta version move; prints JSON\n";
+    }
     return 0;
 }
 
--- a/src/bench/moveoutcomes.cpp
+++ b/src/bench/moveoutcomes.cpp
@@ -409,23 +409,29 @@
 const std::vector<MoveScenario> &moveScenarios()
 {
     static const std::vector<MoveScenario> Scenarios{
-        {.name = "good", .good = true},
-        {.name = "fails-at-once", .fault = {.failing = 1}},
-        {.name = "fails-in-part", .fault = {.failing = 0.3}},
-        {.name = "slows-at-once", .slows = true, .fault = {.slowness = 3}},
-        {.name = "fails-later", .fault = {.after = 0.75, .failing = 1}},
-        {.name = "slows-later", .slows = true, .fault = {.after = 0.75, .slowness = 3}},
-        {.name = "fails-under-load", .fault = {.failing = 1, .overLoad = 0.7}},
-        {.name = "slows-under-load", .slows = true, .fault = {.slowness = 3, .overLoad = 0.7}},
-        {.name = "fails-on-one-route", .fault = {.failing = 1, .route = "chat"}},
-        {.name = "slows-for-long-answers", .slows = true, .fault = {.slowness = 3, .lengthClass = 9}},
-        {.name = "good-while-fleet-slows", .good = true, .fleetSlowness = 2},
-        {.name = "too-little-traffic", .good = true, .undecidable = true, .requestsPerSecond = 0.1},
-        {.name = "deadline-too-tight", .good = true, .undecidable = true, .window = std::chrono::seconds(30)},
+        {.name = "move-good", .good = true},
+        {.name = "move-fails-at-once", .fault = {.failing = 1}},
+        {.name = "move-fails-in-part", .fault = {.failing = 0.3}},
+        {.name = "move-slows-at-once", .slows = true, .fault = {.slowness = 3}},
+        {.name = "move-fails-later", .fault = {.after = 0.75, .failing = 1}},
+        {.name = "move-slows-later", .slows = true, .fault = {.after = 0.75, .slowness = 3}},
+        {.name = "move-fails-under-load", .fault = {.failing = 1, .overLoad = 0.7}},
+        {.name = "move-slows-under-load", .slows = true, .fault = {.slowness = 3, .overLoad = 0.7}},
+        {.name = "move-fails-on-one-route", .fault = {.failing = 1, .route = "chat"}},
+        {.name = "move-slows-for-long-answers", .slows = true, .fault = {.slowness = 3, .lengthClass = 9}},
+        {.name = "move-good-while-fleet-slows", .good = true, .fleetSlowness = 2},
+        {.name = "move-too-little-traffic", .good = true, .undecidable = true, .requestsPerSecond = 0.1},
+        {.name = "move-deadline-too-tight", .good = true, .undecidable = true, .window = std::chrono::seconds(30)},
     };
     return Scenarios;
 }
 
+const MoveScenario *moveScenario(const std::string &name)
+{
+    const auto found = std::ranges::find(moveScenarios(), name, &MoveScenario::name);
+    return found == moveScenarios().end() ? nullptr : &*found;
+}
+
 MoveRun runMove(const MoveScenario &scenario, std::uint64_t seed)
 {
     return MoveExperiment(scenario, seed).run();
--- a/src/bench/moveoutcomes.h
+++ b/src/bench/moveoutcomes.h
@@ -66,6 +66,9 @@
 
 const std::vector<MoveScenario> &moveScenarios();
 
+/// The family of this name, or null.
+const MoveScenario *moveScenario(const std::string &name);
+
 MoveRun runMove(const MoveScenario &scenario, std::uint64_t seed);
 
 }
--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -114,9 +114,9 @@
     return call<v1::CommandReply>(&v1::Operator::Stub::RestoreSnapshot, request);
 }
 
-Result<v1::ReportReply> OperatorClient::report()
+Result<v1::ReportReply> OperatorClient::report(const v1::ReportRequest &request)
 {
-    return call<v1::ReportReply>(&v1::Operator::Stub::Report, v1::ReportRequest());
+    return call<v1::ReportReply>(&v1::Operator::Stub::Report, request);
 }
 
 Result<Done> OperatorClient::watch(const v1::WatchRequest &request, const std::function<bool(const v1::Event &)> &handler)
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -28,7 +28,7 @@
     Result<v1::CommandReply> changeMembers(const v1::ChangeMembersRequest &request);
     Result<v1::SaveSnapshotReply> saveSnapshot();
     Result<v1::CommandReply> restoreSnapshot(const v1::RestoreSnapshotRequest &request);
-    Result<v1::ReportReply> report();
+    Result<v1::ReportReply> report(const v1::ReportRequest &request = {});
     /// Calls the handler for each event until it returns false or the stream ends.
     Result<Done> watch(const v1::WatchRequest &request, const std::function<bool(const v1::Event &)> &handler);
 
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -173,23 +173,6 @@
     return ExitOk;
 }
 
-ExitCode report(const Context &context)
-{
-    const Result<v1::ReportReply> reply = context.client().report();
-    if (!ok(reply)) {
-        return printError(errorOf(reply));
-    }
-    if (context.form == OutputForm::Json) {
-        printJson(valueOf(reply));
-        return ExitOk;
-    }
-    for (const v1::TierReport &tier : valueOf(reply).tiers()) {
-        std::cout << tier.service() << " " << tier.tier() << ": " << tier.on_time() << " on time, " << tier.late() << " late, " << tier.failed() << " failed, "
-                  << tier.refused() << " refused, " << tier.unknown() << " unknown\n";
-    }
-    return ExitOk;
-}
-
 ExitCode hashKeyCommand(const Context & /*context*/)
 {
     std::string key;
@@ -210,7 +193,13 @@
     {"watch", "", "show changes and moves as they happen (--after REVISION, --count N)", 0, 0, watchCommand},
     {"members", "[add-replica|remove-replica VM]", "show the VMs, the replicas and the leader, or change the replicas", 0, 2, membersCommand},
     {"snapshot", "save|restore FILE", "save the whole state to a file, or make a saved one a new revision", 2, 2, snapshotCommand},
-    {"report", "", "show how requests ended, by service and tier", 0, 0, report},
+    {"move",
+     "start SERVICE VERSION|status [SERVICE]|abort MOVE",
+     "move a service's traffic to another version (--deadline), or look at moves",
+     1,
+     3,
+     moveCommand},
+    {"report", "[burn|alerts]", "show how requests ended; the burn of objectives (--html for a page); alert rules for Prometheus", 0, 1, reportCommand},
     {"hash-key", "", "read an API key from standard input and print its hash for a declaration", 0, 0, hashKeyCommand},
 };
 
@@ -225,8 +214,9 @@
         "author", "who makes the change; $USER if not given", cxxopts::value<std::string>(), "NAME")(
         "after", "history, watch: only later revisions", cxxopts::value<std::uint64_t>()->default_value("0"), "REVISION")(
         "count", "watch: end after so many events; 0 is never", cxxopts::value<std::uint64_t>()->default_value("0"), "N")(
-        "wait", "apply: answer when the change is in force on every live VM")("help", "print this help")(
-        "cert", "the operator's certificate, PEM, with --key and --ca: mutual TLS", cxxopts::value<std::string>(), "FILE")(
+        "deadline", "move start: when the move must be done: 90s, 30m, 4h, or a time like 2026-12-03T18:00:00Z", cxxopts::value<std::string>(), "TIME")(
+        "html", "report burn: one page with plots, instead of text")("wait", "apply: answer when the change is in force on every live VM")(
+        "help", "print this help")("cert", "the operator's certificate, PEM, with --key and --ca: mutual TLS", cxxopts::value<std::string>(), "FILE")(
         "key", "private key of --cert", cxxopts::value<std::string>(), "FILE")("ca", "whose certificates are trusted", cxxopts::value<std::string>(), "FILE");
     return options;
 }
