--- a/src/domain/move.cpp
+++ b/src/domain/move.cpp
@@ -138,6 +138,23 @@
     return all;
 }
 
+std::set<UpstreamName> restingUpstreams(const Declarations &declarations, const std::vector<Move> &moves)
+{
+    std::set<UpstreamName> resting;
+    for (const Move &move : moves) {
+        if (!move.isOpen()) {
+            continue;
+        }
+        const std::vector<UpstreamName> inMove = upstreamsInMove(declarations, move, move.to);
+        for (const auto &[name, upstream] : declarations.upstreams()) {
+            if (upstream.service == move.service && upstream.version == move.to && std::ranges::find(inMove, name) == inMove.end()) {
+                resting.insert(name);
+            }
+        }
+    }
+    return resting;
+}
+
 std::size_t upstreamCount(const Declarations &declarations, const ServiceName &service, const VersionName &version)
 {
     return static_cast<std::size_t>(
--- a/src/domain/move.h
+++ b/src/domain/move.h
@@ -4,6 +4,7 @@
 #include "common/types.h"
 #include "domain/declarations.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,9 @@
 /// like loads. The old version's other upstreams stay warm; they may take what the ones in use have no room for.
 std::vector<UpstreamName> upstreamsInMove(const Declarations &declarations, const Move &move, const VersionName &version);
 
+/// The upstreams of open moves' new versions that get no new work at the present share: entry VMs and schedulers leave them out.
+std::set<UpstreamName> restingUpstreams(const Declarations &declarations, const std::vector<Move> &moves);
+
 /// How many upstreams a version of a service has.
 std::size_t upstreamCount(const Declarations &declarations, const ServiceName &service, const VersionName &version);
 
--- a/src/entry/versiontraffic.cpp
+++ b/src/entry/versiontraffic.cpp
@@ -15,17 +15,6 @@
 
 constexpr std::uint32_t LoadClasses = 4;
 
-/// The upstreams of the move's two versions that its present share leaves without work.
-void addResting(const Declarations &declarations, const Move &move, std::set<UpstreamName> &resting)
-{
-    const std::vector<UpstreamName> inMove = upstreamsInMove(declarations, move, move.to);
-    for (const auto &[name, upstream] : declarations.upstreams()) {
-        if (upstream.service == move.service && upstream.version == move.to && std::ranges::find(inMove, name) == inMove.end()) {
-            resting.insert(name);
-        }
-    }
-}
-
 }
 
 VersionTraffic::VersionTraffic(VmName vm, std::string incarnation, Metrics &metrics)
@@ -38,14 +27,11 @@
 void VersionTraffic::setMoves(const std::vector<v1::Move> &moves, const Declarations &declarations)
 {
     std::vector<Move> parsed;
-    m_resting.clear();
     for (const v1::Move &wire : moves) {
         parsed.push_back(fromWire(wire));
         note(parsed.back());
-        if (parsed.back().isOpen()) {
-            addResting(declarations, parsed.back(), m_resting);
-        }
     }
+    m_resting = restingUpstreams(declarations, parsed);
     m_router.setMoves(parsed);
 }
 
--- a/tests/report/burntest.cpp
+++ b/tests/report/burntest.cpp
@@ -1,5 +1,5 @@
-#include "control/statemachine.h"
 #include "report/burn.h"
+#include "control/statemachine.h"
 #include "report/burnwire.h"
 #include "report/outcomereport.h"
 
