--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -28,6 +28,8 @@
     std::map<VmName, Address> peers;
     /// The VMs that hold the first replicas of the control log; this VM alone when none are named.
     std::vector<VmName> replicas;
+    /// A replica that was silent for so long is replaced by another VM with a disk.
+    std::chrono::milliseconds replaceReplicaAfter{30'000};
     /// For operators and peers; without it, plaintext.
     std::optional<TlsFiles> tls;
     /// Plaintext on an address that others can reach, said in plain words.
