Schedulers of cells give nothing to upstreams that a move's share leaves without work

Without it a scheduler granted slots on all upstreams of the new version, and entry VMs dropped the grants for those they leave out: capacity lost until the grants expired, and requests sent back to the old version after 300 ms.

--- a/src/celltask/celltask.cpp
+++ b/src/celltask/celltask.cpp
@@ -2,6 +2,9 @@
 
 #include "cell/convert.h"
 #include "common/log.h"
+#include "control/movecommands.h"
+
+#include <algorithm>
 
 namespace cumindyke
 {
@@ -83,7 +86,10 @@
 void CellTask::handle(Configuration &&configuration)
 {
     const TimePoint now = EventLoop::now();
-    const bool declarationsChanged = configuration.declarations != m_configuration.declarations;
+    // A move's share says which upstreams of its new version get work.
+    const auto isSame = [](const v1::Move &one, const v1::Move &other) { return one.SerializeAsString() == other.SerializeAsString(); };
+    const bool movesChanged = !std::ranges::equal(configuration.moves, m_configuration.moves, isSame);
+    const bool declarationsChanged = configuration.declarations != m_configuration.declarations || movesChanged;
     m_configuration = std::move(configuration);
     updateCells(now);
     if (!declarationsChanged) {
@@ -132,9 +138,10 @@
 
 void CellTask::updateUpstreams(CellScheduler &scheduler, const CellName &cell, TimePoint now) const
 {
+    const std::set<UpstreamName> resting = restingUpstreams(*m_configuration.declarations, movesFromWire(m_configuration.moves));
     std::vector<CellUpstream> upstreams;
     for (const auto &[name, upstream] : m_configuration.declarations->upstreams()) {
-        if (cellOf(upstream) == cell) {
+        if (cellOf(upstream) == cell && !resting.contains(name)) {
             upstreams.push_back(CellUpstream{.name = name, .version = upstream.version, .slots = upstream.slots});
         }
     }
--- a/src/control/movecommands.cpp
+++ b/src/control/movecommands.cpp
@@ -88,6 +88,15 @@
     };
 }
 
+std::vector<Move> movesFromWire(const std::vector<v1::Move> &moves)
+{
+    std::vector<Move> parsed;
+    for (const v1::Move &wire : moves) {
+        parsed.push_back(fromWire(wire));
+    }
+    return parsed;
+}
+
 std::vector<Move> fromWire(const MoveMap &moves)
 {
     std::vector<Move> parsed;
--- a/src/control/movecommands.h
+++ b/src/control/movecommands.h
@@ -14,6 +14,8 @@
 v1::Move toWire(const Move &move);
 Move fromWire(const v1::Move &move);
 
+std::vector<Move> movesFromWire(const std::vector<v1::Move> &moves);
+
 using MoveMap = std::map<std::string, v1::Move>;
 
 std::vector<Move> fromWire(const MoveMap &moves);
