--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -6,6 +6,7 @@
 #include "control/forwarder.h"
 #include "control/leadership.h"
 #include "control/moveleader.h"
+#include "control/orderrunner.h"
 #include "control/pendingproposals.h"
 #include "control/statemachine.h"
 #include "control/watchers.h"
@@ -167,6 +168,8 @@
     Leadership m_leadership;
     MoveLeader m_moveLeader;
     TimePoint m_nextLook{};
+    raft::Term m_ledTerm = 0;
+    OrderRunner m_orders;
     LeaderSearch m_search;
     Forwarder m_forwarder;
     Follower m_follower;
