--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -5,6 +5,7 @@
 #include "control/follower.h"
 #include "control/forwarder.h"
 #include "control/leadership.h"
+#include "control/moveleader.h"
 #include "control/orderrunner.h"
 #include "control/pendingproposals.h"
 #include "control/statemachine.h"
@@ -145,6 +146,8 @@
     void takeBeat(const VmName &from, const v1::ConfigHeartbeat &beat);
 
     // The VM's side.
+    void decideMoves(TimePoint now);
+    void takeOutcomes(const VmName &from, v1::Envelope &envelope);
     void beat(TimePoint now);
     void sendDue(TimePoint now);
     void takeUpdate(const v1::ConfigUpdate &update);
@@ -163,6 +166,8 @@
     Timer m_flush;
     PendingProposals m_pending;
     Leadership m_leadership;
+    MoveLeader m_moveLeader;
+    TimePoint m_nextLook{};
     raft::Term m_ledTerm = 0;
     OrderRunner m_orders;
     LeaderSearch m_search;
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -3,6 +3,8 @@
 #include "control/controltask.h"
 
 #include "common/log.h"
+#include "control/movecommands.h"
+#include "report/burn.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -198,6 +200,9 @@
         answer.mutable_change_members()->set_message(
             "replicas are not changed by hand: one that is silent for replace_replica_after_ms is replaced by a VM with a data_folder");
         return answer;
+    case v1::LeaderQuestion::kReport:
+        answer.mutable_report()->set_burn_json(burnJson(m_state.declarations(), m_state.burn(), fromWire(m_state.moves()), EventLoop::wallNow()));
+        return answer;
     case v1::LeaderQuestion::QUESTION_NOT_SET:
         break;
     }
--- a/src/control/statemachine.cpp
+++ b/src/control/statemachine.cpp
@@ -1,6 +1,8 @@
 #include "control/statemachine.h"
 
 #include "control/convert.h"
+#include "control/movecommands.h"
+#include "report/burnwire.h"
 
 #include <algorithm>
 
@@ -40,11 +42,18 @@
         *reply.mutable_reply() = applyChanges(command, command.apply());
         break;
     case v1::Command::kStartMove:
-        *reply.mutable_reply() = startMove(command, command.start_move());
+        *reply.mutable_reply() = startMove(m_moves, m_declarations, command.start_move(), WallTime{command.at_ms()});
         break;
     case v1::Command::kAbortMove:
-        *reply.mutable_reply() = abortMove(command, command.abort_move());
+        *reply.mutable_reply() = abortMove(m_moves, m_declarations, command.abort_move(), WallTime{command.at_ms()});
         break;
+    case v1::Command::kMoveVerdict:
+        *reply.mutable_reply() = decideMove(command);
+        break;
+    case v1::Command::kRecordBurn:
+        m_burn.record(fromWire(command.record_burn().counts()), WallTime{command.at_ms()});
+        // Nothing that VMs must have in force, so no new version; and an answer that nobody asks for again is not kept.
+        return reply;
     case v1::Command::kAssignCell:
         *reply.mutable_reply() = assignCell(command.assign_cell());
         break;
@@ -100,6 +109,9 @@
     if (!ok(next)) {
         return invalid(m_declarations.revision(), errorOf(next).message);
     }
+    if (const std::optional<Error> broken = brokenMoveRule(m_moves, valueOf(next))) {
+        return invalid(m_declarations.revision(), broken->message);
+    }
     m_declarations = valueOf(next);
     addHistory(command, request.author(), request.changes());
     return accepted();
@@ -127,14 +139,21 @@
     }
 }
 
-v1::CommandReply StateMachine::startMove(const v1::Command & /*command*/, const v1::StartMoveRequest & /*request*/)
+v1::CommandReply StateMachine::decideMove(const v1::Command &command)
 {
-    return invalid(m_declarations.revision(), "moves are not served by this version: upgrade this VM");
-}
-
-v1::CommandReply StateMachine::abortMove(const v1::Command & /*command*/, const v1::AbortMoveRequest & /*request*/)
-{
-    return invalid(m_declarations.revision(), "moves are not served by this version: upgrade this VM");
+    const AppliedVerdict applied = applyVerdict(m_moves, m_declarations, command.move_verdict(), WallTime{command.at_ms()});
+    if (!applied.declared) {
+        return applied.reply;
+    }
+    const Change change = *applied.declared;
+    const Result<Declarations> next = m_declarations.apply({change});
+    if (ok(next)) {
+        m_declarations = valueOf(next);
+        google::protobuf::RepeatedPtrField<v1::Change> changes;
+        *changes.Add() = toWire(change);
+        addHistory(command, "move " + command.move_verdict().move(), changes);
+    }
+    return applied.reply;
 }
 
 void StateMachine::remember(const std::string &commandId, const v1::ProposeReply &reply)
@@ -188,6 +207,9 @@
         reply.set_message("nothing to change");
         return reply;
     }
+    if (const std::optional<Error> broken = brokenMoveRule(m_moves, saved.m_declarations)) {
+        return invalid(m_declarations.revision(), broken->message);
+    }
     const bool isNew = m_declarations.revision() == Revision{0};
     const Revision next{std::max(m_declarations.revision().value, saved.m_declarations.revision().value) + 1};
     m_declarations = Declarations::restored(next, Declarations().changesTo(saved.m_declarations));
@@ -233,6 +255,7 @@
         *snapshot.add_cells() = cell;
     }
     snapshot.set_version(m_version);
+    *snapshot.mutable_burn() = toWire(m_burn);
     for (const std::string &id : m_answerOrder) {
         v1::Answered &answered = *snapshot.add_answers();
         answered.set_command_id(id);
@@ -262,6 +285,7 @@
         m_cells.emplace(cell.cell(), cell);
     }
     m_version = snapshot.version();
+    m_burn = fromWire(snapshot.burn());
     m_history.assign(snapshot.history().begin(), snapshot.history().end());
     for (const v1::Answered &answered : snapshot.answers()) {
         remember(answered.command_id(), answered.reply());
--- a/src/control/statemachine.h
+++ b/src/control/statemachine.h
@@ -2,6 +2,7 @@
 
 #include "control/claims.h"
 #include "domain/declarations.h"
+#include "report/burnseries.h"
 
 #include "control.pb.h"
 
@@ -39,6 +40,11 @@
     {
         return m_version;
     }
+    /// What the burn report is made from.
+    const BurnSeries &burn() const
+    {
+        return m_burn;
+    }
     /// Accepted changes after a revision, oldest first; empty when they are older than what is kept.
     std::vector<v1::HistoryEntry> historyAfter(Revision revision) const;
 
@@ -54,8 +60,7 @@
 private:
     v1::ProposeReply applyClaim(const v1::Command &command);
     v1::CommandReply applyChanges(const v1::Command &command, const v1::ApplyRequest &request);
-    v1::CommandReply startMove(const v1::Command &command, const v1::StartMoveRequest &request);
-    v1::CommandReply abortMove(const v1::Command &command, const v1::AbortMoveRequest &request);
+    v1::CommandReply decideMove(const v1::Command &command);
     v1::CommandReply assignCell(const v1::CellAssignment &assignment);
     v1::CommandReply restoreDeclarations(const v1::Command &command, const v1::RestoreSnapshotRequest &request);
     v1::CommandReply accepted() const;
@@ -67,6 +72,7 @@
     std::map<std::string, v1::Move> m_moves;
     std::map<std::string, v1::CellAssignment> m_cells;
     std::uint64_t m_version = 0;
+    BurnSeries m_burn;
     std::deque<v1::HistoryEntry> m_history;
     /// Answers by command id, and the ids in the order they came, so that the oldest go first.
     std::map<std::string, v1::ProposeReply> m_answers;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -6,6 +6,14 @@
 namespace cumindyke
 {
 
+namespace
+{
+
+/// A request that found no room on a move's new version for this long goes to the old one.
+constexpr Duration WaitForNewVersion = std::chrono::milliseconds(300);
+
+}
+
 Dispatcher::Dispatcher(const VmName &vm, const std::set<VmName> &vms)
     : m_capacity(vm)
     , m_share{.index = static_cast<std::uint32_t>(std::distance(vms.begin(), vms.find(vm))), .count = static_cast<std::uint32_t>(vms.size())}
@@ -14,10 +22,15 @@
 
 void Dispatcher::setDeclarations(std::shared_ptr<const Declarations> declarations, TimePoint now)
 {
-    if (declarations != m_declarations) {
+    const std::set<UpstreamName> resting = m_versions ? m_versions->restingUpstreams() : std::set<UpstreamName>{};
+    if (declarations != m_declarations || resting != m_resting) {
         m_declarations = std::move(declarations);
+        m_resting = resting;
         std::vector<BookUpstream> upstreams;
         for (const auto &[name, upstream] : m_declarations->upstreams()) {
+            if (m_resting.contains(name)) {
+                continue;
+            }
             const CellName cell{upstream.service.value + "/" + upstream.dataCentre.value};
             upstreams.push_back(BookUpstream{.name = name, .service = upstream.service, .version = upstream.version, .cell = cell, .slots = upstream.slots});
         }
@@ -49,9 +62,10 @@
     for (const UpstreamName &upstream : m_availability.unusable(now)) {
         m_capacity.noteUnreachable(upstream, now);
     }
+    rerouteWaiting(now);
 }
 
-void Dispatcher::add(const CallerRequest &request)
+void Dispatcher::add(const CallerRequest &request, TimePoint now)
 {
     const TokenCount answer = m_lengths.answer(request.service, request.route, request.answerTokens);
     m_queues[request.service].add(PendingRequest{
@@ -65,7 +79,7 @@
         .promptTokens = request.promptTokens,
         .answerTokens = answer,
         .prefix = request.prefix,
-        .version = {},
+        .version = m_versions ? m_versions->choose(request, now) : VersionName{},
     });
 }
 
@@ -105,9 +119,29 @@
     });
 }
 
-VersionName Dispatcher::versionFor(const Service &service, const PendingRequest & /*request*/) const
+/// A request that was meant for a move's new version takes the old one when the move has ended or is tripped, and when the new one had no
+/// room for it: it must not wait for an experiment.
+void Dispatcher::rerouteWaiting(TimePoint now)
 {
-    return service.version;
+    for (auto &[name, queue] : m_queues) {
+        const Service *service = m_declarations->service(name);
+        if (!m_versions || !service) {
+            continue;
+        }
+        for (const PendingRequest *waiting : queue.inOrder(ServedAtOnce)) {
+            if (waiting->version.value.empty()) {
+                continue;
+            }
+            const bool waitedLong = now - waiting->arrival > WaitForNewVersion;
+            if (!waitedLong && m_versions->confirm(*service, waiting->version, now) == waiting->version) {
+                continue;
+            }
+            PendingRequest request = *waiting;
+            request.version = {};
+            queue.remove(request.id);
+            queue.add(std::move(request));
+        }
+    }
 }
 
 std::vector<PendingRequest> Dispatcher::takeHopeless(TimePoint now)
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -3,6 +3,7 @@
 #include "cell/grantbook.h"
 #include "domain/declarations.h"
 #include "entry/callerrequest.h"
+#include "entry/versiontraffic.h"
 #include "policy/lengthestimate.h"
 #include "policy/pendingqueue.h"
 #include "upstream/availability.h"
@@ -26,8 +27,13 @@
     Dispatcher(const VmName &vm, const std::set<VmName> &vms);
 
     void setDeclarations(std::shared_ptr<const Declarations> declarations, TimePoint now);
+    /// Where the version of each request comes from; lives as long as this.
+    void setVersions(const VersionTraffic *versions)
+    {
+        m_versions = versions;
+    }
     /// The request waits from now on; serve() may let it go.
-    void add(const CallerRequest &request);
+    void add(const CallerRequest &request, TimePoint now);
     /// False when the request was not waiting.
     bool remove(const CallerRequest &request);
     /// Lets go what there is capacity for.
@@ -64,11 +70,12 @@
 
 private:
     void serveQueue(const Service &service, PendingQueue &queue, TimePoint now);
-    VersionName versionFor(const Service &service, const PendingRequest &request) const;
-
-    void noteUnusable(TimePoint now);
+    void rerouteWaiting(TimePoint now);
 
     std::shared_ptr<const Declarations> m_declarations = std::make_shared<const Declarations>();
+    const VersionTraffic *m_versions = nullptr;
+    /// Upstreams that a move leaves without work.
+    std::set<UpstreamName> m_resting;
     Availability m_availability;
     std::map<ServiceName, PendingQueue> m_queues;
     Capacity m_capacity;
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -15,6 +15,8 @@
 /// Changes within this time after a message to the schedulers are told together.
 constexpr Duration TellDelay = std::chrono::milliseconds(2);
 constexpr Duration SweepInterval = std::chrono::milliseconds(10);
+/// Outcomes go to the leader this often.
+constexpr Duration ReportInterval = std::chrono::milliseconds(250);
 constexpr Duration KeyedSweepInterval = std::chrono::milliseconds(100);
 /// The largest answer of a keyed request that is kept for later sendings; the claims' own limit.
 constexpr std::size_t MaxKeptAnswerBytes = ClaimLimits{}.maxAnswerBytes;
@@ -33,6 +35,7 @@
     task->m_door = std::move(valueOf(door));
     task->m_door->arrived().connect(sigc::mem_fun(*task, &EntryTask::arrived));
     task->m_sweep.startEvery(SweepInterval);
+    task->m_report.startEvery(ReportInterval);
     task->m_keyedSweep.startEvery(KeyedSweepInterval);
     return task;
 }
@@ -47,8 +50,10 @@
     , m_metrics(metrics)
     , m_mailbox(m_loop, [this](EntryMessage &&message) { handle(std::move(message)); })
     , m_sweep(m_loop, [this] { sweep(); })
+    , m_report(m_loop, [this] { reportOutcomes(); })
     , m_tell(m_loop, [this] { tellSchedulers(); })
     , m_admission(m_options.vm)
+    , m_versions(m_options.vm, m_admission.incarnation(), metrics)
     , m_dispatcher(m_options.vm, m_options.vms)
     , m_runCounters(metrics)
     , m_canceller(m_loop)
@@ -61,6 +66,7 @@
         finishDrainIfIdle();
     })
 {
+    m_dispatcher.setVersions(&m_versions);
     if (!m_options.platformList.empty()) {
         m_platformList = std::make_unique<PlatformList>(m_loop, m_options.platformList);
         m_platformList->changed().connect(sigc::mem_fun(*this, &EntryTask::platformListed));
@@ -111,6 +117,7 @@
     if (configuration.declarations->revision() != m_admission.configuration().declarations->revision()) {
         logChange("entry", "configuration-in-force", {{"revision", std::to_string(configuration.declarations->revision().value)}});
     }
+    m_versions.setMoves(configuration.moves, *configuration.declarations);
     m_admission.setConfiguration(std::move(configuration));
     m_dispatcher.setDeclarations(m_admission.configuration().declarations, EventLoop::now());
     if (m_platformList) {
@@ -251,8 +258,8 @@
         return;
     }
     const ServiceName service = active->request.service;
-    m_dispatcher.add(active->request);
     const TimePoint now = EventLoop::now();
+    m_dispatcher.add(active->request, now);
     m_dispatcher.serve(service, now);
     tellSoon(now);
 }
@@ -337,6 +344,8 @@
         active->life.answerBegan();
         m_dispatcher.upstreamTook(name, EventLoop::now());
     });
+    m_versions.sent(active->request, upstream, EventLoop::now());
+    active->run->tokensCame().connect([this, id](std::uint64_t tokens) { m_versions.tokensCame(id, tokens, EventLoop::now()); });
     active->run->ended().connect([this, id](const RunResult &result) { runEnded(id, result); });
     active->run->start();
 }
@@ -347,6 +356,7 @@
     if (!active) {
         return;
     }
+    m_versions.ended(id, result.kind, active->request.deadline, EventLoop::now());
     switch (result.kind) {
     case RunResult::Kind::Whole:
         finish(id, EventLoop::now() <= active->request.deadline ? RequestEnd::OnTime : RequestEnd::Late);
@@ -378,7 +388,7 @@
         return;
     }
     const ServiceName service = active.request.service;
-    m_dispatcher.add(active.request);
+    m_dispatcher.add(active.request, now);
     m_dispatcher.serve(service, now);
     tellSoon(now);
 }
@@ -422,6 +432,7 @@
                  "Requests by how they ended",
                  {{"service", request.service.value}, {"tier", request.tier.value}, {"end", toString(end)}})
         .add();
+    m_versions.finished(request, end);
     m_history.write("ended", id, EventLoop::now(), {{"end", toString(end)}});
     m_limits.remove(request.organisation, heldBytes(request));
     if (end != RequestEnd::Refused) {
@@ -445,6 +456,13 @@
     }
 }
 
+void EntryTask::reportOutcomes()
+{
+    v1::Envelope envelope;
+    *envelope.mutable_outcome_report() = m_versions.report(EventLoop::now());
+    m_options.send(m_options.vm, std::move(envelope));
+}
+
 void EntryTask::finishDrainIfIdle()
 {
     if (m_admission.isDraining() && m_requests.size() == 0 && m_keyed.isSaved() && m_drained) {
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -12,6 +12,7 @@
 #include "entry/organisationlimits.h"
 #include "entry/requeststore.h"
 #include "entry/servicerate.h"
+#include "entry/versiontraffic.h"
 #include "report/outcometally.h"
 #include "upstream/platformlist.h"
 #include "upstream/streamcanceller.h"
@@ -104,18 +105,21 @@
     void finish(const RequestId &id, RequestEnd end);
     void releaseSlot(ActiveRequest &active);
     void finishDrainIfIdle();
+    void reportOutcomes();
 
     const EntryOptions m_options;
     Metrics &m_metrics;
     EventLoop m_loop;
     Mailbox<EntryMessage> m_mailbox;
     Timer m_sweep;
+    Timer m_report;
     /// Sends what changed to the schedulers of the cells.
     Timer m_tell;
     TimePoint m_lastTold;
     bool m_tellDue = false;
     std::unique_ptr<FrontDoor> m_door;
     Admission m_admission;
+    VersionTraffic m_versions;
     Dispatcher m_dispatcher;
     RunCounters m_runCounters;
     StreamCanceller m_canceller;
