--- a/src/control/distribution.cpp
+++ b/src/control/distribution.cpp
@@ -127,7 +127,10 @@
         if (vm.version >= version) {
             continue;
         }
-        const bool mayAdmit = now < leaseEnd(vm) + vm.keepAdmitting;
+        // A VM that is still looking for this leader has lapsed too, but only for a moment: naming it would send operators after a VM
+        // that is well.
+        const Duration stillLooking = vm.heard ? Duration::zero() : m_options.findLeader;
+        const bool mayAdmit = now < leaseEnd(vm) + vm.keepAdmitting + stillLooking;
         (mayAdmit ? spread.pending : spread.lapsed).push_back(name.value);
     }
     return spread;
--- a/src/control/distribution.h
+++ b/src/control/distribution.h
@@ -21,6 +21,8 @@
     Duration grace = std::chrono::seconds(1);
     /// Time for the fan-out tree before the leader sends a version to a VM itself.
     Duration repairAfter = std::chrono::milliseconds(300);
+    /// How long a live VM may take to find a new leader: a second of silence from the old one, then the others in turn.
+    Duration findLeader = std::chrono::seconds(3);
     /// Two VMs' monotonic clocks differ by less than this over a lease. Quartz is within 0.1 in a thousand.
     std::uint32_t clockMarginPermille = 10;
 
--- /dev/null
+++ b/tests/control/distributiontest.cpp
@@ -0,0 +1,53 @@
+#include "control/distribution.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cumindyke;
+
+namespace
+{
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+TimePoint after(int ms)
+{
+    return Start + std::chrono::milliseconds(ms);
+}
+
+v1::ConfigHeartbeat beatOf(const std::string &vm, std::uint64_t number, std::uint64_t version)
+{
+    v1::ConfigHeartbeat beat;
+    beat.set_vm(vm);
+    beat.set_incarnation(1);
+    beat.set_beat(number);
+    beat.set_version(version);
+    return beat;
+}
+
+}
+
+// The leader was killed, and an operator's "apply --wait" is answered by the next one. A VM that is well needs some seconds to find the new
+// leader; it must not be named to the operator as lapsed meanwhile. One that is not heard of after that is named.
+TEST_CASE("a new leader gives live VMs the time to find it before it names them as lapsed")
+{
+    Distribution distribution({}, {VmName{"a"}, VmName{"b"}});
+    distribution.lead(7, Start);
+    distribution.heartbeat(beatOf("a", 1, 7), true, after(100));
+    CHECK(distribution.spread(7, after(2'100)).pending == std::vector<std::string>{"b"});
+    CHECK(distribution.spread(7, after(2'100)).lapsed.empty());
+    CHECK(distribution.spread(7, after(5'100)).lapsed == std::vector<std::string>{"b"});
+    distribution.heartbeat(beatOf("b", 1, 7), true, after(4'000));
+    CHECK(distribution.spread(7, after(5'100)).lapsed.empty());
+    CHECK(distribution.spread(7, after(5'100)).pending.empty());
+}
+
+// A VM that this leader has granted a lease goes silent: it counts as lapsed when that lease has certainly ended, and not before.
+TEST_CASE("a silent VM counts as lapsed once its lease has certainly ended")
+{
+    Distribution distribution({}, {VmName{"a"}});
+    distribution.lead(7, Start);
+    REQUIRE(distribution.heartbeat(beatOf("a", 1, 7), true, after(100)));
+    distribution.published(8, after(200));
+    CHECK(distribution.spread(8, after(2'119)).pending.size() == 1);
+    CHECK(distribution.spread(8, after(2'120)).lapsed.size() == 1);
+}
