--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -17,7 +17,14 @@
         const Error noFolder{ErrorKind::Invalid, "replicas names this VM, which has no data_folder: set one, or name other VMs in replicas on every VM"};
         return named ? std::optional(noFolder) : std::nullopt;
     }
-    raft::ReplicatedLogOptions logOptions{.vm = m_options.vm, .dataFolder = m_options.dataFolder, .initialVoters = m_options.replicas, .send = m_options.send};
+    raft::ReplicatedLogOptions logOptions{.vm = m_options.vm, .dataFolder = m_options.dataFolder, .initialVoters = m_options.replicas, .send = {}};
+    // A VM without a replica offers itself every second. To every peer, that cost each VM traffic in proportion to all VMs; only the leader
+    // takes an offer, and while it is not known the search asks all in turn.
+    logOptions.send = [this](const VmName &to, v1::Envelope envelope) {
+        if (envelope.raft().kind() != v1::RaftMessage::STANDBY || to == m_search.leader()) {
+            m_options.send(to, std::move(envelope));
+        }
+    };
     logOptions.replaceAfter = m_options.replaceReplicaAfter;
     for (const auto &[peer, address] : m_options.peers) {
         logOptions.peers.push_back(peer);
