--- a/tests/raft/simulation.cpp
+++ b/tests/raft/simulation.cpp
@@ -1,10 +1,9 @@
 #include "raft/simulation.h"
 
-#include "common/hash.h"
+#include "raft/history.h"
 
 #include <algorithm>
 #include <set>
-#include <stdexcept>
 
 namespace cumindyke::raft::test
 {
@@ -24,11 +23,6 @@
 constexpr std::size_t Vms = 7;
 constexpr SnapshotPolicy Snapshots{.every = 40, .keep = 10};
 
-struct CheckFailed : std::runtime_error
-{
-    using std::runtime_error::runtime_error;
-};
-
 VmName vmName(std::size_t number)
 {
     return VmName{"vm-" + std::to_string(number)};
@@ -36,107 +30,9 @@
 
 }
 
-std::size_t SimulatedDisk::kept(std::size_t count)
-{
-    return crashInNextSync ? (*random)() % (count + 1) : count;
-}
-
-void SimulatedDisk::install(const Writes &writes)
-{
-    content.snapshot = writes.snapshot;
-    if (writes.resetLog) {
-        content.entries.clear();
-        content.baseIndex = writes.snapshot->index;
-        content.baseTerm = writes.snapshot->term;
-    }
-}
-
-void SimulatedDisk::append(const EntryPointer &entry)
-{
-    content.entries.resize(entry->index() - content.baseIndex - 1);
-    content.entries.push_back(entry);
-}
-
-Result<Done> SimulatedDisk::persist(const Writes &writes)
-{
-    const std::size_t steps = kept(4);
-    if (writes.identity && steps >= 1) {
-        content.identity = *writes.identity;
-    }
-    if (writes.vote && steps >= 2) {
-        content.vote = *writes.vote;
-    }
-    if (writes.snapshot && steps >= 3) {
-        install(writes);
-    }
-    if (steps >= 4) {
-        const std::size_t entries = kept(writes.entries.size());
-        for (std::size_t i = 0; i < entries; ++i) {
-            append(writes.entries[i]);
-        }
-    }
-    if (crashInNextSync) {
-        return Error{ErrorKind::Storage, "crashed"};
-    }
-    return Done{};
-}
-
-Result<Done> SimulatedDisk::saveSnapshot(const SnapshotPointer &snapshot, Index keepAfter)
-{
-    if (crashInNextSync && kept(1) == 0) {
-        return Error{ErrorKind::Storage, "crashed"};
-    }
-    content.snapshot = snapshot;
-    if (keepAfter > content.baseIndex) {
-        const auto dropped = static_cast<std::ptrdiff_t>(keepAfter - content.baseIndex);
-        content.baseTerm = content.entries[keepAfter - content.baseIndex - 1]->term();
-        content.entries.erase(content.entries.begin(), content.entries.begin() + dropped);
-        content.baseIndex = keepAfter;
-    }
-    if (crashInNextSync) {
-        return Error{ErrorKind::Storage, "crashed"};
-    }
-    return Done{};
-}
-
-void SimulatedState::install(const Snapshot &snapshot)
-{
-    index = snapshot.index;
-    sum = std::stoull(snapshot.state.substr(0, snapshot.state.find(' ')));
-    installed(index, sum);
-}
-
-void SimulatedState::apply(const v1::LogEntry &entry)
-{
-    if (entry.index() != index + 1) {
-        throw CheckFailed("applied " + std::to_string(entry.index()) + " after " + std::to_string(index));
-    }
-    index = entry.index();
-    sum = checksum(std::to_string(sum) + ":" + std::to_string(entry.index()) + ":" + std::to_string(entry.term()) + ":" + entry.command());
-    applied(entry, sum);
-}
-
-std::string SimulatedState::snapshot() const
-{
-    return std::to_string(sum) + " " + std::string(100, 'x');
-}
-
 namespace
 {
 
-struct ClientAppend
-{
-    std::string command;
-    TimePoint invoked;
-    std::optional<TimePoint> acknowledged;
-};
-
-struct ClientRead
-{
-    TimePoint at;
-    Index index;
-};
-
 struct InFlight
 {
     TimePoint at;
@@ -181,7 +77,8 @@
             runFaults();
             heal();
             runUntilConverged();
-            checkHistory();
+            m_result.acknowledged = checkHistory(m_commands, m_appends, m_reads);
+            m_result.reads = m_reads.size();
         } catch (const CheckFailed &failed) {
             m_result.fault = failed.what();
         }
@@ -640,52 +537,6 @@
         return false;
     }
 
-    /// The log's order is the order of the history: what was acknowledged is in it once, and real time agrees with it.
-    void checkHistory()
-    {
-        std::map<std::string, Index> place;
-        for (const auto &[index, command] : m_commands) {
-            if (!command.empty() && !place.emplace(command, index).second) {
-                throw CheckFailed(command + " was applied twice");
-            }
-        }
-        std::vector<std::tuple<TimePoint, int, Index>> events;
-        for (const ClientAppend &append : m_appends) {
-            const auto found = place.find(append.command);
-            if (append.acknowledged && found == place.end()) {
-                throw CheckFailed(append.command + " was acknowledged and is lost");
-            }
-            if (append.acknowledged) {
-                ++m_result.acknowledged;
-                events.emplace_back(*append.acknowledged, 0, found->second);
-            }
-            if (found != place.end()) {
-                events.emplace_back(append.invoked, 2, found->second);
-            }
-        }
-        for (const ClientRead &read : m_reads) {
-            events.emplace_back(read.at, 1, read.index);
-        }
-        m_result.reads = m_reads.size();
-        checkRealTime(events);
-    }
-
-    /// Whatever is seen or acknowledged at a time must be before, in the log, whatever is invoked later; and reads don't go back.
-    static void checkRealTime(std::vector<std::tuple<TimePoint, int, Index>> &events)
-    {
-        std::ranges::sort(events);
-        Index seen = 0;
-        for (const auto &[at, kind, index] : events) {
-            if (kind == 2 && index <= seen) {
-                throw CheckFailed("index " + std::to_string(index) + " was proposed after " + std::to_string(seen) + " was seen");
-            }
-            if (kind == 1 && index < seen) {
-                throw CheckFailed("a read saw only " + std::to_string(index) + " after " + std::to_string(seen) + " was seen");
-            }
-            seen = kind == 2 ? seen : std::max(seen, index);
-        }
-    }
-
     std::mt19937_64 m_random;
     const Planted m_planted;
     TimePoint m_now{};
