--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -28,9 +28,7 @@
         }
     };
     logOptions.replaceAfter = m_options.replaceReplicaAfter;
-    for (const auto &[peer, address] : m_options.peers) {
-        logOptions.peers.push_back(peer);
-    }
+    logOptions.leaderHint = [this] { return m_search.leader(); };
     auto log = raft::ReplicatedLog::open(std::move(logOptions));
     if (!ok(log)) {
         return errorOf(log);
