--- a/src/upstream/eventstream.cpp
+++ b/src/upstream/eventstream.cpp
@@ -1,5 +1,7 @@
 #include "upstream/eventstream.h"
 
+#include <utility>
+
 namespace cumindyke
 {
 
@@ -15,7 +17,11 @@
 {
     std::vector<StreamEvent> events;
     while (!bytes.empty() && !m_broken) {
-        const std::size_t end = bytes.find('\n');
+        if (std::exchange(m_afterReturn, false) && bytes.front() == '\n') {
+            bytes.remove_prefix(1);
+            continue;
+        }
+        const std::size_t end = bytes.find_first_of("\r\n");
         m_partialLine += bytes.substr(0, end);
         if (m_partialLine.size() + m_event.data.size() > MaxEventBytes) {
             m_broken = true;
@@ -24,12 +30,10 @@
         if (end == std::string_view::npos) {
             break;
         }
+        m_afterReturn = bytes[end] == '\r';
         bytes.remove_prefix(end + 1);
         std::string line;
         line.swap(m_partialLine);
-        if (line.ends_with('\r')) {
-            line.pop_back();
-        }
         takeLine(line, events);
     }
     return events;
--- a/src/upstream/eventstream.h
+++ b/src/upstream/eventstream.h
@@ -35,6 +35,8 @@
     std::string m_partialLine;
     StreamEvent m_event;
     bool m_hasData = false;
+    /// The last byte was a carriage return, which ends a line by itself: a newline after it belongs to the same end.
+    bool m_afterReturn = false;
     bool m_broken = false;
 };
 
--- a/tests/upstream/eventstreamtest.cpp
+++ b/tests/upstream/eventstreamtest.cpp
@@ -48,3 +48,13 @@
     CHECK(parser.broken());
     CHECK(parser.feed("\n\ndata: late\n\n").empty());
 }
+
+// Found by fuzzing (corpus eventstream/lone-carriage-return): a line that ended in two carriage returns kept one in its data, and the caller
+// was handed an event that read differently from the engine's. A carriage return ends a line by itself.
+TEST_CASE("a lone carriage return ends a line and never stands in an event")
+{
+    EventStreamParser parser;
+    const std::vector<StreamEvent> expected{{.id = "", .name = "", .data = "one\ntwo"}};
+    CHECK(parser.feed("data: one\rdata: two\r\r\n") == expected);
+    CHECK(parser.feed("data: t\r\r\nwo\n\n") == std::vector<StreamEvent>{{.id = "", .name = "", .data = "t"}});
+}
