A request that is sent too slowly is answered 408 and cut off

Cause: libevent's timeout starts anew with each byte, so a caller that sends one byte a minute held its connection without end. The time of a whole request is checked at each byte that comes (setting request_read_limit_ms, 30 s); a caller that sends nothing meets libevent's timeout.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -105,6 +105,7 @@
                                      .dataCentre = settings.dataCentre,
                                      .vms = allVms(settings),
                                      .address = settings.httpAddress,
+                                     .requestReadLimit = settings.requestReadLimit,
                                      .propose = [control = m_control.get()](Proposal proposal) { control->post(std::move(proposal)); },
                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
                                      .historyFile = settings.historyFile,
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::int64_t MaxReplaceReplicaAfterMs = 24 * 3'600'000;
+constexpr std::int64_t MaxRequestReadMs = 3'600'000;
 constexpr std::int64_t MaxDrainMs = 24 * 3'600'000;
 constexpr std::int64_t MaxKeepAdmittingMs = 3'600'000;
 
@@ -64,6 +65,7 @@
     settings.dataFolder = root.text("data_folder", settings.dataFolder);
     settings.platformList = root.text("platform_list", "");
     settings.historyFile = root.text("history_file", "");
+    settings.requestReadLimit = std::chrono::milliseconds(root.integer("request_read_limit_ms", settings.requestReadLimit.count(), 100, MaxRequestReadMs));
     if (root.has("drain_limit_ms")) {
         settings.drainLimit = std::chrono::milliseconds(root.integer("drain_limit_ms", 0, 0, MaxDrainMs));
     }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -36,6 +36,8 @@
     bool plaintext = false;
     /// How long work is admitted under the last configuration after the lease ended; docs/notes/quorum-loss.md.
     std::chrono::milliseconds keepAdmitting{0};
+    /// The longest that a caller may take to send one request.
+    std::chrono::milliseconds requestReadLimit{30'000};
     /// How long a graceful shutdown may last; none is no limit.
     std::optional<std::chrono::milliseconds> drainLimit;
     /// File or "http://HOST:PORT/PATH" of the platform's list of live and leaving VMs. Empty: none.
--- a/tests/process/callerinputtest.cpp
+++ b/tests/process/callerinputtest.cpp
@@ -101,3 +101,17 @@
     CHECK(answer.find("id: " + std::to_string(Tokens - 1) + "\n") != std::string::npos);
     CHECK(countOf(office.drafting().log(), "run") == 1);
 }
+
+// The slow caller is told that it took too long and is cut off; others are served meanwhile. It sends a byte of its head again and again,
+// so libevent's timeout, which starts anew with each byte, never passes; the limit on the whole request does.
+TEST_CASE("a caller that sends a request byte by byte for too long is cut off")
+{
+    Office office(OfficeOptions{.moreSettings = "request_read_limit_ms = 300\n"});
+    RawConnection slow(office.daemonAddress());
+    REQUIRE(slow.send("POST /v1/completions HTTP/1.1\r\nX-Slow: "));
+    CHECK(eventually([&slow] { return !slow.send("x"); }));
+    const std::string answer = slow.readAll();
+    CHECK(answer.starts_with("HTTP/1.1 408 "));
+    CHECK(answer.ends_with("\"outcome\":\"not-run\"}}\n"));
+    CHECK(streamedText(office.draft("Notice", 2).body).whole);
+}
