--- a/src/cell/loadwatch.cpp
+++ b/src/cell/loadwatch.cpp
@@ -132,7 +132,10 @@
                 m_body += bytes;
             }
         });
-        m_call->finished().connect([this, take = std::move(take)] { take(m_body); });
+        m_call->finished().connect([this, take = std::move(take)] {
+            m_watch.m_reachable.emit(m_upstream.name);
+            take(m_body);
+        });
         m_call->failed().connect([this](CallFailure /*failure*/) {
             m_watch.m_unreachable.emit(m_upstream.name);
             rest();
--- a/src/cell/loadwatch.h
+++ b/src/cell/loadwatch.h
@@ -66,6 +66,11 @@
     {
         return m_prefixEventsCame;
     }
+    /// It gave a whole answer, also one that is no report: an engine without reports is reachable all the same.
+    sigc::signal<void, const UpstreamName &> &reachable()
+    {
+        return m_reachable;
+    }
     /// No connection, or no whole answer in time; also emitted while it lasts, at each ask.
     sigc::signal<void, const UpstreamName &> &unreachable()
     {
@@ -81,6 +86,7 @@
     std::map<UpstreamName, std::shared_ptr<Asker>> m_askers;
     sigc::signal<void, const UpstreamName &, const LoadReport &> m_loadCame;
     sigc::signal<void, const UpstreamName &, const std::vector<PrefixEvent> &> m_prefixEventsCame;
+    sigc::signal<void, const UpstreamName &> m_reachable;
     sigc::signal<void, const UpstreamName &> m_unreachable;
 };
 
--- a/src/celltask/celltask.cpp
+++ b/src/celltask/celltask.cpp
@@ -52,6 +52,11 @@
             scheduler->takeCacheEvent(name, event.prefix, event.stored);
         }
     });
+    m_watch.reachable().connect([this](const UpstreamName &name) {
+        if (CellScheduler *scheduler = schedulerOf(name)) {
+            scheduler->setUsable(name, true);
+        }
+    });
     m_watch.unreachable().connect([this](const UpstreamName &name) {
         if (CellScheduler *scheduler = schedulerOf(name)) {
             scheduler->setUsable(name, false);
--- a/src/entry/versiontraffic.cpp
+++ b/src/entry/versiontraffic.cpp
@@ -49,9 +49,9 @@
     }
     known->second = move.state;
     m_metrics.counter("cumindyke_move_states_total", "States that moves came into", {{"service", move.service.value}, {"state", toString(move.state)}}).add();
-    logChange("move",
-              std::string("move-") + toString(move.state),
-              {{"move", move.name.value}, {"from", move.from.value}, {"to", move.to.value}, {"reason", move.reason}});
+    std::string change = std::string("move-") + toString(move.state);
+    std::ranges::replace(change, ' ', '-');
+    logChange("move", change, {{"move", move.name.value}, {"from", move.from.value}, {"to", move.to.value}, {"reason", move.reason}});
 }
 
 VersionName VersionTraffic::choose(const CallerRequest &request, TimePoint now) const
--- a/tests/cell/loadwatchtest.cpp
+++ b/tests/cell/loadwatchtest.cpp
@@ -1,4 +1,5 @@
 #include "cell/loadwatch.h"
+#include "entry/frontdoor.h"
 #include "support/processes.h"
 
 #include <catch2/catch.hpp>
@@ -57,3 +58,27 @@
     CHECK(firstLost);
     CHECK(secondReports >= 3);
 }
+
+// An engine without reports was out of reach once. The scheduler gave it nothing from then on, since only a report took it back in; its slots
+// were lost until the next change of the declarations. Any whole answer now counts as a sign of life.
+TEST_CASE("an engine without reports is reachable again when it answers anything")
+{
+    const TestNetwork network;
+    EventLoop loop;
+    auto engine = FrontDoor::listen(loop, Address{network.host(11), 0}, std::chrono::seconds(30));
+    REQUIRE(ok(engine));
+    valueOf(engine)->arrived().connect([](const std::shared_ptr<Exchange> &exchange) { exchange->reply(404, "text/plain", "no such path\n"); });
+    LoadWatch watch(loop, std::chrono::milliseconds(20));
+    bool reachable = false;
+    watch.loadCame().connect([](const UpstreamName & /*name*/, const LoadReport & /*report*/) { FAIL("there is no report"); });
+    watch.reachable().connect([&](const UpstreamName &name) {
+        CHECK(name == UpstreamName{"silent"});
+        reachable = true;
+        loop.stop();
+    });
+    Timer limit(loop, [&loop] { loop.stop(); });
+    limit.startOnce(Patience);
+    watch.setUpstreams({Upstream{.name = UpstreamName{"silent"}, .address = Address{network.host(11), valueOf(engine)->port()}}});
+    loop.run();
+    CHECK(reachable);
+}
