--- a/tests/control/moveprocesstest.cpp
+++ b/tests/control/moveprocesstest.cpp
@@ -113,7 +113,7 @@
         std::this_thread::sleep_for(std::chrono::seconds(1));
         return before == runs;
     }));
-    CHECK(moving.office().daemon().log().find("move-taken back") != std::string::npos);
+    CHECK(moving.office().daemon().log().find("move-taken-back") != std::string::npos);
     CHECK(moving.office().metrics().find("cumindyke_move_states_total{service=\"drafting\",state=\"taken back\"} 1") != std::string::npos);
     CHECK(moving.office().daemon().ctl({"get"}).out.find("service drafting version v1") != std::string::npos);
     CHECK(moving.wrongAnswers() == 0);
