Ended calls are released by the loop that runs them, also when it ends first

The loop now keeps what is to be released and releases it at its own end too. The allocation test replaces the allocator's nothrow form as well.

--- a/src/common/eventloop.cpp
+++ b/src/common/eventloop.cpp
@@ -17,13 +17,31 @@
     if (!m_base) {
         throw std::runtime_error("no event loop could be made: raise the limit of open files");
     }
+    m_releaseEvent = event_new(m_base, -1, 0, &EventLoop::release, this);
 }
 
 EventLoop::~EventLoop()
 {
+    // What is released may release more.
+    while (!m_releasing.empty()) {
+        release(-1, 0, this);
+    }
+    event_free(m_releaseEvent);
     event_base_free(m_base);
 }
 
+void EventLoop::releaseLater(std::shared_ptr<void> last)
+{
+    m_releasing.push_back(std::move(last));
+    event_active(m_releaseEvent, EV_TIMEOUT, 0);
+}
+
+void EventLoop::release(int /*fd*/, short /*what*/, void *self)
+{
+    std::vector<std::shared_ptr<void>> releasing;
+    releasing.swap(static_cast<EventLoop *>(self)->m_releasing);
+}
+
 void EventLoop::run()
 {
     event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
--- a/src/common/eventloop.h
+++ b/src/common/eventloop.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 struct event;
 struct event_base;
@@ -24,6 +25,9 @@
     void run();
     /// Ends run() after the callback in progress. Safe from any thread.
     void stop();
+    /// Lets go of the object from the loop, after the callback in progress, or when the loop is destroyed. For what libevent still uses until
+    /// its callback has returned. Call from the owning thread.
+    void releaseLater(std::shared_ptr<void> last);
     event_base *base() const
     {
         return m_base;
@@ -34,7 +38,11 @@
     static WallTime wallNow();
 
 private:
+    static void release(int fd, short what, void *self);
+
     event_base *m_base;
+    event *m_releaseEvent;
+    std::vector<std::shared_ptr<void>> m_releasing;
 };
 
 /// A timer on a loop. Not safe from other threads. Destroying it cancels it.
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -131,10 +131,7 @@
     m_closed = true;
     m_timer.stop();
     // Held by the loop until the present callback has returned; then the last reference frees the connection.
-    const timeval atOnce{.tv_sec = 0, .tv_usec = 0};
-    auto *held = new std::shared_ptr<Private>(shared_from_this());
-    event_base_once(
-        m_loop.base(), -1, EV_TIMEOUT, [](int, short, void *last) { delete static_cast<std::shared_ptr<Private> *>(last); }, held, &atOnce);
+    m_loop.releaseLater(shared_from_this());
 }
 
 void UpstreamCall::Private::setPaused(bool paused)
--- a/tests/policy/allocationtest.cpp
+++ b/tests/policy/allocationtest.cpp
@@ -25,6 +25,12 @@
     return memory;
 }
 
+[[gnu::noinline]] void *operator new(std::size_t size, const std::nothrow_t & /*tag*/) noexcept
+{
+    ++allocations;
+    return std::malloc(size > 0 ? size : 1);
+}
+
 [[gnu::noinline]] void operator delete(void *memory) noexcept
 {
     std::free(memory);
