Limits by one bucket an organisation at the leader; a VM that shuts down refuses late requests instead of breaking them off

Change: the leader keeps the level and sends it with each lease; VMs reckon with what others admit meanwhile, and fall back on parts when it is low. After 2.8 s of a shutdown what still comes is refused.

--- a/src/control/fleettally.cpp
+++ b/src/control/fleettally.cpp
@@ -1,5 +1,8 @@
 #include "control/fleettally.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cumindyke
 {
 
@@ -35,12 +38,22 @@
 
 }
 
+void LimitBucket::advance(const v1::RoutedOrganisation &limit, std::uint64_t tolerance, std::uint64_t admitted, TimePoint now)
+{
+    const auto most = static_cast<double>(limit.burst() + tolerance);
+    // A new leader does not know what was admitted just before: it begins with the tolerance only, which may be spent twice.
+    const double before = m_filled ? m_level : static_cast<double>(tolerance);
+    const double seconds = m_filled ? std::chrono::duration<double>(now - *m_filled).count() : 0;
+    m_filled = now;
+    m_level = std::min(most, before + seconds * static_cast<double>(limit.rate_per_s())) - static_cast<double>(admitted);
+}
+
 void FleetTallies::take(const VmName &vm, std::uint64_t incarnation, const v1::EntryTally &tally, TimePoint now)
 {
     Vm &known = m_vms[vm];
     if (known.incarnation != incarnation) {
         // Its counts begin at zero again; what the process before it had counted is in the totals.
-        known = Vm{.incarnation = incarnation, .heard = {}, .newest = {}, .demands = {}, .counts = {}};
+        known = Vm{.incarnation = incarnation, .heard = {}, .newest = {}, .demands = {}, .admitted = {}, .counts = {}};
     }
     grow(known, tally);
     known.heard = now;
@@ -62,13 +75,34 @@
         add(m_totals[key], growth(counts, vm.counts[key]));
         vm.counts[key] = counts;
     }
+    for (const v1::OrganisationDemand &demand : tally.demands()) {
+        std::uint64_t &before = vm.admitted[demand.organisation()];
+        m_admitted[demand.organisation()] += demand.admitted() - before;
+        before = demand.admitted();
+    }
 }
 
-v1::FleetTally FleetTallies::fleet(TimePoint now) const
+std::map<std::string, double> FleetTallies::askedPerSecond(TimePoint now) const
+{
+    std::map<std::string, double> perSecond;
+    for (const auto &[name, vm] : m_vms) {
+        const auto &[since, first] = vm.demands.front();
+        const double seconds = std::chrono::duration<double>(vm.demands.back().first - since).count();
+        if (now - vm.heard > HeardLately || seconds <= 0) {
+            continue;
+        }
+        for (const auto &[organisation, asked] : vm.demands.back().second) {
+            const auto before = first.find(organisation);
+            perSecond[organisation] += static_cast<double>(asked - (before == first.end() ? 0 : before->second)) / seconds;
+        }
+    }
+    return perSecond;
+}
+
+v1::FleetTally FleetTallies::fleet(const v1::RouteTable &routes, std::uint64_t tolerance, TimePoint now)
 {
     v1::FleetTally fleet;
     std::map<std::string, std::uint32_t> loads;
-    std::map<std::string, double> demands;
     for (const auto &[name, vm] : m_vms) {
         if (now - vm.heard > HeardLately) {
             continue;
@@ -77,25 +111,23 @@
         for (const v1::UpstreamLoad &load : vm.newest.loads()) {
             loads[load.upstream()] += load.in_flight();
         }
-        const auto &[since, first] = vm.demands.front();
-        const double seconds = std::chrono::duration<double>(vm.demands.back().first - since).count();
-        if (seconds <= 0) {
-            continue;
-        }
-        for (const auto &[organisation, asked] : vm.demands.back().second) {
-            const auto before = first.find(organisation);
-            demands[organisation] += static_cast<double>(asked - (before == first.end() ? 0 : before->second)) / seconds;
-        }
     }
     for (const auto &[upstream, inFlight] : loads) {
         v1::UpstreamLoad &load = *fleet.add_loads();
         load.set_upstream(upstream);
         load.set_in_flight(inFlight);
     }
-    for (const auto &[organisation, perSecond] : demands) {
-        v1::OrganisationDemand &demand = *fleet.add_demand_per_s();
-        demand.set_organisation(organisation);
-        demand.set_asked(static_cast<std::uint64_t>(perSecond));
+    std::map<std::string, double> perSecond = askedPerSecond(now);
+    for (const v1::RoutedOrganisation &organisation : routes.organisations()) {
+        if (organisation.rate_per_s() == 0) {
+            continue;
+        }
+        LimitBucket &bucket = m_buckets[organisation.name()];
+        bucket.advance(organisation, tolerance, std::exchange(m_admitted[organisation.name()], 0), now);
+        v1::OrganisationLevel &level = *fleet.add_levels();
+        level.set_organisation(organisation.name());
+        level.set_level(static_cast<std::int64_t>(bucket.level()));
+        level.set_asked_per_s(static_cast<std::uint64_t>(perSecond[organisation.name()]));
     }
     return fleet;
 }
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -72,7 +72,7 @@
         *answer.mutable_config_lease() = std::move(*lease);
         answer.mutable_config_lease()->set_leader(m_options.vm.value);
         if (beat.has_tally()) {
-            *answer.mutable_config_lease()->mutable_fleet() = m_tallies.fleet(now);
+            *answer.mutable_config_lease()->mutable_fleet() = m_tallies.fleet(m_state.routes().table(), m_options.limitTolerance, now);
         }
     } else {
         answer.mutable_config_lease()->set_leader(m_options.vm.value);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -22,6 +22,9 @@
     return vms;
 }
 
+/// The rest of the slack is for what VMs admit before they hear of each other: a beat and its answer.
+constexpr std::uint64_t PartOfSlack = 4;
+
 }
 
 Result<std::unique_ptr<Daemon>> Daemon::start(const Settings &settings, const Adapter &adapter)
@@ -135,6 +138,7 @@
         .address = settings.rpcAddress,
         .formCluster = settings.formCluster,
         .wantedVoters = settings.wantedVoters,
+        .limitTolerance = settings.limitSlack / PartOfSlack,
         .keepAdmitting = settings.keepAdmitting,
         .replaceReplicaAfter = settings.replaceReplicaAfter,
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t MaxDrainMs = 24 * 3'600'000;
 /// More voters make each commit slower and bear no loss that the platform asks for.
 constexpr std::int64_t MaxVoters = 9;
+constexpr std::int64_t MaxLimitSlack = 1'000'000'000'000;
 constexpr std::int64_t MaxKeepAdmittingMs = 3'600'000;
 
 Address readAddress(TomlTable &table, std::string_view key, const Address &fallback)
@@ -53,6 +54,7 @@
 {
     settings.formCluster = root.flag("form_cluster", true);
     settings.wantedVoters = static_cast<std::size_t>(root.integer("wanted_voters", 0, 0, MaxVoters));
+    settings.limitSlack = static_cast<std::uint64_t>(root.integer("limit_slack", 0, 0, MaxLimitSlack));
     if (root.has("proxy")) {
         TomlTable proxy = root.table("proxy");
         settings.proxy = ProxySettings{
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -45,6 +45,8 @@
     bool formCluster = true;
     /// Voters that the log grows to while VMs with disks come; 0: as many as replicas names.
     std::size_t wantedVoters = 0;
+    /// Slack that organisations' limits have over all VMs, in the limits' units; a part of it is used.
+    std::uint64_t limitSlack = 0;
     std::optional<ProxySettings> proxy;
     /// For operators that speak the platform's protocol; the VM has no front door for callers then, unless it is a proxy too.
     std::optional<Address> operatorApi;
--- a/src/proxy/organisationbuckets.cpp
+++ b/src/proxy/organisationbuckets.cpp
@@ -9,73 +9,74 @@
 {
 
 /// The VM's own demand is averaged over this long, like the leader's.
-constexpr Duration MeasureInterval = std::chrono::seconds(1);
-/// Everybody counts as asking for this part of the whole besides, so that a VM's first requests find something.
+constexpr Duration MeasureInterval = std::chrono::seconds(2);
+/// Every VM counts as asking for this part of the whole besides, so that a VM's first requests find something.
 constexpr double EvenPart = 0.1;
-/// A bucket holds at least this long of the part's rate, so that requests larger than the part's burst pass at all.
-constexpr double LeastDepthSeconds = 1.0;
+/// The leader's level is this old when it comes: half of the interval of the tallies.
+constexpr double LevelAgeSeconds = 0.25;
+/// Callers come back at least this much later, so that the level has changed.
+constexpr Duration ShortestWait = std::chrono::milliseconds(100);
+constexpr Duration LongestWait = std::chrono::seconds(5);
 
 }
 
 void OrganisationBuckets::takeFleet(const v1::FleetTally &fleet, TimePoint now)
 {
     m_entries = std::max<std::uint32_t>(1, fleet.entries());
-    for (const v1::OrganisationDemand &demand : fleet.demand_per_s()) {
-        m_buckets[demand.organisation()].fleetPerSecond = static_cast<double>(demand.asked());
+    for (const v1::OrganisationLevel &level : fleet.levels()) {
+        Bucket &bucket = m_buckets[level.organisation()];
+        bucket.level = static_cast<double>(level.level());
+        bucket.levelAt = now;
+        bucket.fleetPerSecond = static_cast<double>(level.asked_per_s());
     }
-    const Duration passed = now - m_measured;
-    if (passed < MeasureInterval) {
+    if (m_measured && now - *m_measured < MeasureInterval) {
         return;
     }
-    const double seconds = std::chrono::duration<double>(passed).count();
-    const bool first = m_measured == TimePoint{};
+    const double seconds = m_measured ? std::chrono::duration<double>(now - *m_measured).count() : 0;
     m_measured = now;
     for (auto &[name, bucket] : m_buckets) {
-        bucket.ownPerSecond = first ? 0 : static_cast<double>(bucket.asked - bucket.askedBefore) / seconds;
+        bucket.ownPerSecond = seconds > 0 ? static_cast<double>(bucket.asked - bucket.askedBefore) / seconds : 0;
         bucket.askedBefore = bucket.asked;
     }
 }
 
-double OrganisationBuckets::partOf(const Bucket &bucket) const
+double OrganisationBuckets::available(const Bucket &bucket, const v1::RoutedOrganisation &organisation, TimePoint now) const
 {
     const double even = 1.0 / m_entries;
+    const double rate = static_cast<double>(organisation.rate_per_s());
+    // A limit that has just come has no level yet: half of its burst, which the leader knows the rest of within a beat.
+    const double level = bucket.level.value_or(static_cast<double>(organisation.burst()) / 2);
+    const double elapsed = bucket.level ? std::chrono::duration<double>(now - bucket.levelAt).count() : 0;
+    const double filled = level + rate * elapsed;
+    const double own = static_cast<double>(bucket.admitted - bucket.tallied);
+    const double others = std::max(0.0, bucket.fleetPerSecond - bucket.ownPerSecond) * (elapsed + LevelAgeSeconds);
     const double whole = std::max(bucket.fleetPerSecond, bucket.ownPerSecond);
-    const double byDemand = whole <= 0 ? even : bucket.ownPerSecond / whole;
-    return std::min(1.0, EvenPart * even + (1 - EvenPart) * byDemand);
+    const double part = std::min(1.0, EvenPart * even + (1 - EvenPart) * (whole > 0 ? bucket.ownPerSecond / whole : even));
+    return std::max(filled - own - others, part * filled - own);
 }
 
 std::optional<Duration> OrganisationBuckets::take(const v1::RoutedOrganisation &organisation, std::uint64_t cost, TimePoint now)
 {
     Bucket &bucket = m_buckets[organisation.name()];
     bucket.asked += cost;
-    if (organisation.rate_per_s() == 0) {
+    const double left = available(bucket, organisation, now);
+    // A request may take the level below zero: one that is larger than the whole burst would never pass otherwise.
+    if (organisation.rate_per_s() == 0 || left > 0) {
+        bucket.admitted += cost;
         return {};
     }
-    const double part = partOf(bucket);
-    const double rate = std::max(1.0, part * static_cast<double>(organisation.rate_per_s()));
-    const double depth = std::max(part * static_cast<double>(organisation.burst()), rate * LeastDepthSeconds);
-    if (!bucket.used) {
-        bucket.used = true;
-        bucket.tokens = depth;
-    } else {
-        bucket.tokens = std::min(depth, bucket.tokens + rate * std::chrono::duration<double>(now - bucket.filled).count());
-    }
-    bucket.filled = now;
-    // A request over the whole depth would never pass: it may take the bucket into debt, which later requests pay.
-    const double needed = std::min(static_cast<double>(cost), depth);
-    if (bucket.tokens < needed) {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((needed - bucket.tokens) / rate));
-    }
-    bucket.tokens -= static_cast<double>(cost);
-    return {};
+    const std::chrono::duration<double> wait(-left / static_cast<double>(organisation.rate_per_s()));
+    return std::clamp(std::chrono::duration_cast<Duration>(wait), ShortestWait, LongestWait);
 }
 
-void OrganisationBuckets::fillTally(v1::EntryTally &tally) const
+void OrganisationBuckets::fillTally(v1::EntryTally &tally)
 {
-    for (const auto &[name, bucket] : m_buckets) {
+    for (auto &[name, bucket] : m_buckets) {
+        bucket.tallied = bucket.admitted;
         v1::OrganisationDemand &demand = *tally.add_demands();
         demand.set_organisation(name);
         demand.set_asked(bucket.asked);
+        demand.set_admitted(bucket.admitted);
     }
 }
 
--- a/src/proxy/organisationbuckets.h
+++ b/src/proxy/organisationbuckets.h
@@ -12,39 +12,42 @@
 namespace cumindyke
 {
 
-/// This VM's part of each organisation's limit over all VMs.
+/// Admission under each organisation's limit over all VMs.
 ///
-/// The parts follow the demand: a VM that is asked for a third of what all VMs are asked for may admit a third of the rate. Every VM knows
-/// the sum of the demand from the leader, at most one beat old, so the parts add up to the whole but for what demand moved within that beat.
-/// A VM that hears no leader keeps its last part until its lease ends; the leader counts its demand for as long.
+/// The leader holds one bucket an organisation and tells its level with each lease. Between two leases a VM counts on the rate, less what it
+/// admitted itself, less what the other VMs are likely to have admitted. So below the limit nobody is refused, however unevenly the demand
+/// is spread over the VMs. When the level is low, a VM may take only the part of it that its own demand is of the whole: then the VMs
+/// together can't take much more than there is. A VM that hears no leader goes on by the same rule, with a level that is its part of the rate.
 class OrganisationBuckets
 {
 public:
-    /// The leader's newest sums, and the time they came.
+    /// The leader's newest levels, and the time they came.
     void takeFleet(const v1::FleetTally &fleet, TimePoint now);
-    /// Takes the cost from the organisation's part. None: admitted; otherwise how long until this much will be free.
+    /// Admits the cost. None: admitted; otherwise how long until a request of this size is likely to pass.
     std::optional<Duration> take(const v1::RoutedOrganisation &organisation, std::uint64_t cost, TimePoint now);
-    /// What was asked for since the process started, for the next tally.
-    void fillTally(v1::EntryTally &tally) const;
+    /// What was asked for and admitted since the process started, for the next tally.
+    void fillTally(v1::EntryTally &tally);
 
 private:
     struct Bucket
     {
-        double tokens = 0;
-        TimePoint filled;
-        bool used = false;
         std::uint64_t asked = 0;
-        /// Asked at the start of the present measuring interval, and per second in the one before.
-        std::uint64_t askedBefore = 0;
-        double ownPerSecond = 0;
+        std::uint64_t admitted = 0;
+        /// Admitted as of the last tally, which the leader's level takes into account.
+        std::uint64_t tallied = 0;
+        std::optional<double> level;
+        TimePoint levelAt;
         double fleetPerSecond = 0;
+        /// Own demand, measured over the last whole interval.
+        double ownPerSecond = 0;
+        std::uint64_t askedBefore = 0;
     };
 
-    double partOf(const Bucket &bucket) const;
+    double available(const Bucket &bucket, const v1::RoutedOrganisation &organisation, TimePoint now) const;
 
     std::map<std::string, Bucket> m_buckets;
     std::uint32_t m_entries = 1;
-    TimePoint m_measured{};
+    std::optional<TimePoint> m_measured;
 };
 
 }
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -123,7 +123,8 @@
 
 bool ProxyTask::mayAdmit(TimePoint now) const
 {
-    return m_routes && now < m_admitUntil && m_feed.everRead();
+    const bool leaves = m_drain && now - m_drainBegan >= m_options.balancerMovesOn;
+    return m_routes && now < m_admitUntil && m_feed.everRead() && !leaves;
 }
 
 void ProxyTask::answerReadiness(const std::shared_ptr<Exchange> &exchange)
@@ -145,9 +146,11 @@
     const TimePoint now = EventLoop::now();
     const RequestId id{exchange->header(m_options.headers.requestId.c_str())};
     if (!mayAdmit(now)) {
-        refuse(*exchange,
-               id,
-               Refusal{.error = Error{ErrorKind::Unavailable, "this VM has no configuration in force: try another"}, .retryAfter = RetryAfterUnready});
+        refuse(
+            *exchange,
+            id,
+            Refusal{.error = Error{ErrorKind::Unavailable, m_drain ? "this VM shuts down: try another" : "this VM has no configuration in force: try another"},
+                    .retryAfter = RetryAfterUnready});
         return;
     }
     auto made = makeOrder(*exchange, m_options.headers, m_routes, m_buckets, now);
@@ -224,7 +227,7 @@
 
 void ProxyTask::endDrainIfDone()
 {
-    if (!m_drain || !m_requests.empty() || EventLoop::now() - m_drainBegan < m_options.balancerMovesOn) {
+    if (!m_drain || !m_requests.empty() || EventLoop::now() - m_drainBegan < m_options.balancerMovesOn + m_options.refuseAfterwards) {
         return;
     }
     const std::function<void()> drained = std::move(m_drain->drained);
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -37,8 +37,11 @@
     Duration listInterval = std::chrono::seconds(1);
     /// The longest that a caller may take to send one request.
     Duration requestReadLimit = std::chrono::seconds(30);
-    /// After a graceful shutdown began, how long the balancer may go on sending callers here.
-    Duration balancerMovesOn = std::chrono::milliseconds(3500);
+    /// After a graceful shutdown began, how long requests are still taken: the balancer has moved on after two missed questions a second apart,
+    /// and what comes later on an open connection may not end before the process is killed.
+    Duration balancerMovesOn = std::chrono::milliseconds(2800);
+    /// The process stays this much longer, to refuse what still comes instead of breaking it off.
+    Duration refuseAfterwards = std::chrono::milliseconds(700);
     std::function<void(v1::EntryTally)> sendTally;
 };
 
