--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -18,8 +18,10 @@
 constexpr Duration DepartureLimit = std::chrono::seconds(2);
 /// For calls of operators that are under way when the process is told to end.
 constexpr Duration LastAnswers = std::chrono::milliseconds(500);
-/// Without a lease for this long, another VM is asked who leads.
+/// Without an answer of the leader for this long, more than the beats are apart, another VM is asked who leads.
 constexpr Duration LeaderSilence = std::chrono::milliseconds(700);
+/// While nobody answered, the next one is asked this much later: several round trips, and short against the lease.
+constexpr Duration SearchInterval = std::chrono::milliseconds(250);
 
 /// Differs at every start of a process, and leaves room to count up from.
 std::uint64_t randomIncarnation()
@@ -43,6 +45,15 @@
     return candidates;
 }
 
+std::vector<VmName> namesIn(const google::protobuf::RepeatedPtrField<std::string> &texts)
+{
+    std::vector<VmName> names;
+    for (const std::string &text : texts) {
+        names.push_back(VmName{text});
+    }
+    return names;
+}
+
 std::map<VmName, Address> allVms(const ControlOptions &options)
 {
     std::map<VmName, Address> vms = options.peers;
@@ -68,16 +79,16 @@
     , m_mailbox(m_loop, [this](ControlMessage &&message) { std::visit([this](auto &held) { handle(held); }, message); })
     , m_tick(m_loop, [this] { tick(); })
     , m_flush(m_loop, [this] { flushLog(); })
-    , m_leadership(
-          LeadershipOptions{
-              .vm = m_options.vm,
-              .vms = allVms(m_options),
-              .lease = {},
-              .limitTolerance = m_options.limitTolerance,
-              .send = m_options.send,
-              .hasQuorum = [this](TimePoint now) { return hasQuorum(now); },
-          },
-          m_state)
+    , m_leadership(LeadershipOptions{
+                       .vm = m_options.vm,
+                       .vms = allVms(m_options),
+                       .lease = {},
+                       .limitTolerance = m_options.limitTolerance,
+                       .send = m_options.send,
+                       .hasQuorum = [this](TimePoint now) { return hasQuorum(now); },
+                       .replicas = [this] { return m_log->membership().voters(); },
+                   },
+                   m_state)
     , m_orders(m_loop, {}, randomIncarnation())
     , m_search(leaderCandidates(m_options))
     , m_forwarder({}, randomIncarnation())
@@ -87,7 +98,7 @@
           .incarnation = randomIncarnation(),
           .keepAdmitting = m_options.keepAdmitting,
       })
-    , m_leaderHeard(EventLoop::now())
+    , m_askAnotherAt(EventLoop::now() + LeaderSilence)
 {
 }
 
@@ -129,9 +140,9 @@
     if (now >= m_nextLook) {
         decideMoves(now);
     }
-    if (now >= m_leaderHeard + LeaderSilence) {
+    if (now >= m_askAnotherAt) {
         m_search.gaveNoAnswer(m_search.leader());
-        m_leaderHeard = now;
+        askForLease(now);
     }
     if (now >= m_nextBeat) {
         beat(now);
@@ -307,6 +318,14 @@
     }
 }
 
+/// Asks whom this VM takes for the leader at once, and another one soon if there is no answer.
+void ControlTask::askForLease(TimePoint now)
+{
+    m_askAnotherAt = now + SearchInterval;
+    m_hintFollowed = false;
+    beat(now);
+}
+
 void ControlTask::beat(TimePoint now)
 {
     m_nextBeat = now + BeatInterval;
@@ -349,14 +368,21 @@
 
 void ControlTask::takeLease(const VmName &from, const v1::ConfigLease &lease)
 {
+    const TimePoint now = EventLoop::now();
     if (lease.length_ms() == 0) {
-        if (lease.leader() != m_search.leader().value) {
-            m_search.learned(VmName{lease.leader()});
+        const VmName before = m_search.leader();
+        m_search.learned(VmName{lease.leader()});
+        // Followed at once, but one hint only: a chain of them that leads nowhere must not keep the next candidate from being asked.
+        if (m_search.leader() != before && !std::exchange(m_hintFollowed, true)) {
+            beat(now);
+            m_askAnotherAt = now + SearchInterval;
         }
         return;
     }
-    m_search.learned(from);
-    m_leaderHeard = EventLoop::now();
+    m_search.answered(from);
+    m_hintFollowed = false;
+    m_search.learnedReplicas(namesIn(lease.replicas()));
+    m_askAnotherAt = now + LeaderSilence;
     if (!m_follower.granted(lease)) {
         return;
     }
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -176,6 +176,7 @@
     void replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply);
     void sendReply(const VmName &to, std::uint64_t call, v1::ProposeReply reply);
     std::optional<v1::LeaderAnswer> answerHere(const v1::LeaderQuestion &question, TimePoint now) const;
+    std::string hintFor(const VmName &asking) const;
     void takeBeat(const VmName &from, const v1::ConfigHeartbeat &beat);
 
     // The VM's side.
@@ -183,6 +184,7 @@
     void proposeRolloutVerdicts();
     void leaveIfReplaced(TimePoint now);
     void takeOutcomes(const VmName &from, v1::Envelope &envelope);
+    void askForLease(TimePoint now);
     void beat(TimePoint now);
     void sendDue(TimePoint now);
     void takeUpdate(const v1::ConfigUpdate &update);
@@ -211,8 +213,10 @@
     Watchers m_watchers;
     bool m_watchersAsk = false;
     TimePoint m_nextBeat{};
-    /// When the leader last granted a lease, or the search for it began.
-    TimePoint m_leaderHeard{};
+    /// When another VM is asked for a lease, if the one that was asked has not granted one by then.
+    TimePoint m_askAnotherAt{};
+    /// A hint was followed since another candidate was asked, or since the last lease.
+    bool m_hintFollowed = false;
     bool m_hadLease = false;
     std::function<void()> m_left;
     TimePoint m_leaveBy{};
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -132,7 +132,7 @@
     const std::uint64_t call = request.call();
     if (!m_leadership.leads() || !hasQuorum(now)) {
         v1::ProposeReply hint;
-        hint.set_leader(m_search.leader() == from || m_search.leader() == m_options.vm ? "" : m_search.leader().value);
+        hint.set_leader(hintFor(from));
         sendReply(from, call, std::move(hint));
         return;
     }
@@ -223,6 +223,13 @@
     return {};
 }
 
+/// Empty when this VM knows no better.
+std::string ControlTask::hintFor(const VmName &asking) const
+{
+    const VmName leader = m_search.hint().value_or(VmName{});
+    return leader == asking || leader == m_options.vm ? "" : leader.value;
+}
+
 void ControlTask::takeBeat(const VmName &from, const v1::ConfigHeartbeat &beat)
 {
     if (m_leadership.leads()) {
@@ -231,9 +238,7 @@
     }
     v1::Envelope hint;
     hint.mutable_config_lease()->set_beat(beat.beat());
-    if (m_search.leader() != from && m_search.leader() != m_options.vm) {
-        hint.mutable_config_lease()->set_leader(m_search.leader().value);
-    }
+    hint.mutable_config_lease()->set_leader(hintFor(from));
     m_options.send(from, std::move(hint));
 }
 
--- a/src/control/fleettally.cpp
+++ b/src/control/fleettally.cpp
@@ -14,7 +14,7 @@
 /// Demand is averaged over this long: a few requests of each organisation, and short enough to follow a burst.
 /// What VMs admit before they hear of a jump in demand was up to two seconds of the rate in measured bursts; forgiving all of it broke a
 /// limit with a tenth and 190,000 tokens of slack by 2 in 100.
-constexpr double MostDebtSeconds = 0.5;
+constexpr double MostDebtSeconds = 0.25;
 constexpr Duration DemandWindow = std::chrono::seconds(2);
 
 v1::VersionCounts growth(const v1::VersionCounts &now, const v1::VersionCounts &before)
--- a/src/control/fleettally.h
+++ b/src/control/fleettally.h
@@ -13,7 +13,7 @@
 {
 
 /// An organisation's limit over all VMs, as a bucket that its rate fills and admitted requests empty. What VMs admitted on old knowledge
-/// may take it below zero: then nothing more is admitted until the rate has made up for it, down to half a second of the rate.
+/// may take it below zero: then nothing more is admitted until the rate has made up for it, down to a quarter of a second of the rate.
 class LimitBucket
 {
 public:
--- a/src/control/leadersearch.h
+++ b/src/control/leadersearch.h
@@ -3,6 +3,7 @@
 #include "common/types.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <vector>
 
@@ -26,6 +27,12 @@
         return m_followed ? *m_followed : m_asked;
     }
 
+    /// The voting replicas, as the last leader named them: asked before the candidates of the settings, which may all be cut off or gone.
+    void learnedReplicas(const std::vector<VmName> &replicas)
+    {
+        m_replicas = replicas;
+    }
+
     /// The leader that this VM's replica hears, or that it hears none. A leader need not be among the candidates; without this, replicas
     /// whose beats it has not answered yet would send each other, and every VM that asks them, round the candidates for ever.
     void followed(const std::optional<VmName> &leader)
@@ -41,7 +48,7 @@
         }
     }
 
-    /// Somebody named the leader, or the leader itself answered.
+    /// Somebody named the leader.
     void learned(const VmName &leader)
     {
         if (!leader.value.empty()) {
@@ -49,23 +56,41 @@
         }
     }
 
+    /// The leader itself answered.
+    void answered(const VmName &leader)
+    {
+        m_asked = leader;
+        m_sure = true;
+    }
+
+    /// What others that ask may be told. A VM that only guesses says nothing: two that guess each other would send everybody to and fro.
+    std::optional<VmName> hint() const
+    {
+        return m_followed || m_sure ? std::optional(leader()) : std::nullopt;
+    }
+
     /// The VM that was asked gave no answer: the next candidate is asked.
     void gaveNoAnswer(const VmName &asked)
     {
         if (asked != leader()) {
             return;
         }
-        auto next = std::ranges::find(m_candidates, m_asked);
-        if (next != m_candidates.end()) {
+        m_sure = false;
+        std::vector<VmName> all = m_replicas;
+        std::ranges::copy_if(m_candidates, std::back_inserter(all), [this](const VmName &vm) { return std::ranges::find(m_replicas, vm) == m_replicas.end(); });
+        auto next = std::ranges::find(all, m_asked);
+        if (next != all.end()) {
             ++next;
         }
-        m_asked = next == m_candidates.end() ? m_candidates.front() : *next;
+        m_asked = next == all.end() ? all.front() : *next;
     }
 
 private:
     std::vector<VmName> m_candidates;
+    std::vector<VmName> m_replicas;
     VmName m_asked;
     std::optional<VmName> m_followed;
+    bool m_sure = false;
 };
 
 }
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -71,6 +71,9 @@
     if (std::optional<v1::ConfigLease> lease = m_distribution.heartbeat(beat, m_options.hasQuorum(now), now)) {
         *answer.mutable_config_lease() = std::move(*lease);
         answer.mutable_config_lease()->set_leader(m_options.vm.value);
+        if (m_options.replicas) {
+            *answer.mutable_config_lease()->mutable_replicas() = m_options.replicas();
+        }
         if (beat.has_tally()) {
             *answer.mutable_config_lease()->mutable_fleet() = m_tallies.fleet(m_state.routes().table(), m_options.limitTolerance, now);
         }
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -21,6 +21,8 @@
     std::function<void(const VmName &to, v1::Envelope envelope)> send;
     /// Whether this VM can prove at this time that no other leader has been elected.
     std::function<bool(TimePoint now)> hasQuorum;
+    /// The voting replicas of the log; may be left out.
+    std::function<google::protobuf::RepeatedPtrField<std::string>()> replicas = {};
 };
 
 /// What the leader does besides the log: it brings each accepted version to every VM, grants configuration leases, and assigns cells.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -23,7 +23,7 @@
 }
 
 /// The rest of the slack is for what VMs admit before they hear of each other: a beat and its answer.
-constexpr std::uint64_t PartOfSlack = 4;
+constexpr std::uint64_t PartOfSlack = 8;
 
 }
 
--- a/src/proxy/organisationbuckets.cpp
+++ b/src/proxy/organisationbuckets.cpp
@@ -13,7 +13,7 @@
 /// Every VM counts as asking for this part of the whole besides, so that a VM's first requests find something.
 constexpr double EvenPart = 0.1;
 /// Even parts of a high level that one VM may take before the others hear of it: all together overdraw it once at most.
-constexpr double MostParts = 2;
+constexpr double MostParts = 1.5;
 /// The leader's level is this old when it comes: half of the interval of the tallies.
 constexpr double LevelAgeSeconds = 0.25;
 /// Callers come back at least this much later, so that the level has changed.
