Limits are charged by the tally that the leader's level knows

Change: tallies are numbered and levels say which one they hold. Test: organisationbucketstest, which failed before.

--- a/src/proxy/organisationbuckets.cpp
+++ b/src/proxy/organisationbuckets.cpp
@@ -16,6 +16,8 @@
 constexpr double MostParts = 1.5;
 /// The leader's level is this old when it comes: half of the interval of the tallies.
 constexpr double LevelAgeSeconds = 0.25;
+/// Longer than a lease: nothing is admitted on an older level.
+constexpr std::size_t MostTalliesKept = 16;
 /// Callers come back at least this much later, so that the level has changed.
 constexpr Duration ShortestWait = std::chrono::milliseconds(100);
 constexpr Duration LongestWait = std::chrono::seconds(5);
@@ -29,6 +31,10 @@
         Bucket &bucket = m_buckets[level.organisation()];
         bucket.level = static_cast<double>(level.level());
         bucket.levelAt = now;
+        if (const auto counted = bucket.admittedAt.find(fleet.sequence()); counted != bucket.admittedAt.end()) {
+            bucket.tallied = counted->second;
+            bucket.admittedAt.erase(bucket.admittedAt.begin(), counted);
+        }
         bucket.fleetPerSecond = static_cast<double>(level.asked_per_s());
     }
     if (m_measured && now - *m_measured < MeasureInterval) {
@@ -90,7 +96,10 @@
 void OrganisationBuckets::fillTally(v1::EntryTally &tally)
 {
     for (auto &[name, bucket] : m_buckets) {
-        bucket.tallied = bucket.admitted;
+        bucket.admittedAt[tally.sequence()] = bucket.admitted;
+        if (bucket.admittedAt.size() > MostTalliesKept) {
+            bucket.admittedAt.erase(bucket.admittedAt.begin());
+        }
         v1::OrganisationDemand &demand = *tally.add_demands();
         demand.set_organisation(name);
         demand.set_asked(bucket.asked);
--- a/src/proxy/organisationbuckets.h
+++ b/src/proxy/organisationbuckets.h
@@ -35,8 +35,11 @@
     {
         std::uint64_t asked = 0;
         std::uint64_t admitted = 0;
-        /// Admitted as of the last tally, which the leader's level takes into account.
+        /// Admitted as of the tally that the level takes into account.
         std::uint64_t tallied = 0;
+        /// Admitted as of each tally since, by its sequence. A level may be older than the newest tally: charged by that one, what was
+        /// admitted between the two would be forgotten, and limits overrun by as much with every beat.
+        std::map<std::uint64_t, std::uint64_t> admittedAt;
         std::optional<double> level;
         TimePoint levelAt;
         double fleetPerSecond = 0;
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -244,6 +244,7 @@
 void ProxyTask::sendTally()
 {
     v1::EntryTally tally;
+    tally.set_sequence(++m_tallies);
     m_board.fillTally(tally);
     m_buckets.fillTally(tally);
     for (const auto &[key, counts] : m_versions) {
