Placement by the predicted first event; requests that can still be on time go before late ones

Cause: requests were placed by pace and places alone, so a long prompt could land on an engine three times as slow, and a line served in order made everybody late. Change: tokens that wait to be read at each upstream (own, and the others' from tallies), a learned line for the first event, waiting only while a start can still be on time, then for any place.

--- a/src/control/fleettally.cpp
+++ b/src/control/fleettally.cpp
@@ -121,20 +121,21 @@
 v1::FleetTally FleetTallies::fleet(const v1::RouteTable &routes, std::uint64_t tolerance, TimePoint now)
 {
     v1::FleetTally fleet;
-    std::map<std::string, std::uint32_t> loads;
+    std::map<std::string, v1::UpstreamLoad> loads;
     for (const auto &[name, vm] : m_vms) {
         if (now - vm.heard > HeardLately) {
             continue;
         }
         fleet.set_entries(fleet.entries() + 1);
         for (const v1::UpstreamLoad &load : vm.newest.loads()) {
-            loads[load.upstream()] += load.in_flight();
+            v1::UpstreamLoad &sum = loads[load.upstream()];
+            sum.set_in_flight(sum.in_flight() + load.in_flight());
+            sum.set_prompt_tokens(sum.prompt_tokens() + load.prompt_tokens());
         }
     }
-    for (const auto &[upstream, inFlight] : loads) {
-        v1::UpstreamLoad &load = *fleet.add_loads();
-        load.set_upstream(upstream);
-        load.set_in_flight(inFlight);
+    for (auto &[upstream, sum] : loads) {
+        sum.set_upstream(upstream);
+        *fleet.add_loads() = std::move(sum);
     }
     std::map<std::string, double> perSecond = askedPerSecond(now);
     for (const v1::RoutedOrganisation &organisation : routes.organisations()) {
--- a/src/proxy/ordermaker.cpp
+++ b/src/proxy/ordermaker.cpp
@@ -13,6 +13,8 @@
 
 /// A caller that names no deadline waits for as long as the route allows.
 constexpr std::int64_t LongestDeadlineMs = 3'600'000;
+/// More than any engine's memory holds.
+constexpr std::uint64_t MostPromptTokens = 100'000'000;
 /// Ranks of organisations are this far apart, so that a route's priority orders only within an organisation's.
 constexpr std::uint32_t RoutePriorities = 1'000;
 
@@ -46,20 +48,31 @@
     return lengths + codings > 1;
 }
 
-/// Tokens of the prompt and the most of the answer, or what the organisation's plain requests count as.
-std::uint64_t costOf(const Exchange &exchange, const ProxyHeaders &headers, const v1::RoutedOrganisation &organisation)
+struct TokenCounts
+{
+    std::uint64_t prompt = 0;
+    std::uint64_t mostOutput = 0;
+};
+
+/// None on a plain request, and when the header can't be read.
+std::optional<TokenCounts> tokenCountsOf(const Exchange &exchange, const ProxyHeaders &headers)
 {
-    if (!organisation.counts_tokens()) {
-        return 1;
-    }
     const std::string counts = exchange.header(headers.tokenCounts.c_str());
     const std::size_t comma = counts.find(',');
     if (comma == std::string::npos) {
-        return organisation.tokens_of_plain_request();
+        return {};
     }
     const auto prompt = numberIn(std::string_view(counts).substr(0, comma));
-    const auto answer = numberIn(std::string_view(counts).substr(comma + 1));
-    return prompt && answer ? *prompt + *answer : organisation.tokens_of_plain_request();
+    const auto output = numberIn(std::string_view(counts).substr(comma + 1));
+    return prompt && output ? std::optional(TokenCounts{*prompt, *output}) : std::nullopt;
+}
+
+std::uint64_t costOf(const std::optional<TokenCounts> &tokens, const v1::RoutedOrganisation &organisation)
+{
+    if (!organisation.counts_tokens()) {
+        return 1;
+    }
+    return tokens ? tokens->prompt + tokens->mostOutput : organisation.tokens_of_plain_request();
 }
 
 /// The same for all attempts of one request, so that the services of a split get their parts.
@@ -107,6 +120,10 @@
     const auto deadlineMs = static_cast<std::int64_t>(std::min<std::uint64_t>(deadline.value_or(LongestDeadlineMs), LongestDeadlineMs));
     order.answerBy = now + std::chrono::milliseconds(std::min<std::int64_t>(deadlineMs, order.route->timeout_ms()));
 
+    order.objectiveAt = now + std::chrono::milliseconds(order.route->objective_ms());
+    const std::optional<TokenCounts> tokens = tokenCountsOf(exchange, headers);
+    order.promptTokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(tokens ? tokens->prompt : 0, MostPromptTokens));
+
     order.rank = WaitingRank{std::min(order.route->priority(), RoutePriorities - 1)};
     if (order.route->open_to_all() || !routes->needsKeys()) {
         return order;
@@ -117,7 +134,7 @@
     }
     order.organisation = OrganisationName{holder->name()};
     order.rank = WaitingRank{holder->priority() * RoutePriorities + order.rank.value};
-    order.cost = costOf(exchange, headers, *holder);
+    order.cost = costOf(tokens, *holder);
     if (const std::optional<Duration> wait = buckets.take(*holder, order.cost, now)) {
         Refusal limited = refusal(ErrorKind::Overloaded, "the organisation's limit is reached: try again after Retry-After", wait);
         limited.inputs = buckets.inputs(holder->name(), now) + " cost=" + std::to_string(order.cost) + " rate=" + std::to_string(holder->rate_per_s());
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -120,7 +120,9 @@
     };
     request.call = std::make_unique<UpstreamCall>(m_loop, std::move(sending), timeoutsFor(request, now));
     request.attempts.sent();
-    m_board.sent(to.name);
+    request.tokensToRead = m_board.tokensAhead(to.name) + request.order.promptTokens;
+    request.promptRead = false;
+    m_board.sent(to.name, request.order.promptTokens);
     m_versions[{request.order.service.value, to.version.value}].sent += 1;
     const LocalRequest local = request.local;
     request.call->head().connect([this, local](const AnswerHead &head) { takeHead(local, head); });
@@ -138,6 +140,9 @@
     }
     request.call->cancel();
     m_loop.releaseLater(std::shared_ptr<UpstreamCall>(std::move(request.call)));
+    if (!request.promptRead) {
+        m_board.promptRead(request.at.name, request.order.promptTokens);
+    }
     m_board.ended(request.at.name);
 }
 
@@ -212,6 +217,11 @@
         }
         return;
     }
+    if (!request->promptRead) {
+        request->promptRead = true;
+        m_board.promptRead(request->at.name, request->order.promptTokens);
+        m_board.observedFirstEvent(request->at.name, static_cast<double>(request->tokensToRead), static_cast<double>(wholeMilliseconds(now - request->sentAt)));
+    }
     if (request->eventBatches == 0) {
         request->firstEventAt = now;
     }
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -13,8 +13,11 @@
 {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
-/// Of the time to the objective, how much a request may wait for room: what is left is needed to read its prompt and answer.
-constexpr double WaitPartOfObjective = 0.75;
+/// What an answer takes at least while nothing was learned.
+constexpr Duration LeastAnswerTime = std::chrono::milliseconds(50);
+/// A request that can't be on time any more still waits for any place this long: a late answer is worth more to its caller than a refusal
+/// after which it asks again.
+constexpr Duration LateWait = std::chrono::milliseconds(800);
 constexpr Duration RetryAfterFull = std::chrono::milliseconds(300);
 constexpr std::uint32_t WholeSharePermille = 1000;
 
@@ -22,15 +25,16 @@
 
 void ProxyTask::wait(ProxyRequest &request, TimePoint now)
 {
-    const auto objective = std::chrono::milliseconds(request.order.route->objective_ms());
-    const auto mostWait = std::chrono::duration_cast<Duration>(WaitPartOfObjective * std::chrono::duration<double>(objective));
-    const TimePoint giveUpAt = std::min(now + mostWait, request.order.answerBy);
-    m_services[request.order.service].line.add(request.local, request.order.rank, giveUpAt);
+    const Duration needed = m_board.soonestIdle(request.order.service, request.order.promptTokens);
+    const TimePoint latestStart = request.order.objectiveAt - std::max(needed, LeastAnswerTime);
+    const TimePoint giveUpAt = std::min(std::max(latestStart, now) + LateWait, request.order.answerBy);
+    request.latestStart = latestStart;
+    m_services[request.order.service].line.add(request.local, request.order.rank, latestStart, giveUpAt);
 }
 
 PlacementQuery ProxyTask::queryFor(const ProxyRequest &request) const
 {
-    PlacementQuery query{.service = request.order.service, .versions = {}, .tried = request.tried};
+    PlacementQuery query{.service = request.order.service, .versions = {}, .promptTokens = request.order.promptTokens, .tried = request.tried};
     const auto found = m_rollouts.find(request.order.service.value);
     if (found == m_rollouts.end()) {
         return query;
@@ -46,32 +50,36 @@
 std::optional<UpstreamInstance> ProxyTask::place(const ProxyRequest &request, TimePoint now) const
 {
     PlacementQuery query = queryFor(request);
-    const UpstreamInstance *chosen = m_board.choose(query, now);
+    Placement placement = m_board.choose(query, now);
     const auto rollout = m_rollouts.find(request.order.service.value);
     const bool open = rollout != m_rollouts.end() && rollout->second.state() == v1::ROLLOUT_IN_PROGRESS;
-    if (!chosen && open && query.versions.toTarget) {
+    if (!placement.upstream && open && query.versions.toTarget) {
         // The target's upstreams are not there yet, or full: the others take it.
         query.versions.toTarget = false;
-        chosen = m_board.choose(query, now);
+        placement = m_board.choose(query, now);
     }
-    return chosen ? std::optional(*chosen) : std::nullopt;
+    if (!placement.upstream) {
+        return {};
+    }
+    const bool onTime = now + placement.predicted <= request.order.objectiveAt;
+    if (!onTime && now < request.latestStart) {
+        // Sent now, it would be late: a place at a faster upstream may become free in time.
+        return {};
+    }
+    return *placement.upstream;
 }
 
 /// Sends as many waiting requests as there is room for, most urgent first.
 void ProxyTask::pump(const ServiceName &service, TimePoint now)
 {
     WaitingLine &line = m_services[service].line;
-    for (const LocalRequest local : line.inOrder()) {
+    for (const LocalRequest local : line.inOrder(now)) {
         ProxyRequest *request = find(local);
         if (!request || request->call) {
             continue; // A sending before it failed at once, and this one was served meanwhile.
         }
         const std::optional<UpstreamInstance> to = place(*request, now);
         if (!to) {
-            // A request that was tried before may not go where there is room. For any other there is no room, so there is none for those after it.
-            if (request->tried.empty()) {
-                break;
-            }
             continue;
         }
         line.remove(local);
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -27,11 +27,15 @@
     /// Empty on a route that is open to all.
     OrganisationName organisation;
     WaitingRank rank;
+    /// Prompt tokens to read; 0: a plain request.
+    std::uint32_t promptTokens = 0;
     /// What it takes of its organisation's limit.
     std::uint64_t cost = 0;
     TimePoint arrived;
     /// The caller's deadline or the route's timeout, whichever comes first.
     TimePoint answerBy;
+    /// Until when an answer (a stream's first event) is on time.
+    TimePoint objectiveAt;
 };
 
 /// One caller's request from its admission to its end: where it is, and what was sent.
@@ -59,11 +63,16 @@
     std::shared_ptr<Exchange> exchange;
     Attempts attempts;
     std::set<InstanceName> tried;
+    /// Until when a start is early enough for an answer on time.
+    TimePoint latestStart;
 
     /// The sending under way; null while it waits.
     std::unique_ptr<UpstreamCall> call;
     UpstreamInstance at;
     TimePoint sentAt;
+    /// Tokens that the upstream had to read up to this prompt's end.
+    std::uint64_t tokensToRead = 0;
+    bool promptRead = false;
     AnswerHead head;
     /// The answer's body while it is gathered, until it is known to be whole.
     std::string gathered;
--- a/src/proxy/upstreamboard.cpp
+++ b/src/proxy/upstreamboard.cpp
@@ -11,6 +11,9 @@
 
 /// How much longer an answer may take before a request leaves its data centre: traffic between data centres has a price.
 constexpr double FartherFactor = 1.4;
+/// How much longer a first event takes on an engine whose places are all taken: its batch takes turns with the reading of prompts.
+constexpr double LoadWeight = 0.5;
+constexpr std::size_t MostTalliesKept = 16;
 /// Weight of the newest observation: about the last ten count.
 constexpr double PaceWeight = 0.1;
 constexpr Duration FirstRest = std::chrono::milliseconds(200);
@@ -31,7 +34,7 @@
         const bool same = known != m_upstreams.end() && known->second.instance.born == instance.born && known->second.instance.address == instance.address;
         Upstream upstream = same ? known->second : Upstream{};
         // Requests in flight end by name, whichever process they were sent to.
-        upstream.own = known == m_upstreams.end() ? 0 : known->second.own;
+        upstream.own = known == m_upstreams.end() ? Load{} : known->second.own;
         upstream.instance = instance;
         next.insert_or_assign(instance.name, std::move(upstream));
     }
@@ -41,12 +44,17 @@
 void UpstreamBoard::takeFleet(const v1::FleetTally &fleet)
 {
     for (auto &[name, upstream] : m_upstreams) {
-        upstream.others = 0;
+        upstream.others = {};
     }
     for (const v1::UpstreamLoad &load : fleet.loads()) {
-        if (Upstream *upstream = find(InstanceName{load.upstream()})) {
-            upstream->others = load.in_flight() - std::min(load.in_flight(), upstream->tallied);
+        Upstream *upstream = find(InstanceName{load.upstream()});
+        if (!upstream) {
+            continue;
         }
+        const auto told = upstream->told.find(fleet.sequence());
+        const Load mine = told == upstream->told.end() ? Load{} : told->second;
+        upstream->others.requests = load.in_flight() - std::min(load.in_flight(), mine.requests);
+        upstream->others.tokens = load.prompt_tokens() - std::min(load.prompt_tokens(), mine.tokens);
     }
 }
 
@@ -72,31 +80,64 @@
     return fastest == std::numeric_limits<double>::max() ? 1 : fastest;
 }
 
-const UpstreamInstance *UpstreamBoard::choose(const PlacementQuery &query, TimePoint now) const
+/// An engine reads the prompts before this one first. A plain upstream slows down as it fills.
+double UpstreamBoard::predictedMs(const Upstream &upstream, std::uint32_t promptTokens, double fastest) const
+{
+    // One that nothing is known of counts as the fastest, so that it is tried.
+    const double pace = upstream.paceMs > 0 ? upstream.paceMs : fastest;
+    const double load = static_cast<double>(upstream.own.requests + upstream.others.requests) / upstream.instance.slots;
+    const auto engine = m_engines.find(upstream.instance.service);
+    if (promptTokens == 0 || engine == m_engines.end()) {
+        return pace * (1 + load);
+    }
+    const double ahead = static_cast<double>(upstream.own.tokens + upstream.others.tokens);
+    const double first = engine->second.predictedMs(ahead + promptTokens, pace / fastest);
+    return first > 0 ? first * (1 + LoadWeight * load) : pace * (1 + load);
+}
+
+Placement UpstreamBoard::choose(const PlacementQuery &query, TimePoint now) const
 {
     const double fastest = fastestPace(query.service);
-    const UpstreamInstance *best = nullptr;
+    const Upstream *best = nullptr;
+    double bestMs = 0;
     double bestScore = std::numeric_limits<double>::max();
     for (const auto &[name, upstream] : m_upstreams) {
-        const std::uint32_t inFlight = upstream.own + upstream.others;
-        if (!allowed(upstream, query, now) || inFlight >= upstream.instance.slots) {
+        if (!allowed(upstream, query, now) || upstream.own.requests + upstream.others.requests >= upstream.instance.slots) {
             continue;
         }
-        // One that nothing is known of counts as the fastest, so that it is tried.
-        const double pace = upstream.paceMs > 0 ? upstream.paceMs : fastest;
-        const double load = static_cast<double>(inFlight) / upstream.instance.slots;
-        const double score = pace * (1 + load) * (upstream.instance.dataCentre == m_here ? 1 : FartherFactor);
+        const double predicted = predictedMs(upstream, query.promptTokens, fastest);
+        const double score = predicted * (upstream.instance.dataCentre == m_here ? 1 : FartherFactor);
         if (score < bestScore) {
             bestScore = score;
-            best = &upstream.instance;
+            bestMs = predicted;
+            best = &upstream;
         }
     }
-    return best;
+    if (!best) {
+        return {};
+    }
+    return Placement{.upstream = &best->instance, .predicted = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(bestMs))};
+}
+
+Duration UpstreamBoard::soonestIdle(const ServiceName &service, std::uint32_t promptTokens) const
+{
+    const auto engine = m_engines.find(service);
+    const double ms = promptTokens == 0 || engine == m_engines.end() ? 0 : engine->second.predictedMs(promptTokens, 1);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
-bool UpstreamBoard::hasUsable(const PlacementQuery &query, TimePoint now) const
+double UpstreamBoard::occupancy(const ServiceName &service) const
 {
-    return std::ranges::any_of(m_upstreams, [&](const auto &entry) { return allowed(entry.second, query, now); });
+    std::uint32_t taken = 0;
+    std::uint32_t places = 0;
+    for (const auto &[name, upstream] : m_upstreams) {
+        if (upstream.instance.service != service || upstream.instance.draining) {
+            continue;
+        }
+        taken += upstream.own.requests + upstream.others.requests;
+        places += upstream.instance.slots;
+    }
+    return places == 0 ? 1 : static_cast<double>(taken) / places;
 }
 
 UpstreamBoard::Upstream *UpstreamBoard::find(const InstanceName &name)
@@ -105,19 +146,42 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
-void UpstreamBoard::sent(const InstanceName &name)
+void UpstreamBoard::sent(const InstanceName &name, std::uint32_t promptTokens)
+{
+    if (Upstream *upstream = find(name)) {
+        ++upstream->own.requests;
+        upstream->own.tokens += promptTokens;
+    }
+}
+
+void UpstreamBoard::promptRead(const InstanceName &name, std::uint32_t promptTokens)
 {
     if (Upstream *upstream = find(name)) {
-        ++upstream->own;
+        upstream->own.tokens -= std::min<std::uint64_t>(upstream->own.tokens, promptTokens);
     }
 }
 
 void UpstreamBoard::ended(const InstanceName &name)
 {
     Upstream *upstream = find(name);
-    if (upstream && upstream->own > 0) {
-        --upstream->own;
+    if (upstream && upstream->own.requests > 0) {
+        --upstream->own.requests;
+    }
+}
+
+std::uint64_t UpstreamBoard::tokensAhead(const InstanceName &name) const
+{
+    const auto found = m_upstreams.find(name);
+    return found == m_upstreams.end() ? 0 : found->second.own.tokens + found->second.others.tokens;
+}
+
+void UpstreamBoard::observedFirstEvent(const InstanceName &name, double tokens, double milliseconds)
+{
+    const Upstream *upstream = find(name);
+    if (!upstream || upstream->paceMs <= 0) {
+        return;
     }
+    m_engines[upstream->instance.service].observed(tokens, milliseconds, upstream->paceMs / fastestPace(upstream->instance.service));
 }
 
 void UpstreamBoard::observedPace(const InstanceName &name, double milliseconds)
@@ -164,13 +228,17 @@
 void UpstreamBoard::fillTally(v1::EntryTally &tally)
 {
     for (auto &[name, upstream] : m_upstreams) {
-        upstream.tallied = upstream.own;
-        if (upstream.own == 0) {
+        upstream.told[tally.sequence()] = upstream.own;
+        if (upstream.told.size() > MostTalliesKept) {
+            upstream.told.erase(upstream.told.begin());
+        }
+        if (upstream.own.requests == 0) {
             continue;
         }
         v1::UpstreamLoad &load = *tally.add_loads();
         load.set_upstream(name.value);
-        load.set_in_flight(upstream.own);
+        load.set_in_flight(upstream.own.requests);
+        load.set_prompt_tokens(upstream.own.tokens);
     }
 }
 
--- a/src/proxy/upstreamboard.h
+++ b/src/proxy/upstreamboard.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "proxy/enginepace.h"
 #include "proxy/proxytypes.h"
 
 #include "control.pb.h"
 
 #include <map>
 #include <set>
-#include <unordered_map>
 #include <vector>
 
 namespace cumindyke
@@ -19,18 +19,25 @@
     VersionName target;
     /// The next request is for the target. Otherwise it is for any other version.
     bool toTarget = false;
-    /// Old versions may not be used any more, or the target may not.
-    bool onlyThat = false;
 };
 
 struct PlacementQuery
 {
     ServiceName service;
     VersionSplit versions;
+    /// Prompt tokens to read; 0: a plain request.
+    std::uint32_t promptTokens = 0;
     /// Tried before for this request.
     std::set<InstanceName> tried;
 };
 
+/// Where a request would go, and how long its answer (a stream's first event) would take there.
+struct Placement
+{
+    const UpstreamInstance *upstream = nullptr;
+    Duration predicted{};
+};
+
 /// What this VM knows of each upstream: the platform's list, its own requests in flight, the other VMs' from the leader's sums, how fast
 /// it answers, and whether it has just failed. Chooses where the next request goes. Pure: time is an argument.
 class UpstreamBoard
@@ -45,15 +52,23 @@
     void takeList(const std::vector<UpstreamInstance> &instances);
     void takeFleet(const v1::FleetTally &fleet);
 
-    /// The upstream that will answer soonest, or none when all of them are full or out of use.
-    const UpstreamInstance *choose(const PlacementQuery &query, TimePoint now) const;
-    /// Whether the service has any upstream that could take a request once it has room.
-    bool hasUsable(const PlacementQuery &query, TimePoint now) const;
+    /// The upstream that will answer soonest; none when all of them are full or out of use.
+    Placement choose(const PlacementQuery &query, TimePoint now) const;
+    /// How long the fastest upstream would take with nothing else to do; zero while nothing was learned.
+    Duration soonestIdle(const ServiceName &service, std::uint32_t promptTokens) const;
+    /// Part of the service's places that are taken, 0 to 1.
+    double occupancy(const ServiceName &service) const;
 
-    void sent(const InstanceName &name);
+    void sent(const InstanceName &name, std::uint32_t promptTokens);
+    /// The prompt has been read: the first event came, or the sending ended before it.
+    void promptRead(const InstanceName &name, std::uint32_t promptTokens);
     void ended(const InstanceName &name);
     /// Milliseconds between events of a stream, or to a plain answer's end: how fast the upstream works.
     void observedPace(const InstanceName &name, double milliseconds);
+    /// A first event, and the tokens that were to be read for it when the request was sent.
+    void observedFirstEvent(const InstanceName &name, double tokens, double milliseconds);
+    /// Tokens that an upstream has to read before a new prompt.
+    std::uint64_t tokensAhead(const InstanceName &name) const;
     void succeeded(const InstanceName &name);
     /// It failed a request or could not be reached: it rests, longer with each failure in a row.
     void failed(const InstanceName &name, TimePoint now);
@@ -63,20 +78,22 @@
     void misdirected(const InstanceName &name, TimePoint now);
 
     void fillTally(v1::EntryTally &tally);
-    std::size_t size() const
-    {
-        return m_upstreams.size();
-    }
 
 private:
+    struct Load
+    {
+        std::uint32_t requests = 0;
+        /// Of prompts whose first event has not come.
+        std::uint64_t tokens = 0;
+    };
     struct Upstream
     {
         UpstreamInstance instance;
-        std::uint32_t own = 0;
+        Load own;
         /// Of the other VMs, as of the leader's last sums.
-        std::uint32_t others = 0;
-        /// What this VM said of its own in its last tally: the leader's sums hold it.
-        std::uint32_t tallied = 0;
+        Load others;
+        /// What this VM told of its own, by the tally's sequence: the leader's sums hold one of them.
+        std::map<std::uint64_t, Load> told;
         double paceMs = 0;
         int failuresInARow = 0;
         TimePoint restsUntil{};
@@ -84,10 +101,12 @@
 
     bool allowed(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
     double fastestPace(const ServiceName &service) const;
+    double predictedMs(const Upstream &upstream, std::uint32_t promptTokens, double fastest) const;
     Upstream *find(const InstanceName &name);
 
     const DataCentreName m_here;
     std::map<InstanceName, Upstream> m_upstreams;
+    std::map<ServiceName, EnginePace> m_engines;
 };
 
 }
--- a/src/proxy/waitingline.h
+++ b/src/proxy/waitingline.h
@@ -16,14 +16,15 @@
 /// 0 is the highest; made of the organisation's priority, then the route's.
 using WaitingRank = Strong<struct WaitingRankTag, std::uint32_t>;
 
-/// Requests of one service that wait for room at its upstreams, most urgent first and in order of arrival within a rank. Engines know
+/// Requests of one service that wait for room at its upstreams, most urgent first and within a rank the one that must go soonest. Engines know
 /// no priorities and admit in order of arrival, so a request that waits there can't be overtaken by a more urgent one: waiting is done here.
 class WaitingLine
 {
 public:
-    void add(LocalRequest request, WaitingRank rank, TimePoint giveUpAt)
+    /// Until when a start is early enough for an answer on time, and when waiting ends.
+    void add(LocalRequest request, WaitingRank rank, TimePoint latestStart, TimePoint giveUpAt)
     {
-        const Place place{rank, m_next++};
+        const Place place{rank, latestStart, m_next++};
         m_places.emplace(request, place);
         m_waiting.emplace(place, Waiting{request, giveUpAt});
     }
@@ -40,23 +41,26 @@
     {
         return m_waiting.empty();
     }
-    std::size_t size() const
+    /// All, most urgent first. Within a rank those that can still be on time come before those that can't: served in order of arrival
+    /// alone, a line that is once too long makes everybody late.
+    std::vector<LocalRequest> inOrder(TimePoint now) const
     {
-        return m_waiting.size();
-    }
-    /// The most urgent one.
-    std::optional<LocalRequest> first() const
-    {
-        return m_waiting.empty() ? std::nullopt : std::optional(m_waiting.begin()->second.request);
-    }
-    /// All, most urgent first.
-    std::vector<LocalRequest> inOrder() const
-    {
-        std::vector<LocalRequest> requests;
+        std::vector<LocalRequest> ordered;
+        std::vector<LocalRequest> late;
+        std::optional<WaitingRank> rank;
+        const auto addLate = [&] {
+            ordered.insert(ordered.end(), late.begin(), late.end());
+            late.clear();
+        };
         for (const auto &[place, waiting] : m_waiting) {
-            requests.push_back(waiting.request);
+            if (rank != place.rank) {
+                addLate();
+                rank = place.rank;
+            }
+            (place.latestStart < now ? late : ordered).push_back(waiting.request);
         }
-        return requests;
+        addLate();
+        return ordered;
     }
     /// Takes out those that have waited as long as they may, and with each of them all that wait at a lower rank: they would be served
     /// after it, and a higher rank is never refused while a lower one goes on waiting. Least urgent first.
@@ -82,6 +86,7 @@
     struct Place
     {
         WaitingRank rank;
+        TimePoint latestStart;
         std::uint64_t order = 0;
 
         auto operator<=>(const Place &) const = default;
