Entry VMs tell each other their loads every 30 ms

First events took 400 to 600 ms inside engines instead of 57. Ruled out: placement by predicted first event alone (no gain on that knowledge). Change: notices between entry VMs, several changes in one, rarer with more VMs; counted by process, so that late ones of an earlier process count for nothing.

--- a/src/control/fleettally.cpp
+++ b/src/control/fleettally.cpp
@@ -64,11 +64,10 @@
         remember(known, tally);
     } else if (known.incarnation != incarnation) {
         // Its counts begin at zero again; what the process before it had counted is in the totals.
-        known = Vm{.incarnation = incarnation, .heard = {}, .newest = {}, .demands = {}, .admitted = {}, .counts = {}};
+        known = Vm{.incarnation = incarnation, .heard = {}, .demands = {}, .admitted = {}, .counts = {}};
     }
     grow(known, tally);
     known.heard = now;
-    known.newest = tally;
     std::map<std::string, std::uint64_t> asked;
     for (const v1::OrganisationDemand &demand : tally.demands()) {
         asked[demand.organisation()] = demand.asked();
@@ -121,21 +120,11 @@
 v1::FleetTally FleetTallies::fleet(const v1::RouteTable &routes, std::uint64_t tolerance, TimePoint now)
 {
     v1::FleetTally fleet;
-    std::map<std::string, v1::UpstreamLoad> loads;
     for (const auto &[name, vm] : m_vms) {
         if (now - vm.heard > HeardLately) {
             continue;
         }
-        fleet.set_entries(fleet.entries() + 1);
-        for (const v1::UpstreamLoad &load : vm.newest.loads()) {
-            v1::UpstreamLoad &sum = loads[load.upstream()];
-            sum.set_in_flight(sum.in_flight() + load.in_flight());
-            sum.set_prompt_tokens(sum.prompt_tokens() + load.prompt_tokens());
-        }
-    }
-    for (auto &[upstream, sum] : loads) {
-        sum.set_upstream(upstream);
-        *fleet.add_loads() = std::move(sum);
+        fleet.add_entry_vms(name.value);
     }
     std::map<std::string, double> perSecond = askedPerSecond(now);
     for (const v1::RoutedOrganisation &organisation : routes.organisations()) {
--- a/src/control/fleettally.h
+++ b/src/control/fleettally.h
@@ -29,7 +29,7 @@
     std::optional<TimePoint> m_filled;
 };
 
-/// The leader's sums over what entry VMs tell with their beats: load of each upstream, demand of each organisation, answers of each
+/// The leader's sums over what entry VMs tell with their beats: demand of each organisation, answers of each
 /// version. Soft state: a new leader has the same sums again after one beat of each VM.
 class FleetTallies
 {
@@ -51,7 +51,6 @@
     {
         std::uint64_t incarnation = 0;
         TimePoint heard;
-        v1::EntryTally newest;
         /// Demand at earlier beats, oldest first, for the rate.
         std::deque<std::pair<TimePoint, std::map<std::string, std::uint64_t>>> demands;
         std::map<std::string, std::uint64_t> admitted;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -82,6 +82,7 @@
         .list = adapter.instanceList(settings.proxy->upstreamList),
         .requestReadLimit = settings.requestReadLimit,
         .sendTally = [control = m_control.get()](v1::EntryTally tally) { control->post(TallyNotice{std::move(tally)}); },
+        .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     };
     auto proxy = ProxyTask::open(std::move(options), m_metrics);
     if (!ok(proxy)) {
@@ -107,6 +108,8 @@
     m_router.entry = [this](PeerMessage message) {
         if (m_entry) {
             m_entry->post(std::move(message));
+        } else if (m_proxy) {
+            m_proxy->post(std::move(message));
         }
     };
 }
--- a/src/proxy/organisationbuckets.cpp
+++ b/src/proxy/organisationbuckets.cpp
@@ -26,7 +26,7 @@
 
 void OrganisationBuckets::takeFleet(const v1::FleetTally &fleet, TimePoint now)
 {
-    m_entries = std::max<std::uint32_t>(1, fleet.entries());
+    m_entries = static_cast<std::uint32_t>(std::max(1, fleet.entry_vms_size()));
     for (const v1::OrganisationLevel &level : fleet.levels()) {
         Bucket &bucket = m_buckets[level.organisation()];
         bucket.level = static_cast<double>(level.level());
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -123,6 +123,16 @@
     request.tokensToRead = m_board.tokensAhead(to.name) + request.order.promptTokens;
     request.promptRead = false;
     m_board.sent(to.name, request.order.promptTokens);
+    loadChanged();
+    logChange("proxy",
+              "sent",
+              {{"id", request.order.id.value},
+               {"upstream", to.name.value},
+               {"version", to.version.value},
+               {"waited_ms", std::to_string(wholeMilliseconds(now - request.order.arrived))},
+               {"rank", std::to_string(request.order.rank.value)},
+               {"tokens_to_read", std::to_string(request.tokensToRead)},
+               {"load", m_board.describe(to.name)}});
     m_versions[{request.order.service.value, to.version.value}].sent += 1;
     const LocalRequest local = request.local;
     request.call->head().connect([this, local](const AnswerHead &head) { takeHead(local, head); });
@@ -144,6 +154,7 @@
         m_board.promptRead(request.at.name, request.order.promptTokens);
     }
     m_board.ended(request.at.name);
+    loadChanged();
 }
 
 bool ProxyTask::saysNotRun(const AnswerHead &head) const
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -4,6 +4,7 @@
 #include "common/log.h"
 
 #include <algorithm>
+#include <random>
 
 namespace cumindyke
 {
@@ -13,6 +14,10 @@
 
 /// While requests wait, overdue ones are looked for this often; rooms that become free are used at once.
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
+/// Loads change with each request; a notice may be this old. With many entry VMs notices grow rarer, so that their number grows with the VMs,
+/// not with the pairs of them.
+constexpr Duration ShortestNoticeInterval = std::chrono::milliseconds(30);
+constexpr Duration NoticeIntervalPerPeer = std::chrono::milliseconds(4);
 /// A little more often than the beats that take it along.
 constexpr Duration TallyInterval = std::chrono::milliseconds(400);
 constexpr Duration RetryAfterUnready = std::chrono::milliseconds(500);
@@ -37,11 +42,13 @@
     : m_options(std::move(options))
     , m_mailbox(m_loop, [this](ProxyMessage &&message) { std::visit([this](auto &held) { handle(held); }, message); })
     , m_metrics(metrics)
+    , m_incarnation(std::random_device{}())
     , m_feed(m_loop, m_options.list, m_options.listInterval)
     , m_board(m_options.dataCentre)
     , m_cleanUp(m_loop, [this] { cleanUp(); })
     , m_tick(m_loop, [this] { tick(); })
     , m_tallyTimer(m_loop, [this] { sendTally(); })
+    , m_noticeTimer(m_loop, [this] { sendNotices(); })
 {
 }
 
@@ -108,7 +115,6 @@
     }
     if (configuration.fleet && configuration.fleet != m_fleet) {
         m_fleet = configuration.fleet;
-        m_board.takeFleet(*m_fleet);
         m_buckets.takeFleet(*m_fleet, EventLoop::now());
     }
 }
@@ -245,7 +251,6 @@
 {
     v1::EntryTally tally;
     tally.set_sequence(++m_tallies);
-    m_board.fillTally(tally);
     m_buckets.fillTally(tally);
     for (const auto &[key, counts] : m_versions) {
         v1::VersionCounts &wire = *tally.add_versions();
@@ -258,6 +263,45 @@
         wire.set_heads(counts.heads);
     }
     m_options.sendTally(std::move(tally));
+    const TimePoint now = EventLoop::now();
+    m_board.forgetSilent(now);
+    if (now - m_noticeSent >= TallyInterval) {
+        sendNotices();
+    }
+}
+
+/// Several changes go in one notice.
+void ProxyTask::loadChanged()
+{
+    if (!std::exchange(m_noticeDue, true)) {
+        const auto peers = m_fleet ? m_fleet->entry_vms_size() : 0;
+        m_noticeTimer.startOnce(std::max<Duration>(ShortestNoticeInterval, peers * NoticeIntervalPerPeer));
+    }
+}
+
+void ProxyTask::sendNotices()
+{
+    m_noticeDue = false;
+    m_noticeSent = EventLoop::now();
+    if (!m_fleet) {
+        return;
+    }
+    v1::Envelope envelope;
+    envelope.mutable_load_notice()->set_incarnation(m_incarnation);
+    envelope.mutable_load_notice()->set_sequence(++m_notices);
+    m_board.fillNotice(*envelope.mutable_load_notice());
+    for (const std::string &vm : m_fleet->entry_vms()) {
+        if (vm != m_options.vm.value) {
+            m_options.send(VmName{vm}, envelope);
+        }
+    }
+}
+
+void ProxyTask::handle(PeerMessage &message)
+{
+    if (message.envelope.has_load_notice()) {
+        m_board.takeNotice(message.from, message.envelope.load_notice(), EventLoop::now());
+    }
 }
 
 }
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -43,6 +43,7 @@
     /// The process stays this much longer, to refuse what still comes instead of breaking it off.
     Duration refuseAfterwards = std::chrono::milliseconds(700);
     std::function<void(v1::EntryTally)> sendTally;
+    PeerSender send;
 };
 
 /// A graceful shutdown begins; drained is called from the task's thread when the last request has ended.
@@ -51,7 +52,7 @@
     std::function<void()> drained;
 };
 
-using ProxyMessage = std::variant<Configuration, ProxyDrain>;
+using ProxyMessage = std::variant<Configuration, ProxyDrain, PeerMessage>;
 
 /// Takes callers' requests, passes them on to upstreams and the answers back, unchanged. Owns all sockets of that; other tasks post().
 class ProxyTask
@@ -87,6 +88,7 @@
 
     void handle(Configuration &configuration);
     void handle(ProxyDrain &drain);
+    void handle(PeerMessage &message);
 
     // Admission.
     void takeRequest(const std::shared_ptr<Exchange> &exchange);
@@ -129,12 +131,16 @@
 
     void count(const ProxyRequest &request, bool good);
     void sendTally();
+    void loadChanged();
+    void sendNotices();
     ProxyRequest *find(LocalRequest local);
 
     const ProxyOptions m_options;
     EventLoop m_loop;
     Mailbox<ProxyMessage> m_mailbox;
     Metrics &m_metrics;
+    /// Tells this process's notices from those of the process before it.
+    const std::uint64_t m_incarnation;
     std::unique_ptr<FrontDoor> m_door;
     std::unique_ptr<FrontDoor> m_readinessDoor;
     InstanceFeed m_feed;
@@ -149,12 +155,16 @@
     std::map<LocalRequest, std::unique_ptr<ProxyRequest>> m_requests;
     std::uint64_t m_nextLocal = 1;
     std::uint64_t m_tallies = 0;
+    std::uint64_t m_notices = 0;
+    bool m_noticeDue = false;
+    TimePoint m_noticeSent{};
     /// Ended requests: their signals may be under way, so they are destroyed from the loop.
     std::vector<std::unique_ptr<ProxyRequest>> m_ended;
     std::vector<std::shared_ptr<Exchange>> m_aborting;
     Timer m_cleanUp;
     Timer m_tick;
     Timer m_tallyTimer;
+    Timer m_noticeTimer;
     std::optional<ProxyDrain> m_drain;
     TimePoint m_drainBegan{};
     std::thread m_thread;
--- a/src/proxy/upstreamboard.cpp
+++ b/src/proxy/upstreamboard.cpp
@@ -13,7 +13,8 @@
 constexpr double FartherFactor = 1.4;
 /// How much longer a first event takes on an engine whose places are all taken: its batch takes turns with the reading of prompts.
 constexpr double LoadWeight = 0.5;
-constexpr std::size_t MostTalliesKept = 16;
+/// Notices come at least every half second.
+constexpr Duration NoticeHolds = std::chrono::milliseconds(1500);
 /// Weight of the newest observation: about the last ten count.
 constexpr double PaceWeight = 0.1;
 constexpr Duration FirstRest = std::chrono::milliseconds(200);
@@ -39,22 +40,52 @@
         next.insert_or_assign(instance.name, std::move(upstream));
     }
     m_upstreams.swap(next);
-}
-
-void UpstreamBoard::takeFleet(const v1::FleetTally &fleet)
-{
     for (auto &[name, upstream] : m_upstreams) {
         upstream.others = {};
     }
-    for (const v1::UpstreamLoad &load : fleet.loads()) {
-        Upstream *upstream = find(InstanceName{load.upstream()});
+    for (const auto &[vm, peer] : m_peers) {
+        addLoads(peer, 1);
+    }
+}
+
+void UpstreamBoard::addLoads(const Peer &peer, int sign)
+{
+    for (const auto &[name, load] : peer.loads) {
+        Upstream *upstream = find(name);
         if (!upstream) {
             continue;
         }
-        const auto told = upstream->told.find(fleet.sequence());
-        const Load mine = told == upstream->told.end() ? Load{} : told->second;
-        upstream->others.requests = load.in_flight() - std::min(load.in_flight(), mine.requests);
-        upstream->others.tokens = load.prompt_tokens() - std::min(load.prompt_tokens(), mine.tokens);
+        if (sign > 0) {
+            upstream->others.requests += load.requests;
+            upstream->others.tokens += load.tokens;
+        } else {
+            upstream->others.requests -= std::min(upstream->others.requests, load.requests);
+            upstream->others.tokens -= std::min(upstream->others.tokens, load.tokens);
+        }
+    }
+}
+
+void UpstreamBoard::takeNotice(const VmName &vm, const v1::LoadNotice &notice, TimePoint now)
+{
+    Peer &peer = m_peers[vm];
+    if (notice.incarnation() == peer.incarnation && notice.sequence() <= peer.sequence) {
+        return;
+    }
+    addLoads(peer, -1);
+    peer = Peer{.incarnation = notice.incarnation(), .sequence = notice.sequence(), .heard = now, .loads = {}};
+    for (const v1::UpstreamLoad &load : notice.loads()) {
+        peer.loads[InstanceName{load.upstream()}] = Load{.requests = load.in_flight(), .tokens = load.prompt_tokens()};
+    }
+    addLoads(peer, 1);
+}
+
+void UpstreamBoard::forgetSilent(TimePoint now)
+{
+    for (auto &[vm, peer] : m_peers) {
+        if (now - peer.heard > NoticeHolds && !peer.loads.empty()) {
+            addLoads(peer, -1);
+            peer.loads.clear();
+        }
     }
 }
 
@@ -225,17 +256,24 @@
     }
 }
 
-void UpstreamBoard::fillTally(v1::EntryTally &tally)
+std::string UpstreamBoard::describe(const InstanceName &name) const
 {
-    for (auto &[name, upstream] : m_upstreams) {
-        upstream.told[tally.sequence()] = upstream.own;
-        if (upstream.told.size() > MostTalliesKept) {
-            upstream.told.erase(upstream.told.begin());
-        }
+    const auto found = m_upstreams.find(name);
+    if (found == m_upstreams.end()) {
+        return "unknown";
+    }
+    const Upstream &upstream = found->second;
+    return std::to_string(upstream.own.requests) + "+" + std::to_string(upstream.others.requests) + "/" + std::to_string(upstream.instance.slots) + "@"
+        + std::to_string(static_cast<int>(upstream.paceMs)) + "ms";
+}
+
+void UpstreamBoard::fillNotice(v1::LoadNotice &notice) const
+{
+    for (const auto &[name, upstream] : m_upstreams) {
         if (upstream.own.requests == 0) {
             continue;
         }
-        v1::UpstreamLoad &load = *tally.add_loads();
+        v1::UpstreamLoad &load = *notice.add_loads();
         load.set_upstream(name.value);
         load.set_in_flight(upstream.own.requests);
         load.set_prompt_tokens(upstream.own.tokens);
--- a/src/proxy/upstreamboard.h
+++ b/src/proxy/upstreamboard.h
@@ -38,7 +38,7 @@
     Duration predicted{};
 };
 
-/// What this VM knows of each upstream: the platform's list, its own requests in flight, the other VMs' from the leader's sums, how fast
+/// What this VM knows of each upstream: the platform's list, its own requests in flight, the other VMs' from their notices, how fast
 /// it answers, and whether it has just failed. Chooses where the next request goes. Pure: time is an argument.
 class UpstreamBoard
 {
@@ -50,7 +50,10 @@
 
     /// The platform's whole list. An entry whose name was used by an earlier process starts with nothing learned.
     void takeList(const std::vector<UpstreamInstance> &instances);
-    void takeFleet(const v1::FleetTally &fleet);
+    /// What another entry VM has in flight. Older than what came before: ignored.
+    void takeNotice(const VmName &vm, const v1::LoadNotice &notice, TimePoint now);
+    /// Entry VMs that have fallen silent have nothing in flight any more, or nobody knows what.
+    void forgetSilent(TimePoint now);
 
     /// The upstream that will answer soonest; none when all of them are full or out of use.
     Placement choose(const PlacementQuery &query, TimePoint now) const;
@@ -77,7 +80,10 @@
     /// Another process has its address.
     void misdirected(const InstanceName &name, TimePoint now);
 
-    void fillTally(v1::EntryTally &tally);
+    /// What is known of an upstream's load and speed, for the log.
+    std::string describe(const InstanceName &name) const;
+    /// What this VM has in flight.
+    void fillNotice(v1::LoadNotice &notice) const;
 
 private:
     struct Load
@@ -90,15 +96,22 @@
     {
         UpstreamInstance instance;
         Load own;
-        /// Of the other VMs, as of the leader's last sums.
+        /// Of the other VMs, as of their last notices.
         Load others;
-        /// What this VM told of its own, by the tally's sequence: the leader's sums hold one of them.
-        std::map<std::uint64_t, Load> told;
         double paceMs = 0;
         int failuresInARow = 0;
         TimePoint restsUntil{};
     };
 
+    struct Peer
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        TimePoint heard;
+        std::map<InstanceName, Load> loads;
+    };
+
+    void addLoads(const Peer &peer, int sign);
     bool allowed(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
     double fastestPace(const ServiceName &service) const;
     double predictedMs(const Upstream &upstream, std::uint32_t promptTokens, double fastest) const;
@@ -107,6 +120,7 @@
     const DataCentreName m_here;
     std::map<InstanceName, Upstream> m_upstreams;
     std::map<ServiceName, EnginePace> m_engines;
+    std::map<VmName, Peer> m_peers;
 };
 
 }
--- a/tests/proxy/organisationbucketstest.cpp
+++ b/tests/proxy/organisationbucketstest.cpp
@@ -21,7 +21,9 @@
 v1::FleetTally fleetWith(std::int64_t level, std::uint64_t sequence, std::uint32_t entries = 1)
 {
     v1::FleetTally fleet;
-    fleet.set_entries(entries);
+    for (std::uint32_t vm = 0; vm < entries; ++vm) {
+        fleet.add_entry_vms("vm-" + std::to_string(vm));
+    }
     fleet.set_sequence(sequence);
     v1::OrganisationLevel &wire = *fleet.add_levels();
     wire.set_organisation("ensemble");
