Retry-After follows how long an overload has lasted; the log elects after 500 ms of silence

Cause: callers refused for want of room came back after 300 ms into the same overload and were refused again. Change: as long again as the overload has lasted, 0.5 to 3 s; over a limit, 0.1 s more for each time it is exceeded.

--- a/src/proxy/organisationbuckets.cpp
+++ b/src/proxy/organisationbuckets.cpp
@@ -21,6 +21,7 @@
 /// Callers come back at least this much later, so that the level has changed.
 constexpr Duration ShortestWait = std::chrono::milliseconds(100);
 constexpr Duration LongestWait = std::chrono::seconds(5);
+constexpr std::chrono::duration<double> WaitPerOverload{0.1};
 
 }
 
@@ -75,7 +76,10 @@
         bucket.admitted += cost;
         return {};
     }
-    const std::chrono::duration<double> wait(-left / static_cast<double>(organisation.rate_per_s()));
+    const double rate = static_cast<double>(organisation.rate_per_s());
+    // While several times the limit is asked for, most of those that come back at once are refused again: they are sent away for longer.
+    const double overload = std::max(0.0, bucket.fleetPerSecond / rate - 1);
+    const std::chrono::duration<double> wait(-left / rate + overload * WaitPerOverload.count());
     return std::clamp(std::chrono::duration_cast<Duration>(wait), ShortestWait, LongestWait);
 }
 
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -18,7 +18,10 @@
 /// A request that can't be on time any more still waits for any place this long: a late answer is worth more to its caller than a refusal
 /// after which it asks again.
 constexpr Duration LateWait = std::chrono::milliseconds(800);
-constexpr Duration RetryAfterFull = std::chrono::milliseconds(300);
+constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(500);
+constexpr Duration LongestRetryAfter = std::chrono::seconds(3);
+/// Without a refusal for this long an overload is over.
+constexpr Duration OverloadEnds = std::chrono::seconds(1);
 constexpr std::uint32_t WholeSharePermille = 1000;
 
 }
@@ -90,6 +93,17 @@
     }
 }
 
+/// An overload that has lasted for a while is likely to last as long again: who comes back sooner is refused again.
+Duration ProxyTask::retryAfterFull(const ServiceName &name, TimePoint now)
+{
+    Service &service = m_services[name];
+    if (now - service.refusedLast > OverloadEnds) {
+        service.refusingSince = now;
+    }
+    service.refusedLast = now;
+    return std::clamp(now - service.refusingSince, ShortestRetryAfter, LongestRetryAfter);
+}
+
 void ProxyTask::tick()
 {
     const TimePoint now = EventLoop::now();
@@ -107,7 +121,7 @@
             if (request.attempts.mayHaveRun()) {
                 answerFailure(request, ErrorKind::OutcomeUnknown, "no upstream had room for another try");
             } else {
-                answerRefusal(request, "no upstream had room in time", RetryAfterFull);
+                answerRefusal(request, "no upstream had room in time", retryAfterFull(name, now));
             }
         }
         pump(name, now);
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -73,6 +73,9 @@
     {
         WaitingLine line;
         RetryBudget retries;
+        /// The first and the last refusal for want of room in the present overload.
+        TimePoint refusingSince{};
+        TimePoint refusedLast{};
     };
     struct VersionCount
     {
@@ -98,6 +101,7 @@
 
     // Placement.
     void wait(ProxyRequest &request, TimePoint now);
+    Duration retryAfterFull(const ServiceName &name, TimePoint now);
     void pump(const ServiceName &service, TimePoint now);
     void tick();
     std::optional<UpstreamInstance> place(const ProxyRequest &request, TimePoint now) const;
--- a/src/proxy/routeindex.cpp
+++ b/src/proxy/routeindex.cpp
@@ -56,7 +56,7 @@
     }
     std::unordered_set<std::string> places;
     for (const v1::Route &route : table.routes()) {
-        if (const Result<Done> checked = checkRoute(route, services); !ok(checked)) {
+        if (Result<Done> checked = checkRoute(route, services); !ok(checked)) {
             return checked;
         }
         if (!places.insert(joined(route.host(), route.path_prefix())).second) {
--- a/src/raft/replicatedlog.h
+++ b/src/raft/replicatedlog.h
@@ -28,7 +28,8 @@
     /// with the pairs of them.
     std::function<VmName()> leaderHint;
     std::function<void(const VmName &to, v1::Envelope envelope)> send;
-    Duration electionTimeout = std::chrono::milliseconds(750);
+    /// Several heartbeats, and a slow disk's longest sync; a shorter one elects leaders anew whenever a VM is slow.
+    Duration electionTimeout = std::chrono::milliseconds(500);
     Duration heartbeat = std::chrono::milliseconds(100);
     /// A voter that was silent for so long is replaced, if another VM with a disk offers itself.
     Duration replaceAfter = std::chrono::seconds(30);
