--- /dev/null
+++ b/tests/platform/documentstest.cpp
@@ -0,0 +1,152 @@
+#include "platform/instancelist.h"
+#include "platform/json.h"
+#include "platform/routedocument.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cumindyke;
+using namespace cumindyke::platform;
+
+namespace
+{
+
+const std::string Document = R"({"version":7,"routes":[
+    {"name":"r-1","host":"h.example","pathPrefix":"/p/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":400,"priority":1,
+     "service":"lm","maxAttempts":2,"authExempt":false,"sessionAffinity":true,"streamResume":true,"gapTargetMs":200},
+    {"name":"r-2","host":"h.example","pathPrefix":"/q/","kind":"non_idempotent","timeoutMs":1500.0,
+     "trafficSplit":[{"service":"lm","weight":90},{"service":"app","weight":10}],"authExempt":true}],
+    "services":[{"name":"lm","healthPath":"/healthz","maxConnections":490,"engine":{"slots":9}},{"name":"app","somethingNew":{}}],
+    "limits":{},"tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,"ratePerS":100,"burst":50}]})";
+
+const std::string Entry = R"({"service":"lm","address":"10.0.0.9:8080","zone":"z-a","version":"v1","slots":6,"state":"ready","id":"i-1","born":12})";
+
+Result<InstancePage> pageWith(const std::string &entries)
+{
+    return parseInstancePage(R"({"instances":[)" + entries + R"(],"next":"p-50"})");
+}
+
+}
+
+TEST_CASE("a configuration document becomes a route table in the product's words")
+{
+    const Result<v1::RouteTable> parsed = parseRouteDocument(Document);
+    REQUIRE(ok(parsed));
+    const v1::RouteTable &table = valueOf(parsed);
+    CHECK(table.version() == 7);
+    CHECK(table.routes(0).kind() == v1::RESUMABLE_STREAMING);
+    CHECK(table.routes(0).objective_ms() == 400);
+    CHECK(table.routes(0).pause_objective_ms() == 200);
+    CHECK(table.routes(0).max_attempts() == 2);
+    CHECK(table.routes(1).kind() == v1::NON_IDEMPOTENT);
+    CHECK(table.routes(1).timeout_ms() == 1500);
+    CHECK(table.routes(1).services_size() == 2);
+    CHECK(table.routes(1).open_to_all());
+    CHECK(table.services(0).slots() == 9);
+    CHECK(table.organisations(0).key_sha256_size() == 2);
+    CHECK(table.organisations(0).key_sha256(0).size() == 64);
+    CHECK(table.organisations(0).counts_tokens());
+    CHECK(table.organisations(0).burst() == 50);
+}
+
+TEST_CASE("a document that is not whole or lacks what is needed is refused")
+{
+    std::string document = Document;
+    const auto replaced = [&document](const std::string &from, const std::string &to) { document.replace(document.find(from), from.size(), to); };
+    SECTION("cut short")
+    {
+        document.resize(document.size() / 2);
+    }
+    SECTION("no object")
+    {
+        document = "[1,2]";
+    }
+    SECTION("nothing at all")
+    {
+        document = "";
+    }
+    SECTION("no version")
+    {
+        replaced("\"version\":7", "\"v\":7");
+    }
+    SECTION("a version that is no whole number")
+    {
+        replaced("\"version\":7", "\"version\":7.5");
+    }
+    SECTION("a negative timeout")
+    {
+        replaced("\"timeoutMs\":5000", "\"timeoutMs\":-1");
+    }
+    SECTION("a key of another type")
+    {
+        replaced("\"k1\"", "17");
+    }
+    SECTION("nested deeper than any message")
+    {
+        document = R"({"version":1,"routes":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}";
+    }
+    CHECK_FALSE(ok(parseRouteDocument(document)));
+}
+
+TEST_CASE("an entry of the list is read")
+{
+    const Result<InstancePage> page = pageWith(Entry);
+    REQUIRE(ok(page));
+    const UpstreamInstance &instance = valueOf(page).instances.at(0);
+    CHECK(instance.name == InstanceName{"i-1"});
+    CHECK(instance.address == Address{.host = "10.0.0.9", .port = 8080});
+    CHECK(instance.dataCentre == DataCentreName{"z-a"});
+    CHECK(instance.slots == 6);
+    CHECK_FALSE(instance.draining);
+    CHECK(instance.born == 12);
+    CHECK(valueOf(page).nextPage == "p-50");
+}
+
+// What callers see: requests go to an address that no upstream has, or none go anywhere. Somebody else writes into the list, too; what it
+// writes names no upstream to use, and must not take the others with it.
+TEST_CASE("an entry that can't be read is left out and the others hold")
+{
+    std::string forged = Entry;
+    const auto replaced = [&forged](const std::string &from, const std::string &to) { forged.replace(forged.find(from), from.size(), to); };
+    SECTION("no entry at all")
+    {
+        forged = "null";
+    }
+    SECTION("a state that is not known")
+    {
+        replaced("\"ready\"", "\"resting\"");
+    }
+    SECTION("an address that is none")
+    {
+        replaced("10.0.0.9:8080", "somewhere");
+    }
+    SECTION("another type")
+    {
+        replaced("\"id\":\"i-1\"", "\"id\":[1]");
+    }
+    SECTION("no slots")
+    {
+        replaced("\"slots\":6", "\"slots\":0");
+    }
+    SECTION("a missing field")
+    {
+        replaced("\"version\":\"v1\",", "");
+    }
+    const Result<InstancePage> page = pageWith(forged + "," + Entry);
+    REQUIRE(ok(page));
+    CHECK(valueOf(page).instances.size() == 1);
+    CHECK(valueOf(page).rejected == 1);
+}
+
+TEST_CASE("a torn page is refused whole")
+{
+    CHECK_FALSE(ok(parseInstancePage(R"({"instances":[{"id":"i-1")")));
+    CHECK_FALSE(ok(parseInstancePage("\xff\xfe")));
+    CHECK_FALSE(ok(parseInstancePage(R"({"instances":{}})")));
+}
+
+TEST_CASE("a page token may hold any character")
+{
+    const InstanceListProtocol list = instanceListAt(Address{.host = "127.0.0.1", .port = 1});
+    CHECK(list.target("") == "/instances");
+    CHECK(list.target("a&b=c") == "/instances?pageToken=a%26b%3Dc");
+}
--- /dev/null
+++ b/tests/proxy/upstreamboardtest.cpp
@@ -0,0 +1,142 @@
+#include "proxy/upstreamboard.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cumindyke;
+
+namespace
+{
+
+constexpr TimePoint Start{std::chrono::seconds(100)};
+const DataCentreName Here{"dc-a"};
+
+UpstreamInstance instance(const std::string &name, const std::string &dataCentre = "dc-a", std::uint32_t slots = 2)
+{
+    return UpstreamInstance{
+        .name = InstanceName{name},
+        .service = ServiceName{"drafts"},
+        .address = Address{.host = "10.0.0.1", .port = 80},
+        .dataCentre = DataCentreName{dataCentre},
+        .version = VersionName{"v1"},
+        .slots = slots,
+    };
+}
+
+const PlacementQuery AnyDraft{.service = ServiceName{"drafts"}, .versions = {}, .promptTokens = 0, .tried = {}};
+
+std::string chosen(const UpstreamBoard &board, TimePoint now, const PlacementQuery &query = AnyDraft)
+{
+    const Placement placement = board.choose(query, now);
+    return placement.upstream ? placement.upstream->name.value : "";
+}
+
+v1::LoadNotice noticeOf(std::uint64_t incarnation, std::uint64_t sequence, const std::string &upstream, std::uint32_t inFlight)
+{
+    v1::LoadNotice notice;
+    notice.set_incarnation(incarnation);
+    notice.set_sequence(sequence);
+    v1::UpstreamLoad &load = *notice.add_loads();
+    load.set_upstream(upstream);
+    load.set_in_flight(inFlight);
+    return notice;
+}
+
+}
+
+// What callers see in a burst: first events take ten times as long. Each VM sees room at an engine that the other VMs have filled, and the
+// engine, which knows no priorities, lets them wait inside.
+TEST_CASE("places that other VMs have taken are not taken again")
+{
+    UpstreamBoard board(Here);
+    board.takeList({instance("a"), instance("b")});
+    board.takeNotice(VmName{"vm-2"}, noticeOf(1, 1, "a", 2), Start);
+    CHECK(chosen(board, Start) == "b");
+    board.takeNotice(VmName{"vm-3"}, noticeOf(1, 1, "b", 2), Start);
+    CHECK(chosen(board, Start) == "");
+    SECTION("a later notice of a VM replaces its earlier one and an overtaken one changes nothing")
+    {
+        board.takeNotice(VmName{"vm-2"}, noticeOf(1, 3, "a", 1), Start);
+        board.takeNotice(VmName{"vm-2"}, noticeOf(1, 2, "a", 2), Start);
+        CHECK(chosen(board, Start) == "a");
+    }
+    SECTION("a restarted VM counts its notices from one again")
+    {
+        board.takeNotice(VmName{"vm-2"}, noticeOf(1, 9, "a", 2), Start);
+        board.takeNotice(VmName{"vm-2"}, noticeOf(2, 1, "a", 1), Start);
+        CHECK(chosen(board, Start) == "a");
+    }
+    SECTION("a VM that fell silent holds no place for ever")
+    {
+        board.forgetSilent(Start + std::chrono::seconds(2));
+        CHECK(chosen(board, Start + std::chrono::seconds(2)) != "");
+    }
+    SECTION("a new list keeps what the VMs told")
+    {
+        board.takeList({instance("a"), instance("b"), instance("c")});
+        CHECK(chosen(board, Start) == "c");
+    }
+}
+
+TEST_CASE("an upstream that leaves gets nothing from the list that says so on")
+{
+    UpstreamBoard board(Here);
+    UpstreamInstance leaving = instance("a");
+    leaving.draining = true;
+    board.takeList({leaving});
+    CHECK(chosen(board, Start) == "");
+}
+
+// What callers see: an upstream that fails everything in no time looks like the fastest and gets more and more.
+TEST_CASE("an upstream that fails several requests in a row rests and is tried again later")
+{
+    UpstreamBoard board(Here);
+    board.takeList({instance("a"), instance("b", "dc-b")});
+    board.failed(InstanceName{"a"}, Start);
+    CHECK(chosen(board, Start) == "a");
+    board.failed(InstanceName{"a"}, Start);
+    CHECK(chosen(board, Start) == "b");
+    CHECK(chosen(board, Start + std::chrono::seconds(5)) == "a");
+}
+
+TEST_CASE("a request leaves its data centre only when it gains by it")
+{
+    UpstreamBoard board(Here);
+    board.takeList({instance("near"), instance("far", "dc-b")});
+    board.observedPace(InstanceName{"near"}, 50);
+    board.observedPace(InstanceName{"far"}, 45);
+    CHECK(chosen(board, Start) == "near");
+    board.sent(InstanceName{"near"}, 0);
+    CHECK(chosen(board, Start) == "far");
+}
+
+TEST_CASE("a long prompt goes where less is to be read before it")
+{
+    UpstreamBoard board(Here);
+    board.takeList({instance("a"), instance("b")});
+    for (const char *name : {"a", "b"}) {
+        board.observedPace(InstanceName{name}, 20);
+    }
+    for (int i = 1; i <= 20; ++i) {
+        board.observedFirstEvent(InstanceName{"a"}, 1000.0 * i, 30 + 10.0 * i);
+    }
+    board.sent(InstanceName{"a"}, 40'000);
+    board.sent(InstanceName{"b"}, 100);
+    const PlacementQuery longPrompt{.service = ServiceName{"drafts"}, .versions = {}, .promptTokens = 5000, .tried = {}};
+    CHECK(chosen(board, Start, longPrompt) == "b");
+    const auto predicted = std::chrono::duration<double, std::milli>(board.soonestIdle(ServiceName{"drafts"}, 5000)).count();
+    CHECK(predicted == Approx(80).margin(1));
+}
+
+// What operators see: a version that was taken back goes on getting traffic, or one in its first minutes gets more than its share.
+TEST_CASE("a request goes only to the version it is for")
+{
+    UpstreamBoard board(Here);
+    UpstreamInstance next = instance("new");
+    next.version = VersionName{"v2"};
+    board.takeList({instance("old"), next});
+    PlacementQuery query = AnyDraft;
+    query.versions = VersionSplit{.target = VersionName{"v2"}, .toTarget = false};
+    CHECK(chosen(board, Start, query) == "old");
+    query.versions.toTarget = true;
+    CHECK(chosen(board, Start, query) == "new");
+}
--- /dev/null
+++ b/tests/proxy/waitinglinetest.cpp
@@ -0,0 +1,65 @@
+#include "proxy/waitingline.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cumindyke;
+
+namespace
+{
+
+constexpr TimePoint Start{std::chrono::seconds(100)};
+constexpr WaitingRank Committee{0};
+constexpr WaitingRank Routine{2};
+
+TimePoint after(int milliseconds)
+{
+    return Start + std::chrono::milliseconds(milliseconds);
+}
+
+}
+
+TEST_CASE("higher ranks come first and within a rank who must start soonest")
+{
+    WaitingLine line;
+    line.add(LocalRequest{1}, Routine, after(10), after(900));
+    line.add(LocalRequest{2}, Committee, after(300), after(900));
+    line.add(LocalRequest{3}, Committee, after(200), after(900));
+    CHECK(line.inOrder(Start) == std::vector{LocalRequest{3}, LocalRequest{2}, LocalRequest{1}});
+}
+
+// What callers see in a burst: once the line is longer than the time to the objective, every answer is late, also long after the
+// engines could keep up again. Each place that becomes free goes to a request that is late already, while the next one becomes late.
+TEST_CASE("a request that can still be on time goes before a late one of its rank")
+{
+    WaitingLine line;
+    line.add(LocalRequest{1}, Committee, after(100), after(900));
+    line.add(LocalRequest{2}, Committee, after(400), after(900));
+    CHECK(line.inOrder(after(200)) == std::vector{LocalRequest{2}, LocalRequest{1}});
+    SECTION("but not before a higher rank's late one")
+    {
+        line.add(LocalRequest{3}, Routine, after(800), after(900));
+        CHECK(line.inOrder(after(200)).back() == LocalRequest{3});
+    }
+}
+
+// What callers see: a committee's draft is refused for want of room while a routine summary goes on waiting and is served a moment later.
+// The draft's time to wait ends first, since its objective is shorter.
+TEST_CASE("no higher rank is refused while a lower one goes on waiting")
+{
+    WaitingLine line;
+    line.add(LocalRequest{1}, Committee, after(100), after(300));
+    line.add(LocalRequest{2}, Routine, after(900), after(1500));
+    CHECK(line.takeOverdue(after(299)).empty());
+    CHECK(line.takeOverdue(after(300)) == std::vector{LocalRequest{2}, LocalRequest{1}});
+    CHECK(line.empty());
+}
+
+TEST_CASE("a lower rank that is overdue leaves higher ones waiting")
+{
+    WaitingLine line;
+    line.add(LocalRequest{1}, Committee, after(900), after(1500));
+    line.add(LocalRequest{2}, Routine, after(100), after(300));
+    CHECK(line.takeOverdue(after(300)) == std::vector{LocalRequest{2}});
+    line.remove(LocalRequest{1});
+    CHECK(line.empty());
+}
