--- a/src/proxy/ordermaker.cpp
+++ b/src/proxy/ordermaker.cpp
@@ -39,13 +39,13 @@
     return static_cast<std::size_t>(std::ranges::count_if(headers, isNamed));
 }
 
-/// Two ways to say where the body ends let a caller hide a second request inside the first one's body: an upstream that reads the other way
-/// runs it, with this system's headers missing. Such a request is refused whole.
-bool hasAmbiguousLength(const Exchange &exchange)
+/// Two ways to say where the body ends, or which host is meant, let a caller hide a second request inside the first one's body: an upstream that reads the
+/// other way runs it, with this system's headers missing; or it runs the request under another route's rules. Such a request is refused whole.
+bool isAmbiguous(const Exchange &exchange)
 {
     const std::size_t lengths = countOf(exchange, "content-length");
     const std::size_t codings = countOf(exchange, "transfer-encoding");
-    return lengths + codings > 1;
+    return lengths + codings > 1 || countOf(exchange, "host") > 1;
 }
 
 struct TokenCounts
@@ -97,8 +97,8 @@
 std::variant<ProxyOrder, Refusal>
 makeOrder(const Exchange &exchange, const ProxyHeaders &headers, const std::shared_ptr<const RouteIndex> &routes, OrganisationBuckets &buckets, TimePoint now)
 {
-    if (hasAmbiguousLength(exchange)) {
-        return refusal(ErrorKind::BadRequest, "the body's length is given twice: send either one Content-Length or Transfer-Encoding");
+    if (isAmbiguous(exchange)) {
+        return refusal(ErrorKind::BadRequest, "the body's length or the host is given twice: send one Host, and one Content-Length or Transfer-Encoding");
     }
     ProxyOrder order{.id = RequestId{exchange.header(headers.requestId.c_str())},
                      .routes = routes,
--- a/tests/proxy/eventsplittertest.cpp
+++ b/tests/proxy/eventsplittertest.cpp
@@ -10,7 +10,7 @@
     CHECK(events.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
     CHECK(events.hasPartial());
     CHECK(events.lastEventId() == "1");
-    CHECK(events.feed("ta: b\n") == "");
+    CHECK(events.feed("ta: b\n").empty());
     CHECK(events.feed("\n") == "id: 2\ndata: b\n\n");
     CHECK(events.lastEventId() == "2");
     CHECK_FALSE(events.hasPartial());
--- a/tests/proxy/upstreamboardtest.cpp
+++ b/tests/proxy/upstreamboardtest.cpp
@@ -52,7 +52,7 @@
     board.takeNotice(VmName{"vm-2"}, noticeOf(1, 1, "a", 2), Start);
     CHECK(chosen(board, Start) == "b");
     board.takeNotice(VmName{"vm-3"}, noticeOf(1, 1, "b", 2), Start);
-    CHECK(chosen(board, Start) == "");
+    CHECK(chosen(board, Start).empty());
     SECTION("a later notice of a VM replaces its earlier one and an overtaken one changes nothing")
     {
         board.takeNotice(VmName{"vm-2"}, noticeOf(1, 3, "a", 1), Start);
@@ -68,7 +68,7 @@
     SECTION("a VM that fell silent holds no place for ever")
     {
         board.forgetSilent(Start + std::chrono::seconds(2));
-        CHECK(chosen(board, Start + std::chrono::seconds(2)) != "");
+        CHECK_FALSE(chosen(board, Start + std::chrono::seconds(2)).empty());
     }
     SECTION("a new list keeps what the VMs told")
     {
@@ -83,7 +83,7 @@
     UpstreamInstance leaving = instance("a");
     leaving.draining = true;
     board.takeList({leaving});
-    CHECK(chosen(board, Start) == "");
+    CHECK(chosen(board, Start).empty());
 }
 
 // What callers see: an upstream that fails everything in no time looks like the fastest and gets more and more.
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -163,7 +163,15 @@
     EventLoop loop;
     HttpAnswer answer;
     const ProgressTimeouts timeouts{.connect = Patience, .firstByte = Patience, .betweenBytes = Patience};
-    UpstreamCall call(loop, UpstreamRequest{.id = {}, .address = address, .method = method, .target = target, .headers = headers, .body = body}, timeouts);
+    UpstreamRequest request{.id = {}, .address = address, .method = method, .target = target, .headers = {}, .body = body};
+    for (const auto &[name, value] : headers) {
+        if (name == "Host") {
+            request.host = value;
+        } else {
+            request.headers.emplace_back(name, value);
+        }
+    }
+    UpstreamCall call(loop, std::move(request), timeouts);
     call.head().connect([&answer](const AnswerHead &head) {
         answer.status = head.status;
         answer.headers = head.headers;
