--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -1,8 +1,10 @@
 #include "common/log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
 namespace cumindyke
@@ -11,6 +13,9 @@
 namespace
 {
 
+/// Some seconds of a busy entry VM, about a megabyte.
+constexpr int MostLinesWaiting = 4096;
+
 /// Quotes a value that holds a space, a quote or an equals sign, so that lines split into fields unambiguously.
 std::string quoted(const std::string &value)
 {
@@ -45,12 +50,23 @@
 void startLog()
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p component=%c %m%n"));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    // A reader of standard output that stands still would stop every task that logs. Lines wait for a thread of their own instead; when too
+    // many wait, new ones are dropped, and a line says how many.
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(MostLinesWaiting);
+    queue->setBlocking(false);
+    queue->addAppender(console);
     log4cxx::BasicConfigurator::resetConfiguration();
-    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::BasicConfigurator::configure(queue);
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
 }
 
+void stopLog()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 void logChange(std::string_view component, std::string_view change, std::initializer_list<LogField> fields)
 {
     LOG4CXX_INFO(log4cxx::Logger::getLogger(std::string(component)), line(change, fields));
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -13,8 +13,11 @@
     std::string value;
 };
 
-/// Sends log lines to standard error, as "time=… level=… component=… change=… key=value …". Call once, before any task starts.
+/// Sends log lines to standard output, as "time=… level=… component=… change=… key=value …", without ever waiting for its reader. Call
+/// once, before any task starts.
 void startLog();
+/// Writes what still waits. Call before the process ends.
+void stopLog();
 
 /// One line for one change of state. What happens all the time is counted (metrics.h), not logged.
 void logChange(std::string_view component, std::string_view change, std::initializer_list<LogField> fields = {});
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -47,6 +47,7 @@
 {
     const auto die = [](const Error &error) {
         logWarning("control", "stopped-by-storage", {{"error", error.message}});
+        stopLog();
         // What the disk holds is no longer known. A process that went on could promise what it doesn't keep; a restart recovers
         // what was synced, and the other replicas go on meanwhile.
         std::_Exit(EXIT_FAILURE);
--- a/src/main/cumindyked.cpp
+++ b/src/main/cumindyked.cpp
@@ -95,10 +95,12 @@
     // A second signal does not cut requests short; a declared limit does, and says so.
     if (settings.drainLimit && done.wait_for(*settings.drainLimit) != std::future_status::ready) {
         logWarning("daemon", "drain-limit-passed", {{"limit_ms", std::to_string(settings.drainLimit->count())}});
+        stopLog();
         std::_Exit(ExitFailed);
     }
     done.wait();
     logChange("daemon", "stopped");
+    stopLog();
     return ExitOk;
 }
 
