--- a/src/control/fleettally.cpp
+++ b/src/control/fleettally.cpp
@@ -46,7 +46,7 @@
     const auto most = static_cast<double>(limit.burst() + tolerance);
     // A new leader does not know what was admitted just before. It begins with half of the burst, which may be spent twice then; with less,
     // callers near their limit would be refused for seconds after each change of leaders and after a start.
-    const double before = m_filled ? m_level : static_cast<double>(tolerance + limit.burst() / 2);
+    const double before = m_filled ? m_level : static_cast<double>(tolerance) + static_cast<double>(limit.burst()) / 2;
     const double seconds = m_filled ? std::chrono::duration<double>(now - *m_filled).count() : 0;
     m_filled = now;
     const double filled = std::min(most, before + seconds * static_cast<double>(limit.rate_per_s()));
