Limits of the organisations are kept by the placement servers

Levels came from the leader with each beat, half a second old; in between each VM could only guess the others' part: with 58 VMs a fifty-eighth of the level is less than one request, and a jump at all of them at once was known a second later.

Ruled out: larger parts a VM (a jump of 7.5 times the usual over 58 VMs overruns the slack within one beat); quicker beats (the leader's VM already uses 0.09 of 0.15 cores).

Change: src/proxy/fleetlimits: each placement server keeps each organisation's whole bucket, charged at once with what it admits and within a notice (30 ms) with what the others admit. A server that hears only part of the entry VMs fills only their part of the rate. What is refused for want of room is given back. The leader's buckets, its levels and the VMs' tallies of demand go; their tests are replaced by ones of the same failures at the new place (charged once, not before its time, restarted, uneven demand, a jump while cut off), and two more.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -83,7 +83,6 @@
                        .vm = m_options.vm,
                        .vms = allVms(m_options),
                        .lease = {},
-                       .limitTolerance = m_options.limitTolerance,
                        .send = m_options.send,
                        .hasQuorum = [this](TimePoint now) { return hasQuorum(now); },
                        .replicas = [this] { return m_log->membership().voters(); },
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -122,8 +122,6 @@
     bool formCluster = true;
     /// Voters that the log grows to while VMs with disks offer themselves; 0: as many as replicas names.
     std::size_t wantedVoters = 0;
-    /// What organisations may be admitted beyond their limits over all VMs, in the limits' units.
-    std::uint64_t limitTolerance = 0;
     /// How long work is admitted under the last configuration after the lease; docs/notes/quorum-loss.md.
     Duration keepAdmitting = Duration::zero();
     /// A replica of the log that was silent for so long is replaced by another VM with a disk.
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -75,9 +75,7 @@
             *answer.mutable_config_lease()->mutable_replicas() = m_options.replicas();
         }
         if (beat.has_tally()) {
-            v1::FleetTally &fleet = *answer.mutable_config_lease()->mutable_fleet();
-            fleet = m_tallies.fleet(m_state.routes().table(), m_options.limitTolerance, now);
-            fleet.set_sequence(beat.tally().sequence());
+            *answer.mutable_config_lease()->mutable_fleet() = m_tallies.fleet(now);
         }
     } else {
         answer.mutable_config_lease()->set_leader(m_options.vm.value);
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -16,8 +16,6 @@
     /// Every VM of the settings, this one too.
     std::map<VmName, Address> vms;
     LeaseOptions lease;
-    /// What organisations may be admitted beyond their limits over all VMs, in the limits' units.
-    std::uint64_t limitTolerance = 0;
     std::function<void(const VmName &to, v1::Envelope envelope)> send;
     /// Whether this VM can prove at this time that no other leader has been elected.
     std::function<bool(TimePoint now)> hasQuorum;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -30,7 +30,7 @@
     return Address{.host = settings.rpcAddress.host, .port = settings.peerPort};
 }
 
-/// The rest of the slack is for what VMs admit before they hear of each other: a beat and its answer.
+/// The rest of the slack is for what placement servers admit before they hear of each other, and when another one takes over.
 constexpr std::uint64_t PartOfSlack = 8;
 
 }
@@ -91,6 +91,7 @@
         .requestReadLimit = settings.requestReadLimit,
         // Datagrams carry no proof of their sender, so under TLS each VM places its own requests.
         .datagrams = datagramsOf(settings),
+        .limitTolerance = settings.limitSlack / PartOfSlack,
         .sendTally = [control = m_control.get()](v1::EntryTally tally) { control->post(TallyNotice{std::move(tally)}); },
     };
     auto proxy = ProxyTask::open(std::move(options), m_metrics);
@@ -148,7 +149,6 @@
         .address = settings.rpcAddress,
         .formCluster = settings.formCluster,
         .wantedVoters = settings.wantedVoters,
-        .limitTolerance = settings.limitSlack / PartOfSlack,
         .keepAdmitting = settings.keepAdmitting,
         .replaceReplicaAfter = settings.replaceReplicaAfter,
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
--- /dev/null
+++ b/src/proxy/fleetlimits.cpp
@@ -0,0 +1,185 @@
+#include "proxy/fleetlimits.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+/// A few requests of each organisation, and short enough to follow a burst.
+constexpr std::chrono::duration<double> DemandWindow{2};
+/// Callers come back at least this much later, so that the level has changed.
+constexpr Duration ShortestWait = std::chrono::milliseconds(100);
+constexpr Duration LongestWait = std::chrono::seconds(5);
+/// While several times the limit is asked for, most of those that come back at once are refused again: they are sent away for longer.
+constexpr std::chrono::duration<double> WaitPerOverload{0.1};
+/// A server that begins knows nothing of what was admitted just before: half of the burst may be spent twice then. With less, callers near
+/// their limit would be refused for seconds.
+constexpr double FirstLevel = 0.5;
+/// A larger debt is forgiven: callers below the limit would pay for seconds for what others were given by mistake.
+constexpr double MostDebtSeconds = 0.25;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+}
+
+void FleetLimits::takeRoutes(const v1::RouteTable &routes, TimePoint now)
+{
+    std::set<std::string> named;
+    for (const v1::RoutedOrganisation &organisation : routes.organisations()) {
+        named.insert(organisation.name());
+        Bucket &bucket = m_buckets[organisation.name()];
+        if (bucket.level) {
+            fill(bucket, now);
+        }
+        bucket.rate = static_cast<double>(organisation.rate_per_s());
+        bucket.burst = static_cast<double>(organisation.burst());
+        if (bucket.level) {
+            bucket.level = std::min(*bucket.level, bucket.burst + m_tolerance);
+        }
+    }
+    std::erase_if(m_buckets, [&](const auto &held) { return !named.contains(held.first); });
+}
+
+void FleetLimits::setCoverage(double coverage, TimePoint now)
+{
+    const double next = std::clamp(coverage, 0.0, 1.0);
+    // With nobody left to admit anything there is nothing to take from.
+    if (next > 0 && next < m_coverage) {
+        for (auto &[name, bucket] : m_buckets) {
+            fill(bucket, now);
+            if (bucket.level && *bucket.level > 0) {
+                *bucket.level *= next / m_coverage;
+            }
+        }
+    }
+    m_coverage = next;
+}
+
+void FleetLimits::fill(Bucket &bucket, TimePoint now) const
+{
+    if (!bucket.level) {
+        bucket.level = m_coverage * (FirstLevel * bucket.burst + m_tolerance);
+        bucket.filledAt = now;
+        return;
+    }
+    const double filled = *bucket.level + m_coverage * bucket.rate * seconds(now - bucket.filledAt);
+    bucket.level = std::min(filled, bucket.burst + m_tolerance);
+    bucket.filledAt = now;
+}
+
+void FleetLimits::charge(Bucket &bucket, std::int64_t cost)
+{
+    bucket.level = std::max(*bucket.level - static_cast<double>(cost), -MostDebtSeconds * bucket.rate);
+}
+
+void FleetLimits::noteAsked(Bucket &bucket, double cost, TimePoint now)
+{
+    const double kept = std::exp(-seconds(now - bucket.askedAt) / DemandWindow.count());
+    bucket.askedPerSecond = bucket.askedPerSecond * kept + cost / DemandWindow.count();
+    bucket.askedAt = now;
+}
+
+std::optional<Duration> FleetLimits::take(const std::string &organisation, std::uint64_t cost, TimePoint now)
+{
+    const auto found = m_buckets.find(organisation);
+    if (found == m_buckets.end() || found->second.rate == 0) {
+        return {};
+    }
+    Bucket &bucket = found->second;
+    fill(bucket, now);
+    noteAsked(bucket, static_cast<double>(cost), now);
+    // A request may take the level below zero: one that is larger than the whole burst would never pass otherwise.
+    if (*bucket.level > 0) {
+        bucket.admitted += static_cast<std::int64_t>(cost);
+        charge(bucket, static_cast<std::int64_t>(cost));
+        return {};
+    }
+    const double share = std::max(m_coverage, 0.01) * bucket.rate;
+    const double overload = std::max(0.0, bucket.askedPerSecond / share - 1);
+    const std::chrono::duration<double> wait(-*bucket.level / share + overload * WaitPerOverload.count());
+    return std::clamp(std::chrono::duration_cast<Duration>(wait), ShortestWait, LongestWait);
+}
+
+void FleetLimits::giveBack(const std::string &organisation, std::uint64_t cost)
+{
+    const auto found = m_buckets.find(organisation);
+    if (found == m_buckets.end() || !found->second.level) {
+        return;
+    }
+    found->second.admitted -= static_cast<std::int64_t>(cost);
+    *found->second.level += static_cast<double>(cost);
+}
+
+std::string FleetLimits::inputs(const std::string &organisation) const
+{
+    const auto found = m_buckets.find(organisation);
+    if (found == m_buckets.end()) {
+        return "organisation=" + organisation;
+    }
+    const Bucket &bucket = found->second;
+    const auto whole = [](double value) { return std::to_string(static_cast<std::int64_t>(value)); };
+    return "organisation=" + organisation + " level=" + whole(bucket.level.value_or(0)) + " rate=" + whole(bucket.rate)
+        + " asked_per_s=" + whole(bucket.askedPerSecond) + " coverage=" + std::to_string(m_coverage);
+}
+
+void FleetLimits::takeNotice(const VmName &from, const v1::LoadNotice &notice, bool adopt, TimePoint now)
+{
+    Peer &peer = m_peers[from];
+    // What a server counted before it was first heard of belongs to the time before. A process that restarted counts from zero again.
+    const bool isNew = peer.incarnation == 0;
+    const bool restarted = peer.incarnation != notice.incarnation();
+    if (!restarted && notice.sequence() <= peer.sequence) {
+        return;
+    }
+    const std::map<std::string, std::int64_t> before = restarted ? std::map<std::string, std::int64_t>() : std::exchange(peer.admitted, {});
+    peer = Peer{.incarnation = notice.incarnation(), .sequence = notice.sequence(), .admitted = {}};
+    for (const v1::OrganisationSpend &spend : notice.spends()) {
+        peer.admitted[spend.organisation()] = spend.admitted();
+        const auto found = m_buckets.find(spend.organisation());
+        if (found == m_buckets.end()) {
+            continue;
+        }
+        Bucket &bucket = found->second;
+        if ((adopt || !bucket.level) && spend.has_level()) {
+            bucket.level = static_cast<double>(spend.level());
+            bucket.filledAt = now;
+        }
+        if (adopt) {
+            continue;
+        }
+        const auto known = before.find(spend.organisation());
+        const std::int64_t counted = known == before.end() ? 0 : known->second;
+        const std::int64_t grown = isNew ? 0 : spend.admitted() - counted;
+        fill(bucket, now);
+        charge(bucket, grown);
+        noteAsked(bucket, static_cast<double>(std::max<std::int64_t>(grown, 0)), now);
+    }
+}
+
+void FleetLimits::fillNotice(v1::LoadNotice &notice, bool withLevels, TimePoint now) const
+{
+    for (const auto &[name, bucket] : m_buckets) {
+        if (bucket.rate == 0 || !bucket.level) {
+            continue;
+        }
+        v1::OrganisationSpend &spend = *notice.add_spends();
+        spend.set_organisation(name);
+        spend.set_admitted(bucket.admitted);
+        if (withLevels) {
+            Bucket filled = bucket;
+            fill(filled, now);
+            spend.set_level(static_cast<std::int64_t>(*filled.level));
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/proxy/fleetlimits.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "common/types.h"
+
+#include "routing.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cumindyke
+{
+
+/// The limits of the organisations over all VMs, as a placement server keeps them: for each a bucket that the rate fills and admitted
+/// requests empty. Pure: time is an argument.
+///
+/// Each server keeps the whole bucket: it charges what it admits itself at once, and what the others admit when their notices tell, some
+/// milliseconds later. So below its limit an organisation is not refused, however unevenly its requests come, and a jump of its demand is
+/// known everywhere within one notice. A server that hears only part of the others fills its buckets with only the part of the rate that
+/// belongs to the entry VMs it knows of: servers that are cut off from each other can't spend the same tokens twice.
+class FleetLimits
+{
+public:
+    /// "tolerance": may be admitted beyond each burst.
+    explicit FleetLimits(std::uint64_t tolerance)
+        : m_tolerance(static_cast<double>(tolerance))
+    {
+    }
+
+    /// The limits in force.
+    void takeRoutes(const v1::RouteTable &routes, TimePoint now);
+    /// Part of all entry VMs, 0 to 1, whose admissions are known here. A smaller part takes its share of the levels with it.
+    void setCoverage(double coverage, TimePoint now);
+    /// What another server's process has admitted since its start, and what it takes the levels for.
+    /// While nobody asks here, its levels are taken over.
+    void takeNotice(const VmName &from, const v1::LoadNotice &notice, bool adopt, TimePoint now);
+    /// For notices: all that was admitted here, and the levels if the receiver may have to go on from them.
+    void fillNotice(v1::LoadNotice &notice, bool withLevels, TimePoint now) const;
+
+    /// Admits the cost. None: admitted; otherwise how long until a request like it is likely to pass.
+    std::optional<Duration> take(const std::string &organisation, std::uint64_t cost, TimePoint now);
+    /// Admitted, and refused after all for another reason.
+    void giveBack(const std::string &organisation, std::uint64_t cost);
+    /// What the last decision about the organisation was made from, for the log.
+    std::string inputs(const std::string &organisation) const;
+
+private:
+    struct Bucket
+    {
+        /// None: no limit.
+        double rate = 0;
+        double burst = 0;
+        std::optional<double> level;
+        TimePoint filledAt;
+        /// Admitted here since the start of the process.
+        std::int64_t admitted = 0;
+        /// Asked for here and elsewhere, a second; averaged over some seconds.
+        double askedPerSecond = 0;
+        TimePoint askedAt;
+    };
+    struct Peer
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        std::map<std::string, std::int64_t> admitted;
+    };
+
+    void fill(Bucket &bucket, TimePoint now) const;
+    static void charge(Bucket &bucket, std::int64_t cost);
+    static void noteAsked(Bucket &bucket, double cost, TimePoint now);
+
+    const double m_tolerance;
+    double m_coverage = 0;
+    std::map<std::string, Bucket> m_buckets;
+    std::map<VmName, Peer> m_peers;
+};
+
+}
--- a/src/proxy/ordermaker.cpp
+++ b/src/proxy/ordermaker.cpp
@@ -94,12 +94,8 @@
 
 }
 
-std::variant<ProxyOrder, Refusal> makeOrder(const Exchange &exchange,
-                                            const ProxyHeaders &headers,
-                                            const std::shared_ptr<const RouteIndex> &routes,
-                                            OrganisationBuckets &buckets,
-                                            TimePoint arrived,
-                                            TimePoint now)
+std::variant<ProxyOrder, Refusal>
+makeOrder(const Exchange &exchange, const ProxyHeaders &headers, const std::shared_ptr<const RouteIndex> &routes, TimePoint arrived)
 {
     if (isAmbiguous(exchange)) {
         return refusal(ErrorKind::BadRequest, "the body's length or the host is given twice: send one Host, and one Content-Length or Transfer-Encoding");
@@ -139,11 +135,6 @@
     order.organisation = OrganisationName{holder->name()};
     order.rank = WaitingRank{holder->priority() * RoutePriorities + order.rank.value};
     order.cost = costOf(tokens, *holder);
-    if (const std::optional<Duration> wait = buckets.take(*holder, order.cost, now)) {
-        Refusal limited = refusal(ErrorKind::Overloaded, "the organisation's limit is reached: try again after Retry-After", wait);
-        limited.inputs = buckets.inputs(holder->name(), now) + " cost=" + std::to_string(order.cost) + " rate=" + std::to_string(holder->rate_per_s());
-        return limited;
-    }
     return order;
 }
 
--- a/src/proxy/ordermaker.h
+++ b/src/proxy/ordermaker.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "entry/exchange.h"
-#include "proxy/organisationbuckets.h"
 #include "proxy/proxyrequest.h"
 
 #include <memory>
@@ -15,17 +14,11 @@
     Error error;
     /// When a later try may pass; none: it won't.
     std::optional<Duration> retryAfter;
-    /// What decided it, as "name=value" pairs, for the log.
-    std::string inputs = {};
 };
 
 /// Reads and checks a caller's request against the routes in force. The refusal's kinds: BadRequest, NotFound (no route), Unauthorised (no
-/// organisation holds the key), Overloaded (over the organisation's limit). Its times count from the arrival.
-std::variant<ProxyOrder, Refusal> makeOrder(const Exchange &exchange,
-                                            const ProxyHeaders &headers,
-                                            const std::shared_ptr<const RouteIndex> &routes,
-                                            OrganisationBuckets &buckets,
-                                            TimePoint arrived,
-                                            TimePoint now);
+/// organisation holds the key). Its times count from the arrival.
+std::variant<ProxyOrder, Refusal>
+makeOrder(const Exchange &exchange, const ProxyHeaders &headers, const std::shared_ptr<const RouteIndex> &routes, TimePoint arrived);
 
 }
--- a/src/proxy/placementclient.cpp
+++ b/src/proxy/placementclient.cpp
@@ -121,6 +121,8 @@
         ask.set_objective_in_ms(millisecondsUntil(held.wish.objectiveAt, now));
         ask.set_answer_in_ms(millisecondsUntil(held.wish.answerBy, now));
         ask.set_draw_permille(held.wish.draw);
+        ask.set_organisation(held.wish.organisation.value);
+        ask.set_cost(held.wish.cost);
         for (const InstanceName &tried : held.wish.tried) {
             ask.add_tried(tried.value);
         }
@@ -157,7 +159,12 @@
     for (const v1::PlacementRefusal &refusal : reply.refusals()) {
         const auto held = m_held.find(PlacementId{refusal.id()});
         if (held != m_held.end() && !held->second.placed) {
-            answers.emplace_back(PlacementRefused{.id = held->first, .retryAfter = std::chrono::milliseconds(refusal.retry_after_ms())});
+            answers.emplace_back(PlacementRefused{
+                .id = held->first,
+                .retryAfter = std::chrono::milliseconds(refusal.retry_after_ms()),
+                .overLimit = refusal.reason() == v1::PLACEMENT_OVER_LIMIT,
+                .inputs = refusal.inputs(),
+            });
         }
     }
     return answers;
--- a/src/proxy/placementclient.h
+++ b/src/proxy/placementclient.h
@@ -24,6 +24,9 @@
     /// 0 to 999, from the request's id: which part of a rollout's split it belongs to.
     std::uint32_t draw = 0;
     std::set<InstanceName> tried;
+    /// Whose limit it is charged to, and how much; empty for a further try, and on a route that is open to all.
+    OrganisationName organisation;
+    std::uint64_t cost = 0;
 };
 
 /// The request may be sent to this upstream, now.
@@ -35,11 +38,13 @@
     std::string inputs;
 };
 
-/// There was no room in time.
+/// There was no room in time, or the organisation's limit is reached.
 struct PlacementRefused
 {
     PlacementId id;
     Duration retryAfter;
+    bool overLimit = false;
+    std::string inputs;
 };
 
 using PlacementAnswer = std::variant<PlacementGranted, PlacementRefused>;
--- a/src/proxy/placementhost.cpp
+++ b/src/proxy/placementhost.cpp
@@ -49,7 +49,7 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_client(m_options.vm, m_options.dataCentre, m_options.incarnation)
-    , m_server(m_options.dataCentre)
+    , m_server(m_options.dataCentre, m_options.limitTolerance)
     , m_feed(loop, m_options.list, m_options.listInterval)
     , m_stateTimer(loop, [this] { sendState(); })
     , m_advanceTimer(loop, [this] { advance(); })
@@ -81,14 +81,28 @@
     stateChanged();
 }
 
-void PlacementHost::takeCandidates(const v1::FleetTally &fleet)
+void PlacementHost::takeFleet(const v1::FleetTally &fleet)
 {
-    // Alone, a VM may be asked by nobody else.
+    m_server.takeFleet(fleet);
+    // Without datagrams a VM can ask nobody else.
     if (m_socket) {
         m_client.takeCandidates(fleet);
     }
 }
 
+void PlacementHost::takeRoutes(const v1::RouteTable &routes)
+{
+    m_server.takeRoutes(routes, EventLoop::now());
+}
+
+void PlacementHost::tellState()
+{
+    // Before the other VMs are known this one would take itself for the server, and read the list with all others that start.
+    if (!m_socket || !m_client.ranked().empty()) {
+        stateChanged();
+    }
+}
+
 void PlacementHost::takeRollouts(const std::map<std::string, v1::Rollout> &rollouts)
 {
     m_server.takeRollouts(rollouts);
@@ -222,7 +236,7 @@
     v1::PlacementDatagram datagram;
     datagram.mutable_notice()->set_incarnation(m_options.incarnation);
     datagram.mutable_notice()->set_sequence(m_notices);
-    m_server.fillNotice(*datagram.mutable_notice(), toBackups);
+    m_server.fillNotice(*datagram.mutable_notice(), toBackups, EventLoop::now());
     for (const auto &[dataCentre, vms] : m_client.ranked()) {
         const std::size_t count = std::min(vms.size(), toBackups ? Backups : 1);
         for (std::size_t i = 0; i < count; ++i) {
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -19,6 +19,8 @@
     std::uint64_t incarnation = 0;
     /// Where datagrams come in and, on other VMs, go to. Without it every VM places its own requests.
     std::optional<Address> datagrams;
+    /// Beyond the organisations' limits.
+    std::uint64_t limitTolerance = 0;
     InstanceListProtocol list;
     /// Between two readings of the platform's list, while this VM places requests.
     Duration listInterval = std::chrono::seconds(1);
@@ -45,7 +47,10 @@
         return m_refused;
     }
 
-    void takeCandidates(const v1::FleetTally &fleet);
+    void takeFleet(const v1::FleetTally &fleet);
+    void takeRoutes(const v1::RouteTable &routes);
+    /// Other VMs count on being told of this one, also while it has nothing under way.
+    void tellState();
     void takeRollouts(const std::map<std::string, v1::Rollout> &rollouts);
     /// From now on other VMs are told to ask elsewhere.
     void leave();
--- a/src/proxy/placementserver.cpp
+++ b/src/proxy/placementserver.cpp
@@ -21,6 +21,8 @@
 constexpr Duration TellAgainAfter = std::chrono::milliseconds(15);
 /// While something of an entry VM waits, it hears from this server so often that silence means that the server is gone.
 constexpr Duration SignOfLife = std::chrono::milliseconds(30);
+/// Notices come every 30 ms. One that is silent for so long is cut off, or goes on under its own part of the limits.
+constexpr Duration PeerHolds = std::chrono::milliseconds(400);
 /// Entry VMs tell their state several times a second while they have anything under way.
 constexpr Duration EntryHolds = std::chrono::milliseconds(1500);
 
@@ -37,6 +39,30 @@
     m_listReadAt = now;
 }
 
+void PlacementServer::takeNotice(const VmName &from, const v1::LoadNotice &notice, TimePoint now)
+{
+    m_board.takeNotice(from, notice, now);
+    m_limits.takeNotice(from, notice, !isUsed(), now);
+    m_peers[from] = Peer{.heard = now, .entryVms = notice.entry_vms()};
+    updateCoverage(now);
+}
+
+void PlacementServer::fillNotice(v1::LoadNotice &notice, bool forBackup, TimePoint now) const
+{
+    m_board.fillNotice(notice, forBackup);
+    m_limits.fillNotice(notice, forBackup, now);
+    notice.set_entry_vms(static_cast<std::uint32_t>(m_entries.size()));
+}
+
+void PlacementServer::updateCoverage(TimePoint now)
+{
+    std::size_t covered = m_entries.size();
+    for (const auto &[vm, peer] : m_peers) {
+        covered += now - peer.heard <= PeerHolds ? peer.entryVms : 0;
+    }
+    m_limits.setCoverage(static_cast<double>(covered) / static_cast<double>(m_fleetSize), now);
+}
+
 void PlacementServer::takeState(const VmName &from, const v1::EntryState &state, TimePoint now)
 {
     Entry &entry = m_entries[from];
@@ -49,6 +75,7 @@
     }
     entry.sequence = state.sequence();
     entry.heard = now;
+    updateCoverage(now);
     for (const v1::EndedRequest &ended : state.ended()) {
         takeEnded(ended, now);
     }
@@ -91,6 +118,8 @@
         .service = ServiceName{ask.service()},
         .promptTokens = ask.prompt_tokens(),
         .draw = ask.draw_permille(),
+        .organisation = ask.organisation(),
+        .cost = ask.cost(),
         .tried = {},
         .objectiveAt = now + std::chrono::milliseconds(ask.objective_in_ms()),
         .latestStart = {},
@@ -106,8 +135,13 @@
     item.latestStart = item.objectiveAt - needed;
     const TimePoint answerBy = now + std::chrono::milliseconds(ask.answer_in_ms());
     const TimePoint giveUpAt = std::min(std::max(item.latestStart, now) + LateWait, answerBy);
-    m_services[item.service].line.add(AskKey{from, id}, WaitingRank{ask.rank()}, item.latestStart, giveUpAt);
-    entry.items.emplace(id, std::move(item));
+    Item &held = entry.items.emplace(id, std::move(item)).first->second;
+    if (const auto wait = held.organisation.empty() ? std::nullopt : m_limits.take(held.organisation, held.cost, now)) {
+        held.refusal.set_inputs(m_limits.inputs(held.organisation) + " cost=" + std::to_string(held.cost));
+        refuse(entry, id, held, v1::PLACEMENT_OVER_LIMIT, *wait, now);
+        return;
+    }
+    m_services[held.service].line.add(AskKey{from, id}, WaitingRank{ask.rank()}, held.latestStart, giveUpAt);
 }
 
 /// One that was not granted here was granted by the server before this one.
@@ -184,6 +218,7 @@
         }
         return silent;
     });
+    updateCoverage(now);
 }
 
 bool PlacementServer::isUsed() const
@@ -278,14 +313,23 @@
     for (const AskKey &key : service.line.takeOverdue(now)) {
         Entry &entry = m_entries[key.vm];
         Item &item = entry.items[key.id];
-        item.stage = Stage::Refused;
-        item.toldAt = now;
-        item.refusal.set_id(key.id.value);
-        item.refusal.set_retry_after_ms(wholeMilliseconds(retryAfterFull(service, now)));
-        *entry.due.add_refusals() = item.refusal;
+        if (!item.organisation.empty()) {
+            m_limits.giveBack(item.organisation, item.cost);
+        }
+        refuse(entry, key.id, item, v1::PLACEMENT_NO_ROOM, retryAfterFull(service, now), now);
     }
 }
 
+void PlacementServer::refuse(Entry &entry, PlacementId id, Item &item, v1::PlacementRefusalReason reason, Duration retryAfter, TimePoint now)
+{
+    item.stage = Stage::Refused;
+    item.toldAt = now;
+    item.refusal.set_id(id.value);
+    item.refusal.set_reason(reason);
+    item.refusal.set_retry_after_ms(wholeMilliseconds(retryAfter));
+    *entry.due.add_refusals() = item.refusal;
+}
+
 std::vector<PlacementServer::Reply> PlacementServer::advance(TimePoint now)
 {
     for (auto &[name, service] : m_services) {
--- a/src/proxy/placementserver.h
+++ b/src/proxy/placementserver.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "proxy/fleetlimits.h"
 #include "proxy/upstreamboard.h"
 #include "proxy/waitingline.h"
 
 #include "placement.pb.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -26,8 +28,9 @@
 public:
     using Reply = std::pair<VmName, v1::PlacementReply>;
 
-    explicit PlacementServer(DataCentreName here)
+    PlacementServer(DataCentreName here, std::uint64_t limitTolerance)
         : m_board(std::move(here))
+        , m_limits(limitTolerance)
     {
     }
 
@@ -38,11 +41,18 @@
     {
         m_rollouts = rollouts;
     }
-    /// What another data centre's server has given out.
-    void takeNotice(const VmName &from, const v1::LoadNotice &notice, TimePoint now)
+    /// The organisations' limits.
+    void takeRoutes(const v1::RouteTable &routes, TimePoint now)
+    {
+        m_limits.takeRoutes(routes, now);
+    }
+    /// How many entry VMs there are.
+    void takeFleet(const v1::FleetTally &fleet)
     {
-        m_board.takeNotice(from, notice, now);
+        m_fleetSize = static_cast<std::size_t>(std::max(1, fleet.entry_vms_size()));
     }
+    /// What another data centre's server has given out.
+    void takeNotice(const VmName &from, const v1::LoadNotice &notice, TimePoint now);
     /// All that an entry VM has waiting and under way. Older than what came before: ignored.
     void takeState(const VmName &from, const v1::EntryState &state, TimePoint now);
     /// Gives out what there is room for, refuses what has waited too long, and returns the replies that are due.
@@ -54,10 +64,8 @@
     bool isUsed() const;
     /// How many wait for room.
     std::size_t waiting() const;
-    void fillNotice(v1::LoadNotice &notice, bool withPaces) const
-    {
-        m_board.fillNotice(notice, withPaces);
-    }
+    /// What was given out here; for a VM that may have to take over, with what was learned.
+    void fillNotice(v1::LoadNotice &notice, bool forBackup, TimePoint now) const;
 
 private:
     struct AskKey
@@ -79,6 +87,8 @@
         ServiceName service;
         std::uint32_t promptTokens = 0;
         std::uint32_t draw = 0;
+        std::string organisation;
+        std::uint64_t cost = 0;
         std::set<InstanceName> tried;
         TimePoint objectiveAt;
         /// Until when a start is early enough for an answer on time.
@@ -102,6 +112,12 @@
         /// What goes with the next reply.
         v1::PlacementReply due;
     };
+    /// Another placement server.
+    struct Peer
+    {
+        TimePoint heard;
+        std::uint32_t entryVms = 0;
+    };
     struct Service
     {
         WaitingLine<AskKey> line;
@@ -117,11 +133,16 @@
     void releaseAll(const VmName &from, const Entry &entry);
     void pump(const ServiceName &name, Service &service, TimePoint now);
     void refuseOverdue(Service &service, TimePoint now);
+    void refuse(Entry &entry, PlacementId id, Item &item, v1::PlacementRefusalReason reason, Duration retryAfter, TimePoint now);
+    void updateCoverage(TimePoint now);
     Placement place(const Item &item, TimePoint now) const;
     void grant(const AskKey &key, Item &item, const Placement &placement, TimePoint now);
     Duration retryAfterFull(Service &service, TimePoint now);
 
     UpstreamBoard m_board;
+    FleetLimits m_limits;
+    std::size_t m_fleetSize = 1;
+    std::map<VmName, Peer> m_peers;
     TimePoint m_listReadAt{};
     std::map<std::string, v1::Rollout> m_rollouts;
     std::map<VmName, Entry> m_entries;
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -306,7 +306,7 @@
     if (request.headPassedOn) {
         answerFailure(request, ErrorKind::OutcomeUnknown, "the stream broke off");
     } else if (step == NextStep::RefuseUnrun) {
-        answerRefusal(request, "the upstreams are full or out of reach", RetryAfterRefusal);
+        answerRefusal(request, ErrorKind::Unavailable, "the upstreams are full or out of reach", RetryAfterRefusal);
     } else if (step == NextStep::PassFailureOn) {
         passWholeAnswerOn(request);
         finish(request, "upstream-failed", std::to_string(request.head.status));
@@ -347,7 +347,7 @@
     request.exchange->reply(request.head.status, request.head.contentType, request.gathered);
 }
 
-void ProxyTask::answerRefusal(ProxyRequest &request, const std::string &why, Duration retryAfter)
+void ProxyTask::answerRefusal(ProxyRequest &request, ErrorKind kind, const std::string &why, Duration retryAfter)
 {
     Exchange &exchange = *request.exchange;
     if (m_drain) {
@@ -355,8 +355,7 @@
     }
     exchange.addHeader(m_options.headers.requestId, request.order.id.value);
     exchange.addHeader("Retry-After", std::to_string(std::chrono::duration<double>(retryAfter).count()));
-    exchange.reply(
-        httpStatus(ErrorKind::Unavailable), "application/json", errorJson(Error{ErrorKind::Unavailable, why + ": try again"}, RunOutcome::NotRun) + "\n");
+    exchange.reply(httpStatus(kind), "application/json", errorJson(Error{kind, why + ": try again after Retry-After"}, RunOutcome::NotRun) + "\n");
     finish(request, "refused", why);
 }
 
@@ -391,7 +390,7 @@
         return;
     }
     if (!request->attempts.mayHaveRun()) {
-        answerRefusal(*request, "its time was over before an upstream had room", RetryAfterRefusal);
+        answerRefusal(*request, ErrorKind::Unavailable, "its time was over before an upstream had room", RetryAfterRefusal);
         return;
     }
     if (request->call) {
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -3,6 +3,7 @@
 #include "proxy/proxytask.h"
 
 #include "common/hash.h"
+#include "common/log.h"
 
 namespace cumindyke
 {
@@ -25,6 +26,9 @@
         .answerBy = order.answerBy,
         .draw = static_cast<std::uint32_t>(checksum(order.id.value) % WholeSharePermille),
         .tried = request.tried,
+        // A further try of a request is not charged again.
+        .organisation = request.tried.empty() ? order.organisation : OrganisationName{},
+        .cost = order.cost,
     });
     m_places[request.place] = request.local;
 }
@@ -47,8 +51,11 @@
     }
     if (request->attempts.mayHaveRun()) {
         answerFailure(*request, ErrorKind::OutcomeUnknown, "no upstream had room for another try");
+    } else if (refused.overLimit) {
+        logChange("proxy", "over-limit", {{"id", request->order.id.value}, {"inputs", refused.inputs}});
+        answerRefusal(*request, ErrorKind::Overloaded, "the organisation's limit is reached", refused.retryAfter);
     } else {
-        answerRefusal(*request, "no upstream had room in time", refused.retryAfter);
+        answerRefusal(*request, ErrorKind::Unavailable, "no upstream had room in time", refused.retryAfter);
     }
 }
 
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -70,6 +70,7 @@
                                              .dataCentre = m_options.dataCentre,
                                              .incarnation = m_incarnation,
                                              .datagrams = m_options.datagrams,
+                                             .limitTolerance = m_options.limitTolerance,
                                              .list = m_options.list,
                                              .listInterval = m_options.listInterval,
                                          });
@@ -113,6 +114,7 @@
     m_admitUntil = configuration.admitUntil;
     if (configuration.routes && (!m_routes || &m_routes->table() != configuration.routes.get())) {
         m_routes = std::make_shared<const RouteIndex>(configuration.routes);
+        m_placement->takeRoutes(*configuration.routes);
         logChange("proxy", "routes-in-force", {{"version", std::to_string(configuration.routes->version())}});
     }
     std::map<std::string, v1::Rollout> rollouts;
@@ -122,8 +124,7 @@
     m_placement->takeRollouts(rollouts);
     if (configuration.fleet && configuration.fleet != m_fleet) {
         m_fleet = configuration.fleet;
-        m_buckets.takeFleet(*m_fleet, EventLoop::now());
-        m_placement->takeCandidates(*m_fleet);
+        m_placement->takeFleet(*m_fleet);
     }
     if (!m_everReady && mayAdmit(EventLoop::now())) {
         m_everReady = true;
@@ -226,7 +227,7 @@
 {
     const TimePoint now = EventLoop::now();
     const RequestId id{exchange->header(m_options.headers.requestId.c_str())};
-    auto made = makeOrder(*exchange, m_options.headers, m_routes, m_buckets, arrived, now);
+    auto made = makeOrder(*exchange, m_options.headers, m_routes, arrived);
     if (const Refusal *refusal = std::get_if<Refusal>(&made)) {
         refuse(*exchange, id, *refusal);
         return;
@@ -242,7 +243,7 @@
 
 void ProxyTask::refuse(Exchange &exchange, const RequestId &id, const Refusal &why)
 {
-    logChange("proxy", "refused", {{"id", id.value}, {"kind", toString(why.error.kind)}, {"why", why.error.message}, {"inputs", why.inputs}});
+    logChange("proxy", "refused", {{"id", id.value}, {"kind", toString(why.error.kind)}, {"why", why.error.message}});
     if (m_drain) {
         exchange.addHeader("Connection", "close");
     }
@@ -316,7 +317,6 @@
     tally.set_sequence(++m_tallies);
     tally.set_data_centre(m_options.dataCentre.value);
     tally.set_draining(m_drain.has_value());
-    m_buckets.fillTally(tally);
     for (const auto &[key, counts] : m_versions) {
         v1::VersionCounts &wire = *tally.add_versions();
         wire.set_service(key.first);
@@ -328,6 +328,7 @@
         wire.set_heads(counts.heads);
     }
     m_options.sendTally(std::move(tally));
+    m_placement->tellState();
 }
 
 }
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -43,6 +43,8 @@
     Duration refuseAfterwards = std::chrono::milliseconds(700);
     /// Where VMs ask each other for places at upstreams: an address for datagrams, the same port on all. Without it each places its own.
     std::optional<Address> datagrams;
+    /// What organisations may be admitted beyond their limits over all VMs, in the limits' units.
+    std::uint64_t limitTolerance = 0;
     std::function<void(v1::EntryTally)> sendTally;
 };
 
@@ -122,7 +124,7 @@
     void passHeadOn(ProxyRequest &request);
     void addAnswerHeaders(ProxyRequest &request);
     void passWholeAnswerOn(ProxyRequest &request);
-    void answerRefusal(ProxyRequest &request, const std::string &why, Duration retryAfter);
+    void answerRefusal(ProxyRequest &request, ErrorKind kind, const std::string &why, Duration retryAfter);
     void answerFailure(ProxyRequest &request, ErrorKind kind, const std::string &why);
     void callerLeft(LocalRequest local);
     void timedOut(LocalRequest local);
@@ -143,7 +145,6 @@
     std::unique_ptr<FrontDoor> m_door;
     std::unique_ptr<FrontDoor> m_readinessDoor;
     std::unique_ptr<PlacementHost> m_placement;
-    OrganisationBuckets m_buckets;
     std::shared_ptr<const RouteIndex> m_routes;
     std::map<std::string, v1::Rollout> m_rollouts;
     TimePoint m_admitUntil{};
--- /dev/null
+++ b/tests/proxy/fleetlimitstest.cpp
@@ -0,0 +1,154 @@
+#include "proxy/fleetlimits.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cumindyke;
+
+namespace
+{
+
+constexpr TimePoint Start{std::chrono::seconds(100)};
+const VmName Other{"10.0.1.1"};
+const std::string Ensemble = "ensemble";
+
+TimePoint after(int milliseconds)
+{
+    return Start + std::chrono::milliseconds(milliseconds);
+}
+
+v1::RouteTable limitedTo(std::uint64_t rate)
+{
+    v1::RouteTable routes;
+    v1::RoutedOrganisation &organisation = *routes.add_organisations();
+    organisation.set_name(Ensemble);
+    organisation.set_rate_per_s(rate);
+    organisation.set_burst(rate);
+    return routes;
+}
+
+FleetLimits limitsOf(std::uint64_t rate, double coverage, std::uint64_t tolerance = 0)
+{
+    FleetLimits limits(tolerance);
+    limits.takeRoutes(limitedTo(rate), Start);
+    limits.setCoverage(coverage, Start);
+    return limits;
+}
+
+std::uint64_t admittedOf(FleetLimits &limits, std::uint64_t cost, int requests, TimePoint now)
+{
+    std::uint64_t admitted = 0;
+    for (int i = 0; i < requests; ++i) {
+        admitted += limits.take(Ensemble, cost, now) ? 0 : cost;
+    }
+    return admitted;
+}
+
+v1::LoadNotice noticeOf(std::uint64_t incarnation, std::uint64_t sequence, std::int64_t admitted)
+{
+    v1::LoadNotice notice;
+    notice.set_incarnation(incarnation);
+    notice.set_sequence(sequence);
+    v1::OrganisationSpend &spend = *notice.add_spends();
+    spend.set_organisation(Ensemble);
+    spend.set_admitted(admitted);
+    return notice;
+}
+
+}
+
+// What the operator sees: one organisation that sends several times its usual gets more than its limit on every burst. What another server
+// admitted is told again and again, late and in any order; it is charged once, and never left out.
+TEST_CASE("what another server admitted is charged once")
+{
+    FleetLimits limits = limitsOf(1000, 1);
+    limits.takeNotice(Other, noticeOf(3, 1, 5000), false, Start);
+    limits.takeNotice(Other, noticeOf(3, 3, 5300), false, Start);
+    limits.takeNotice(Other, noticeOf(3, 2, 5100), false, Start);
+    limits.takeNotice(Other, noticeOf(3, 3, 5300), false, Start);
+    // Half of the burst, less 300.
+    CHECK(admittedOf(limits, 100, 20, Start) == 200);
+    CHECK(admittedOf(limits, 100, 20, after(500)) == 500);
+}
+
+// What callers see: for seconds after a change of servers nearly all requests of an organisation below its limit are refused (429). The
+// counts of a server that is heard of for the first time go back to the start of its process.
+TEST_CASE("what a server admitted before it was first heard of is not charged")
+{
+    FleetLimits limits = limitsOf(1000, 1, 100);
+    limits.takeNotice(Other, noticeOf(3, 1, 400'000), false, Start);
+    CHECK(admittedOf(limits, 100, 20, Start) == 600);
+    limits.takeNotice(Other, noticeOf(3, 2, 400'300), false, after(1000));
+    // A second's rate, less what the other server admitted since.
+    CHECK(admittedOf(limits, 100, 20, after(1000)) == 700);
+}
+
+// What operators see: an organisation gets several times its limit, because its VMs are restarted one after the other. A restarted process
+// counts from zero, so its counts are below those of the process before it; taken as growth they would be lost or wrap around.
+TEST_CASE("a restarted server's counts begin at zero and are charged whole")
+{
+    FleetLimits limits = limitsOf(1000, 1);
+    limits.takeNotice(Other, noticeOf(3, 1, 5000), false, Start);
+    limits.takeNotice(Other, noticeOf(4, 1, 200), false, Start);
+    CHECK(admittedOf(limits, 100, 20, Start) == 300);
+}
+
+// What callers see: requests of an organisation below its limit are refused (429), because one VM of many got most of them and only a small
+// part of the limit is its own; or because it got two large ones within one beat of the leader.
+TEST_CASE("an organisation below its limit is not refused however unevenly its requests come")
+{
+    FleetLimits limits = limitsOf(7000, 1);
+    std::uint64_t admitted = 0;
+    for (int second = 1; second <= 20; ++second) {
+        admitted += admittedOf(limits, 3400, 2, after(1000 * second));
+    }
+    CHECK(admitted == 20 * 2 * 3400);
+}
+
+// Pattern: a jump of one organisation's demand in all data centres at once, while they are cut off from each other. Each server would take
+// the whole limit for its own: several times the limit would pass.
+TEST_CASE("servers that don't hear of each other admit no more than the limit together")
+{
+    std::uint64_t admitted = 0;
+    for (int server = 0; server < 4; ++server) {
+        FleetLimits limits = limitsOf(8000, 0.25);
+        for (int ms = 0; ms <= 8000; ms += 100) {
+            admitted += admittedOf(limits, 100, 50, after(ms));
+        }
+    }
+    CHECK(admitted <= 8000 / 2 + 8 * 8000 + 4 * 100);
+    CHECK(admitted >= 8 * 8000);
+}
+
+// The same as a cut begins: what is left of the limit is divided, not doubled.
+TEST_CASE("a server that loses the others keeps only its part of what is left")
+{
+    FleetLimits limits = limitsOf(1000, 1);
+    limits.take(Ensemble, 0, Start);
+    limits.take(Ensemble, 0, after(1000));
+    limits.setCoverage(0.25, after(1000));
+    CHECK(admittedOf(limits, 50, 100, after(1000)) == 250);
+    CHECK(admittedOf(limits, 50, 100, after(2000)) == 250);
+}
+
+TEST_CASE("a server that takes over goes on from the levels it was told")
+{
+    FleetLimits before = limitsOf(1000, 1);
+    CHECK(admittedOf(before, 100, 20, Start) == 500);
+    v1::LoadNotice notice;
+    notice.set_incarnation(3);
+    notice.set_sequence(1);
+    before.fillNotice(notice, true, after(100));
+    FleetLimits next = limitsOf(1000, 1);
+    next.takeNotice(Other, notice, true, after(100));
+    CHECK(admittedOf(next, 100, 20, after(100)) == 100);
+}
+
+TEST_CASE("a lowered limit binds at once, and one that is taken away no more")
+{
+    FleetLimits limits = limitsOf(10'000, 1);
+    limits.take(Ensemble, 0, after(1000));
+    limits.takeRoutes(limitedTo(1000), after(1000));
+    CHECK(admittedOf(limits, 100, 100, after(1000)) == 1000);
+    limits.takeRoutes(limitedTo(0), after(1000));
+    CHECK(admittedOf(limits, 100, 100, after(1000)) == 10'000);
+}
--- a/tests/proxy/placementservertest.cpp
+++ b/tests/proxy/placementservertest.cpp
@@ -95,7 +95,7 @@
 // free, and the engine, which knows no priorities, lets the others wait inside.
 TEST_CASE("two VMs together get no more places than there are")
 {
-    PlacementServer server(DataCentreName{"dc-a"});
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
     server.takeList({engine("a", 2)}, Start);
     Entry one;
     Entry two;
@@ -111,7 +111,7 @@
 
 TEST_CASE("a place that becomes free goes to the most urgent request of all VMs")
 {
-    PlacementServer server(DataCentreName{"dc-a"});
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry one;
     Entry two;
@@ -136,7 +136,7 @@
 // VM's next state still asks, which says so.
 TEST_CASE("a grant that the VM does not know of is told again and takes no second place")
 {
-    PlacementServer server(DataCentreName{"dc-a"});
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
     server.takeList({engine("a", 2)}, Start);
     Entry entry;
     entry.asks(1);
@@ -147,7 +147,7 @@
     server.takeState(Vm1, entry.next(), after(30));
     CHECK(grantedTo(Vm1, server.advance(after(30))) == Ids{1});
     v1::LoadNotice notice;
-    server.fillNotice(notice, false);
+    server.fillNotice(notice, false, after(30));
     REQUIRE(notice.loads_size() == 1);
     CHECK(notice.loads(0).in_flight() == 1);
 }
@@ -156,7 +156,7 @@
 // whose VM died or started anew, was never given back.
 TEST_CASE("places come back when a request ends, its VM restarts, and its VM falls silent")
 {
-    PlacementServer server(DataCentreName{"dc-a"});
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry entry;
     entry.asks(1);
@@ -186,7 +186,7 @@
 
 TEST_CASE("an overtaken state changes nothing")
 {
-    PlacementServer server(DataCentreName{"dc-a"});
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry entry;
     const v1::EntryState empty = entry.next();
@@ -200,7 +200,7 @@
 // engines that are full, and first events come late for seconds. The states tell what is under way.
 TEST_CASE("a server that takes over counts what was granted before it")
 {
-    PlacementServer server(DataCentreName{"dc-a"});
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
     server.takeList({engine("a", 2)}, Start);
     Entry entry;
     entry.isSent(1, "a");
@@ -215,7 +215,7 @@
 
 TEST_CASE("what waited too long is refused and told when to come back, and a request of a lower rank with it")
 {
-    PlacementServer server(DataCentreName{"dc-a"});
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry entry;
     entry.isSent(1, "a");
@@ -231,7 +231,7 @@
 // An entry VM passes over a server that is silent while something waits: without a sign of life a full service would look like a dead server.
 TEST_CASE("a VM whose requests wait hears that the server lives")
 {
-    PlacementServer server(DataCentreName{"dc-a"});
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry entry;
     entry.isSent(1, "a");
@@ -241,3 +241,37 @@
     CHECK(server.advance(after(10)).empty());
     CHECK(server.advance(after(40)).size() == 1);
 }
+
+// What callers see: an organisation over its limit is refused as if the service were full, and others are sent away with it.
+TEST_CASE("a request over its organisation's limit is refused at once, and one without room gives its part of the limit back")
+{
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    server.takeList({engine("a", 1)}, Start);
+    v1::RouteTable routes;
+    v1::RoutedOrganisation &organisation = *routes.add_organisations();
+    organisation.set_name("ensemble");
+    organisation.set_rate_per_s(100);
+    organisation.set_burst(1000);
+    server.takeRoutes(routes, Start);
+    Entry entry;
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        entry.asks(id);
+        entry.state.mutable_asks()->rbegin()->set_organisation("ensemble");
+        entry.state.mutable_asks()->rbegin()->set_cost(400);
+    }
+    // The first level is half of the burst: two pass, the second by an overdraft.
+    server.takeState(Vm1, entry.next(), Start);
+    const auto replies = server.advance(Start);
+    CHECK(grantedTo(Vm1, replies) == Ids{1});
+    REQUIRE(refusals(replies) == 1);
+    CHECK(replies.front().second.refusals(0).id() == 3);
+    CHECK(replies.front().second.refusals(0).reason() == v1::PLACEMENT_OVER_LIMIT);
+    // The second is refused for want of room; the limit is then as if it had never asked.
+    const auto later = server.advance(after(1300));
+    REQUIRE(refusals(later) == 1);
+    CHECK(later.front().second.refusals(0).reason() == v1::PLACEMENT_NO_ROOM);
+    v1::LoadNotice notice;
+    server.fillNotice(notice, false, after(1300));
+    REQUIRE(notice.spends_size() == 1);
+    CHECK(notice.spends(0).admitted() == 400);
+}
