States told by id once confirmed; no grants by a list from before a pause; long prompts kept from streams that would pause

Change: what the server has confirmed is told by its id; upstreams are indexed by service; a prompt is not tried where a shorter one found no place; a VM refuses by itself while nothing of an organisation can pass its limit; a list older than 2 s is not granted by unless it can't be read; a prompt does not go beside streams that would pause for more than 0.85 of the allowed pause while it is read.

The test of the list fails without the change.

--- a/src/proxy/enginepace.cpp
+++ b/src/proxy/enginepace.cpp
@@ -24,15 +24,25 @@
     m_sumProduct = Forgetting * m_sumProduct + tokens * normal;
 }
 
+double EnginePace::perToken() const
+{
+    const double spread = m_weight * m_sumTokensSquared - m_sumTokens * m_sumTokens;
+    return spread <= 0 ? 0 : std::max(0.0, (m_weight * m_sumProduct - m_sumTokens * m_sumMs) / spread);
+}
+
 double EnginePace::predictedMs(double tokens, double slowness) const
 {
     if (m_weight < LeastWeight) {
         return 0;
     }
-    const double spread = m_weight * m_sumTokensSquared - m_sumTokens * m_sumTokens;
-    const double perToken = spread <= 0 ? 0 : std::max(0.0, (m_weight * m_sumProduct - m_sumTokens * m_sumMs) / spread);
-    const double fixed = std::max(0.0, (m_sumMs - perToken * m_sumTokens) / m_weight);
-    return slowness * (fixed + perToken * tokens);
+    const double slope = perToken();
+    const double fixed = std::max(0.0, (m_sumMs - slope * m_sumTokens) / m_weight);
+    return slowness * (fixed + slope * tokens);
+}
+
+double EnginePace::readingMs(double tokens, double slowness) const
+{
+    return m_weight < LeastWeight ? 0 : slowness * perToken() * tokens;
 }
 
 }
--- a/src/proxy/enginepace.h
+++ b/src/proxy/enginepace.h
@@ -18,8 +18,12 @@
     void observed(double tokens, double milliseconds, double slowness);
     /// Milliseconds to the first event; 0 while nothing was learned.
     double predictedMs(double tokens, double slowness) const;
+    /// Of these, what the reading of the tokens takes; 0 while nothing was learned.
+    double readingMs(double tokens, double slowness) const;
 
 private:
+    double perToken() const;
+
     double m_weight = 0;
     double m_sumTokens = 0;
     double m_sumMs = 0;
--- a/src/proxy/fleetlimits.cpp
+++ b/src/proxy/fleetlimits.cpp
@@ -119,6 +119,15 @@
     *found->second.level += static_cast<double>(cost);
 }
 
+Duration FleetLimits::closedFor(const std::string &organisation) const
+{
+    const auto found = m_buckets.find(organisation);
+    if (found == m_buckets.end() || found->second.rate == 0 || found->second.level.value_or(1) > 0) {
+        return Duration::zero();
+    }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(-*found->second.level / found->second.rate));
+}
+
 std::string FleetLimits::inputs(const std::string &organisation) const
 {
     const auto found = m_buckets.find(organisation);
--- a/src/proxy/fleetlimits.h
+++ b/src/proxy/fleetlimits.h
@@ -42,6 +42,8 @@
     std::optional<Duration> take(const std::string &organisation, std::uint64_t cost, TimePoint now);
     /// Admitted, and refused after all for another reason.
     void giveBack(const std::string &organisation, std::uint64_t cost);
+    /// How long no request of it can pass, whatever comes.
+    Duration closedFor(const std::string &organisation) const;
     /// What the last decision about the organisation was made from, for the log.
     std::string inputs(const std::string &organisation) const;
 
--- a/src/proxy/instancefeed.cpp
+++ b/src/proxy/instancefeed.cpp
@@ -89,6 +89,7 @@
 void InstanceFeed::failed(const std::string &why)
 {
     noteReadable(false, why);
+    m_unreadable.emit();
     m_next.startOnce(m_interval);
 }
 
--- a/src/proxy/instancefeed.h
+++ b/src/proxy/instancefeed.h
@@ -26,6 +26,11 @@
     {
         return m_read;
     }
+    /// Emitted when an attempt failed; the next one follows.
+    sigc::signal<void> &unreadable()
+    {
+        return m_unreadable;
+    }
 
 private:
     void fetch(const std::string &pageToken);
@@ -45,6 +50,7 @@
     std::size_t m_rejected = 0;
     bool m_readable = false;
     sigc::signal<void, const std::vector<UpstreamInstance> &> m_read;
+    sigc::signal<void> m_unreadable;
 };
 
 }
--- a/src/proxy/placementclient.cpp
+++ b/src/proxy/placementclient.cpp
@@ -72,6 +72,7 @@
 {
     if (const auto held = m_held.find(id); held != m_held.end()) {
         held->second.firstEventMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(after).count()));
+        held->second.toldIn = 0;
     }
 }
 
@@ -95,41 +96,65 @@
 
 v1::EntryState PlacementClient::state(TimePoint now)
 {
+    if (server(now) != m_confirmedBy) {
+        m_confirmedBy = server(now);
+        forgetConfirmed();
+    }
     v1::EntryState state;
     state.set_incarnation(m_incarnation);
     state.set_sequence(++m_states);
     state.mutable_ended()->Add(m_ended.begin(), m_ended.end());
     m_ended.clear();
     std::size_t told = 0;
-    for (const auto &[id, held] : m_held) {
+    for (auto &[id, held] : m_held) {
         if (++told > MostTold) {
             break;
         }
-        if (held.placed) {
-            v1::PlacedRequest &placed = *state.add_placed();
-            placed.set_id(id.value);
-            placed.set_upstream(held.upstream.value);
-            placed.set_prompt_tokens(held.wish.promptTokens);
-            placed.set_first_event_ms(held.firstEventMs);
+        if (held.toldIn > 0 && held.toldIn <= m_confirmed) {
+            state.add_unchanged(id.value);
             continue;
         }
-        v1::PlacementAsk &ask = *state.add_asks();
-        ask.set_id(id.value);
-        ask.set_service(held.wish.service.value);
-        ask.set_rank(held.wish.rank);
-        ask.set_prompt_tokens(held.wish.promptTokens);
-        ask.set_objective_in_ms(millisecondsUntil(held.wish.objectiveAt, now));
-        ask.set_answer_in_ms(millisecondsUntil(held.wish.answerBy, now));
-        ask.set_draw_permille(held.wish.draw);
-        ask.set_organisation(held.wish.organisation.value);
-        ask.set_cost(held.wish.cost);
-        for (const InstanceName &tried : held.wish.tried) {
-            ask.add_tried(tried.value);
-        }
+        held.toldIn = held.toldIn > 0 ? held.toldIn : m_states;
+        tell(id, held, state, now);
     }
     return state;
 }
 
+/// Another server, or another process of it, is told everything.
+void PlacementClient::forgetConfirmed()
+{
+    m_confirmed = 0;
+    for (auto &[id, held] : m_held) {
+        held.toldIn = 0;
+    }
+}
+
+void PlacementClient::tell(PlacementId id, const Held &held, v1::EntryState &state, TimePoint now) const
+{
+    if (held.placed) {
+        v1::PlacedRequest &placed = *state.add_placed();
+        placed.set_id(id.value);
+        placed.set_upstream(held.upstream.value);
+        placed.set_prompt_tokens(held.wish.promptTokens);
+        placed.set_first_event_ms(held.firstEventMs);
+        return;
+    }
+    v1::PlacementAsk &ask = *state.add_asks();
+    ask.set_id(id.value);
+    ask.set_service(held.wish.service.value);
+    ask.set_rank(held.wish.rank);
+    ask.set_prompt_tokens(held.wish.promptTokens);
+    ask.set_objective_in_ms(millisecondsUntil(held.wish.objectiveAt, now));
+    ask.set_answer_in_ms(millisecondsUntil(held.wish.answerBy, now));
+    ask.set_draw_permille(held.wish.draw);
+    ask.set_organisation(held.wish.organisation.value);
+    ask.set_cost(held.wish.cost);
+    ask.set_longest_pause_ms(held.wish.longestPauseMs);
+    for (const InstanceName &tried : held.wish.tried) {
+        ask.add_tried(tried.value);
+    }
+}
+
 std::vector<PlacementAnswer> PlacementClient::takeReply(const VmName &from, const v1::PlacementReply &reply, TimePoint now)
 {
     std::vector<PlacementAnswer> answers;
@@ -137,6 +162,11 @@
         return answers;
     }
     m_heard = now;
+    if (reply.server_incarnation() != m_serverIncarnation) {
+        m_serverIncarnation = reply.server_incarnation();
+        forgetConfirmed();
+    }
+    m_confirmed = std::max(m_confirmed, reply.seen());
     if (reply.leaving()) {
         m_passedOverUntil[from] = now + PassOver;
     }
@@ -147,6 +177,7 @@
             continue; // The caller has left, or the grant came twice.
         }
         held->second.placed = true;
+        held->second.toldIn = 0;
         held->second.upstream = InstanceName{grant.upstream()};
         --m_waiting;
         UpstreamInstance upstream{.name = held->second.upstream,
@@ -164,6 +195,7 @@
                 .retryAfter = std::chrono::milliseconds(refusal.retry_after_ms()),
                 .overLimit = refusal.reason() == v1::PLACEMENT_OVER_LIMIT,
                 .inputs = refusal.inputs(),
+                .closedFor = std::chrono::milliseconds(refusal.closed_ms()),
             });
         }
     }
--- a/src/proxy/placementclient.h
+++ b/src/proxy/placementclient.h
@@ -27,6 +27,8 @@
     /// Whose limit it is charged to, and how much; empty for a further try, and on a route that is open to all.
     OrganisationName organisation;
     std::uint64_t cost = 0;
+    /// Between events, for an answer on time; 0: none is set.
+    std::uint32_t longestPauseMs = 0;
 };
 
 /// The request may be sent to this upstream, now.
@@ -45,6 +47,8 @@
     Duration retryAfter;
     bool overLimit = false;
     std::string inputs;
+    /// Over the limit: nothing of the organisation can pass for so long.
+    Duration closedFor{};
 };
 
 using PlacementAnswer = std::variant<PlacementGranted, PlacementRefused>;
@@ -85,6 +89,10 @@
     std::vector<PlacementAnswer> takeReply(const VmName &from, const v1::PlacementReply &reply, TimePoint now);
     /// True when the server has been silent for too long and another one is to be asked.
     bool passOverSilent(TimePoint now);
+    std::size_t waiting() const
+    {
+        return m_waiting;
+    }
     /// Something is waiting or under way.
     bool isBusy() const
     {
@@ -98,8 +106,12 @@
         bool placed = false;
         InstanceName upstream;
         std::uint32_t firstEventMs = 0;
+        /// The first state that told it as it is; 0: none yet.
+        std::uint64_t toldIn = 0;
     };
 
+    void tell(PlacementId id, const Held &held, v1::EntryState &state, TimePoint now) const;
+    void forgetConfirmed();
     bool anyWaiting() const
     {
         return m_waiting > 0;
@@ -115,6 +127,10 @@
     std::map<PlacementId, Held> m_held;
     std::size_t m_waiting = 0;
     std::vector<v1::EndedRequest> m_ended;
+    /// The server's process, and the newest state that it has seen.
+    VmName m_confirmedBy;
+    std::uint64_t m_serverIncarnation = 0;
+    std::uint64_t m_confirmed = 0;
     /// The server's last reply, or when there was first something to reply to.
     TimePoint m_heard{};
 };
--- a/src/proxy/placementhost.cpp
+++ b/src/proxy/placementhost.cpp
@@ -13,6 +13,8 @@
 
 /// Several changes at once go in one datagram.
 constexpr Duration StateDelay = std::chrono::milliseconds(1);
+/// The more wait here, the more changes go in one datagram, and the longer they wait anyway.
+constexpr Duration StateDelayPerWaiting = std::chrono::microseconds(200);
 /// Several datagrams at once lead to one decision. With a long line each decision takes longer, and is made as much more rarely.
 constexpr Duration ShortestAdvanceInterval = std::chrono::milliseconds(2);
 constexpr Duration AdvanceIntervalPerWaiting = std::chrono::microseconds(100);
@@ -49,7 +51,7 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_client(m_options.vm, m_options.dataCentre, m_options.incarnation)
-    , m_server(m_options.dataCentre, m_options.limitTolerance)
+    , m_server(m_options.dataCentre, m_options.incarnation, m_options.limitTolerance)
     , m_feed(loop, m_options.list, m_options.listInterval)
     , m_stateTimer(loop, [this] { sendState(); })
     , m_advanceTimer(loop, [this] { advance(); })
@@ -57,9 +59,11 @@
     , m_tick(loop, [this] { tick(); })
 {
     m_feed.read().connect([this](const std::vector<UpstreamInstance> &instances) {
+        m_server.setListReadable(true);
         m_server.takeList(instances, EventLoop::now());
         advanceSoon();
     });
+    m_feed.unreadable().connect([this] { m_server.setListReadable(false); });
 }
 
 PlacementId PlacementHost::ask(PlacementWish wish)
@@ -116,7 +120,7 @@
 void PlacementHost::stateChanged()
 {
     if (!std::exchange(m_stateDue, true)) {
-        m_stateTimer.startOnce(StateDelay);
+        m_stateTimer.startOnce(StateDelay + static_cast<int>(m_client.waiting()) * StateDelayPerWaiting);
     }
     m_tick.startOnceIfStopped(TickInterval);
 }
--- a/src/proxy/placementserver.cpp
+++ b/src/proxy/placementserver.cpp
@@ -1,6 +1,7 @@
 #include "proxy/placementserver.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cumindyke
 {
@@ -17,6 +18,8 @@
 constexpr Duration LongestRetryAfter = std::chrono::seconds(3);
 /// Without a refusal for this long an overload is over.
 constexpr Duration OverloadEnds = std::chrono::seconds(1);
+/// The list is read every second; an attempt that fails takes less than another.
+constexpr Duration ListHolds = std::chrono::milliseconds(2000);
 /// An answer that the entry VM does not know of after several round trips was lost.
 constexpr Duration TellAgainAfter = std::chrono::milliseconds(15);
 /// While something of an entry VM waits, it hears from this server so often that silence means that the server is gone.
@@ -79,18 +82,22 @@
     for (const v1::EndedRequest &ended : state.ended()) {
         takeEnded(ended, now);
     }
-    std::set<PlacementId> told;
+    std::vector<std::uint64_t> told(state.unchanged().begin(), state.unchanged().end());
     for (const v1::PlacedRequest &placed : state.placed()) {
-        told.insert(PlacementId{placed.id()});
+        told.push_back(placed.id());
         takePlaced(entry, placed);
     }
     for (const v1::PlacementAsk &ask : state.asks()) {
-        told.insert(PlacementId{ask.id()});
+        told.push_back(ask.id());
         takeAsk(from, entry, ask, now);
     }
+    for (const std::uint64_t id : state.unchanged()) {
+        tellAgain(entry, PlacementId{id}, now);
+    }
+    std::ranges::sort(told);
     // What the state no longer holds has ended, or its caller has left.
     std::erase_if(entry.items, [&](const auto &held) {
-        const bool gone = !told.contains(held.first);
+        const bool gone = !std::ranges::binary_search(told, held.first.value);
         if (gone) {
             release(from, held.first, held.second);
         }
@@ -98,20 +105,30 @@
     });
 }
 
+/// The entry VM still waits: an answer that was sent some round trips ago was lost.
+void PlacementServer::tellAgain(Entry &entry, PlacementId id, TimePoint now)
+{
+    const auto known = entry.items.find(id);
+    if (known == entry.items.end()) {
+        return;
+    }
+    Item &item = known->second;
+    if ((item.stage != Stage::Granted && item.stage != Stage::Refused) || now - item.toldAt < TellAgainAfter) {
+        return;
+    }
+    item.toldAt = now;
+    if (item.stage == Stage::Granted) {
+        *entry.due.add_grants() = item.grant;
+    } else {
+        *entry.due.add_refusals() = item.refusal;
+    }
+}
+
 void PlacementServer::takeAsk(const VmName &from, Entry &entry, const v1::PlacementAsk &ask, TimePoint now)
 {
     const PlacementId id{ask.id()};
-    if (const auto known = entry.items.find(id); known != entry.items.end()) {
-        Item &item = known->second;
-        if (item.stage == Stage::Waiting || now - item.toldAt < TellAgainAfter) {
-            return;
-        }
-        item.toldAt = now;
-        if (item.stage == Stage::Granted) {
-            *entry.due.add_grants() = item.grant;
-        } else if (item.stage == Stage::Refused) {
-            *entry.due.add_refusals() = item.refusal;
-        }
+    if (entry.items.contains(id)) {
+        tellAgain(entry, id, now);
         return;
     }
     Item item{
@@ -120,6 +137,7 @@
         .draw = ask.draw_permille(),
         .organisation = ask.organisation(),
         .cost = ask.cost(),
+        .longestPauseMs = static_cast<double>(ask.longest_pause_ms()),
         .tried = {},
         .objectiveAt = now + std::chrono::milliseconds(ask.objective_in_ms()),
         .latestStart = {},
@@ -138,6 +156,7 @@
     Item &held = entry.items.emplace(id, std::move(item)).first->second;
     if (const auto wait = held.organisation.empty() ? std::nullopt : m_limits.take(held.organisation, held.cost, now)) {
         held.refusal.set_inputs(m_limits.inputs(held.organisation) + " cost=" + std::to_string(held.cost));
+        held.refusal.set_closed_ms(wholeMilliseconds(m_limits.closedFor(held.organisation)));
         refuse(entry, id, held, v1::PLACEMENT_OVER_LIMIT, *wait, now);
         return;
     }
@@ -237,7 +256,13 @@
 
 Placement PlacementServer::place(const Item &item, TimePoint now) const
 {
-    PlacementQuery query{.service = item.service, .versions = {}, .promptTokens = item.promptTokens, .tried = item.tried};
+    PlacementQuery query{
+        .service = item.service,
+        .versions = {},
+        .promptTokens = item.promptTokens,
+        .tried = item.tried,
+        .longestPauseMs = item.longestPauseMs,
+    };
     const auto found = m_rollouts.find(item.service.value);
     if (found == m_rollouts.end()) {
         return m_board.choose(query, now);
@@ -280,13 +305,20 @@
 /// Grants as many waiting requests as there is room for, most urgent first.
 void PlacementServer::pump(const ServiceName &name, Service &service, TimePoint now)
 {
+    // What has no place for a prompt has none for a longer one.
+    std::uint32_t noPlaceFor = std::numeric_limits<std::uint32_t>::max();
     for (const AskKey &key : service.line.inOrder(now)) {
         if (!m_board.hasRoom(name, now)) {
             return;
         }
         Item &item = m_entries[key.vm].items[key.id];
+        if (item.promptTokens >= noPlaceFor) {
+            continue;
+        }
         const Placement placement = place(item, now);
         if (!placement.upstream) {
+            const bool special = !item.tried.empty() || m_rollouts.contains(name.value);
+            noPlaceFor = special ? noPlaceFor : item.promptTokens;
             continue;
         }
         const bool onTime = now + placement.predicted <= item.objectiveAt;
@@ -330,10 +362,20 @@
     *entry.due.add_refusals() = item.refusal;
 }
 
+/// A VM that is asked again after a while, or wakes from a freeze, holds a list from before: by it, upstreams that have left since got new
+/// work for seconds after everybody else knew. It reads the list first, which takes some milliseconds. While the list can't be read, the old
+/// one is better than none.
+bool PlacementServer::listIsUsable(TimePoint now) const
+{
+    return now - m_listReadAt <= ListHolds || !m_listReadable;
+}
+
 std::vector<PlacementServer::Reply> PlacementServer::advance(TimePoint now)
 {
     for (auto &[name, service] : m_services) {
-        pump(name, service, now);
+        if (listIsUsable(now)) {
+            pump(name, service, now);
+        }
         refuseOverdue(service, now);
     }
     std::vector<Reply> replies;
@@ -346,6 +388,7 @@
         entry.repliedAt = now;
         entry.due.set_incarnation(entry.incarnation);
         entry.due.set_seen(entry.sequence);
+        entry.due.set_server_incarnation(m_incarnation);
         replies.emplace_back(vm, std::exchange(entry.due, {}));
     }
     return replies;
--- a/src/proxy/placementserver.h
+++ b/src/proxy/placementserver.h
@@ -28,14 +28,21 @@
 public:
     using Reply = std::pair<VmName, v1::PlacementReply>;
 
-    PlacementServer(DataCentreName here, std::uint64_t limitTolerance)
-        : m_board(std::move(here))
+    /// "incarnation" differs at each start of the process. "limitTolerance" may be admitted beyond each limit.
+    PlacementServer(DataCentreName here, std::uint64_t incarnation, std::uint64_t limitTolerance)
+        : m_incarnation(incarnation)
+        , m_board(std::move(here))
         , m_limits(limitTolerance)
     {
     }
 
     /// The platform's whole list of upstreams.
     void takeList(const std::vector<UpstreamInstance> &instances, TimePoint now);
+    /// Whether the list could be read the last time it was tried.
+    void setListReadable(bool readable)
+    {
+        m_listReadable = readable;
+    }
     /// Rollouts in force, by service.
     void takeRollouts(const std::map<std::string, v1::Rollout> &rollouts)
     {
@@ -89,6 +96,7 @@
         std::uint32_t draw = 0;
         std::string organisation;
         std::uint64_t cost = 0;
+        double longestPauseMs = 0;
         std::set<InstanceName> tried;
         TimePoint objectiveAt;
         /// Until when a start is early enough for an answer on time.
@@ -127,10 +135,12 @@
     };
 
     void takeAsk(const VmName &from, Entry &entry, const v1::PlacementAsk &ask, TimePoint now);
+    void tellAgain(Entry &entry, PlacementId id, TimePoint now);
     void takePlaced(Entry &entry, const v1::PlacedRequest &placed);
     void takeEnded(const v1::EndedRequest &ended, TimePoint now);
     void release(const VmName &from, PlacementId id, const Item &item);
     void releaseAll(const VmName &from, const Entry &entry);
+    bool listIsUsable(TimePoint now) const;
     void pump(const ServiceName &name, Service &service, TimePoint now);
     void refuseOverdue(Service &service, TimePoint now);
     void refuse(Entry &entry, PlacementId id, Item &item, v1::PlacementRefusalReason reason, Duration retryAfter, TimePoint now);
@@ -139,11 +149,13 @@
     void grant(const AskKey &key, Item &item, const Placement &placement, TimePoint now);
     Duration retryAfterFull(Service &service, TimePoint now);
 
+    const std::uint64_t m_incarnation;
     UpstreamBoard m_board;
     FleetLimits m_limits;
     std::size_t m_fleetSize = 1;
     std::map<VmName, Peer> m_peers;
     TimePoint m_listReadAt{};
+    bool m_listReadable = true;
     std::map<std::string, v1::Rollout> m_rollouts;
     std::map<VmName, Entry> m_entries;
     std::map<ServiceName, Service> m_services;
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -347,7 +347,7 @@
     request.exchange->reply(request.head.status, request.head.contentType, request.gathered);
 }
 
-void ProxyTask::answerRefusal(ProxyRequest &request, ErrorKind kind, const std::string &why, Duration retryAfter)
+void ProxyTask::answerRefusal(ProxyRequest &request, ErrorKind kind, const std::string &why, Duration retryAfter, const std::string &inputs)
 {
     Exchange &exchange = *request.exchange;
     if (m_drain) {
@@ -356,7 +356,7 @@
     exchange.addHeader(m_options.headers.requestId, request.order.id.value);
     exchange.addHeader("Retry-After", std::to_string(std::chrono::duration<double>(retryAfter).count()));
     exchange.reply(httpStatus(kind), "application/json", errorJson(Error{kind, why + ": try again after Retry-After"}, RunOutcome::NotRun) + "\n");
-    finish(request, "refused", why);
+    finish(request, "refused", why, inputs);
 }
 
 void ProxyTask::answerFailure(ProxyRequest &request, ErrorKind kind, const std::string &why)
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -3,7 +3,6 @@
 #include "proxy/proxytask.h"
 
 #include "common/hash.h"
-#include "common/log.h"
 
 namespace cumindyke
 {
@@ -29,10 +28,28 @@
         // A further try of a request is not charged again.
         .organisation = request.tried.empty() ? order.organisation : OrganisationName{},
         .cost = order.cost,
+        .longestPauseMs = order.route->pause_objective_ms(),
     });
     m_places[request.place] = request.local;
 }
 
+/// A request of an organisation over its limit is refused here, without asking, while nothing of it can pass: one that sends several times
+/// its limit would use up the placement server's processor with requests that are refused.
+void ProxyTask::askOrRefuse(ProxyRequest &request, TimePoint now)
+{
+    const auto closed = m_closedLimits.find(request.order.organisation);
+    if (closed != m_closedLimits.end() && now < closed->second.until) {
+        answerOverLimit(request, closed->second);
+        return;
+    }
+    askForPlace(request);
+}
+
+void ProxyTask::answerOverLimit(ProxyRequest &request, const ClosedLimit &limit)
+{
+    answerRefusal(request, ErrorKind::Overloaded, "the organisation's limit is reached", limit.retryAfter, limit.inputs);
+}
+
 void ProxyTask::placed(const PlacementGranted &granted)
 {
     const auto place = m_places.find(granted.id);
@@ -52,8 +69,9 @@
     if (request->attempts.mayHaveRun()) {
         answerFailure(*request, ErrorKind::OutcomeUnknown, "no upstream had room for another try");
     } else if (refused.overLimit) {
-        logChange("proxy", "over-limit", {{"id", request->order.id.value}, {"inputs", refused.inputs}});
-        answerRefusal(*request, ErrorKind::Overloaded, "the organisation's limit is reached", refused.retryAfter);
+        ClosedLimit &limit = m_closedLimits[request->order.organisation];
+        limit = ClosedLimit{.until = EventLoop::now() + refused.closedFor, .retryAfter = refused.retryAfter, .inputs = refused.inputs};
+        answerOverLimit(*request, limit);
     } else {
         answerRefusal(*request, ErrorKind::Unavailable, "no upstream had room in time", refused.retryAfter);
     }
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -238,7 +238,7 @@
     request.timeout = std::make_unique<Timer>(m_loop, [this, local] { timedOut(local); });
     request.timeout->startOnce(request.order.answerBy - now);
     m_retries[request.order.service].firstSending();
-    askForPlace(request);
+    askOrRefuse(request, now);
 }
 
 void ProxyTask::refuse(Exchange &exchange, const RequestId &id, const Refusal &why)
@@ -262,7 +262,7 @@
     return found == m_requests.end() ? nullptr : found->second.get();
 }
 
-void ProxyTask::finish(ProxyRequest &request, const std::string &outcome, const std::string &why)
+void ProxyTask::finish(ProxyRequest &request, const std::string &outcome, const std::string &why, const std::string &inputs)
 {
     const TimePoint now = EventLoop::now();
     logChange("proxy",
@@ -271,6 +271,7 @@
                {"route", request.order.route->name()},
                {"outcome", outcome},
                {"why", why},
+               {"inputs", inputs},
                {"upstream", request.at.name.value},
                {"attempts", std::to_string(request.attempts.sentCount())},
                {"first_ms", request.eventBatches > 0 ? milliseconds(request.firstEventAt - request.order.arrived) : ""},
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -76,6 +76,13 @@
         std::shared_ptr<Exchange> exchange;
         TimePoint arrived;
     };
+    /// Of an organisation over its limit: until when nothing of it can pass, and what callers are told.
+    struct ClosedLimit
+    {
+        TimePoint until;
+        Duration retryAfter;
+        std::string inputs;
+    };
     struct VersionCount
     {
         std::uint64_t sent = 0;
@@ -102,9 +109,11 @@
     void refuse(Exchange &exchange, const RequestId &id, const Refusal &why);
 
     // Placement.
+    void askOrRefuse(ProxyRequest &request, TimePoint now);
     void askForPlace(ProxyRequest &request);
     void placed(const PlacementGranted &granted);
     void notPlaced(const PlacementRefused &refused);
+    void answerOverLimit(ProxyRequest &request, const ClosedLimit &limit);
 
     // A sending and its answer.
     void send(ProxyRequest &request, const UpstreamInstance &to, const std::string &inputs, TimePoint now);
@@ -124,11 +133,11 @@
     void passHeadOn(ProxyRequest &request);
     void addAnswerHeaders(ProxyRequest &request);
     void passWholeAnswerOn(ProxyRequest &request);
-    void answerRefusal(ProxyRequest &request, ErrorKind kind, const std::string &why, Duration retryAfter);
+    void answerRefusal(ProxyRequest &request, ErrorKind kind, const std::string &why, Duration retryAfter, const std::string &inputs = {});
     void answerFailure(ProxyRequest &request, ErrorKind kind, const std::string &why);
     void callerLeft(LocalRequest local);
     void timedOut(LocalRequest local);
-    void finish(ProxyRequest &request, const std::string &outcome, const std::string &why);
+    void finish(ProxyRequest &request, const std::string &outcome, const std::string &why, const std::string &inputs = {});
     void cleanUp();
     void endDrainIfDone();
 
@@ -153,6 +162,7 @@
     std::map<std::uint64_t, EarlyRequest> m_early;
     bool m_everReady = false;
     Timer m_earlyTimer;
+    std::map<OrganisationName, ClosedLimit> m_closedLimits;
     std::map<ServiceName, RetryBudget> m_retries;
     /// Requests by the places they wait for or have.
     std::map<PlacementId, LocalRequest> m_places;
--- a/src/proxy/upstreamboard.cpp
+++ b/src/proxy/upstreamboard.cpp
@@ -13,6 +13,10 @@
 constexpr double FartherFactor = 1.4;
 /// How much longer a first event takes on an engine whose places are all taken: its batch takes turns with the reading of prompts.
 constexpr double LoadWeight = 0.5;
+/// A part of a prompt takes an engine about twice as long as a step of its streams (1,024 tokens at 112 to 157 a millisecond, steps of 3.5 ms).
+constexpr double ReadingPerPace = 2;
+/// Of the longest allowed pause; the rest is for what the paces differ from their means.
+constexpr double PausePart = 0.85;
 /// Notices come at least every half second.
 constexpr Duration NoticeHolds = std::chrono::milliseconds(1500);
 /// Weight of the newest observation: about the last ten count.
@@ -40,6 +44,10 @@
         next.insert_or_assign(instance.name, std::move(upstream));
     }
     m_upstreams.swap(next);
+    m_ofService.clear();
+    for (const auto &[name, upstream] : m_upstreams) {
+        m_ofService[upstream.instance.service].push_back(&upstream);
+    }
     for (auto &[name, upstream] : m_upstreams) {
         upstream.others = {};
     }
@@ -97,7 +105,7 @@
 
 bool UpstreamBoard::allowed(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const
 {
-    if (upstream.instance.service != query.service || upstream.instance.draining || now < upstream.restsUntil || query.tried.contains(upstream.instance.name)) {
+    if (upstream.instance.draining || now < upstream.restsUntil || query.tried.contains(upstream.instance.name)) {
         return false;
     }
     if (query.versions.target.value.empty()) {
@@ -109,10 +117,8 @@
 double UpstreamBoard::fastestPace(const ServiceName &service) const
 {
     double fastest = std::numeric_limits<double>::max();
-    for (const auto &[name, upstream] : m_upstreams) {
-        if (upstream.instance.service == service && upstream.paceMs > 0) {
-            fastest = std::min(fastest, upstream.paceMs);
-        }
+    for (const Upstream *upstream : ofService(service)) {
+        fastest = upstream->paceMs > 0 ? std::min(fastest, upstream->paceMs) : fastest;
     }
     return fastest == std::numeric_limits<double>::max() ? 1 : fastest;
 }
@@ -132,16 +138,34 @@
     return first > 0 ? first * (1 + LoadWeight * load) : pace * (1 + load);
 }
 
+/// An engine reads new prompts between the steps of the streams that it runs, so these pause: by the time of the reading, or by what its
+/// parts take between two events, whichever is less. On engines several times slower than the others the pause makes all of them late.
+bool UpstreamBoard::wouldPause(const Upstream &upstream, const PlacementQuery &query, double fastest) const
+{
+    const auto engine = m_engines.find(upstream.instance.service);
+    const bool alone = upstream.own.requests + upstream.others.requests == 0;
+    if (query.longestPauseMs <= 0 || alone || upstream.paceMs <= 0 || engine == m_engines.end()) {
+        return false;
+    }
+    const double unread = static_cast<double>(upstream.own.tokens + upstream.others.tokens + query.promptTokens);
+    const double reading = engine->second.readingMs(unread, upstream.paceMs / fastest);
+    return upstream.paceMs + std::min(reading, ReadingPerPace * upstream.paceMs) > PausePart * query.longestPauseMs;
+}
+
 Placement UpstreamBoard::choose(const PlacementQuery &query, TimePoint now) const
 {
     const double fastest = fastestPace(query.service);
     const Upstream *best = nullptr;
     double bestMs = 0;
     double bestScore = std::numeric_limits<double>::max();
-    for (const auto &[name, upstream] : m_upstreams) {
+    for (const Upstream *held : ofService(query.service)) {
+        const Upstream &upstream = *held;
         if (!allowed(upstream, query, now) || upstream.own.requests + upstream.others.requests >= upstream.instance.slots) {
             continue;
         }
+        if (wouldPause(upstream, query, fastest)) {
+            continue;
+        }
         const double predicted = predictedMs(upstream, query.promptTokens, fastest);
         const double score = predicted * (upstream.instance.dataCentre == m_here ? 1 : FartherFactor);
         if (score < bestScore) {
@@ -165,13 +189,19 @@
 
 bool UpstreamBoard::hasRoom(const ServiceName &service, TimePoint now) const
 {
-    return std::ranges::any_of(m_upstreams, [&](const auto &held) {
-        const Upstream &upstream = held.second;
-        const bool usable = upstream.instance.service == service && !upstream.instance.draining && now >= upstream.restsUntil;
-        return usable && upstream.own.requests + upstream.others.requests < upstream.instance.slots;
+    return std::ranges::any_of(ofService(service), [now](const Upstream *upstream) {
+        const bool usable = !upstream->instance.draining && now >= upstream->restsUntil;
+        return usable && upstream->own.requests + upstream->others.requests < upstream->instance.slots;
     });
 }
 
+const std::vector<const UpstreamBoard::Upstream *> &UpstreamBoard::ofService(const ServiceName &service) const
+{
+    static const std::vector<const Upstream *> None;
+    const auto found = m_ofService.find(service);
+    return found == m_ofService.end() ? None : found->second;
+}
+
 UpstreamBoard::Upstream *UpstreamBoard::find(const InstanceName &name)
 {
     const auto found = m_upstreams.find(name);
--- a/src/proxy/upstreamboard.h
+++ b/src/proxy/upstreamboard.h
@@ -29,6 +29,8 @@
     std::uint32_t promptTokens = 0;
     /// Tried before for this request.
     std::set<InstanceName> tried;
+    /// The longest pause between events with which an answer is still on time; 0: none is set.
+    double longestPauseMs = 0;
 };
 
 /// Where a request would go, and how long its answer (a stream's first event) would take there.
@@ -114,11 +116,15 @@
     void addLoads(const Peer &peer, int sign);
     bool allowed(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
     double fastestPace(const ServiceName &service) const;
+    bool wouldPause(const Upstream &upstream, const PlacementQuery &query, double fastest) const;
     double predictedMs(const Upstream &upstream, std::uint32_t promptTokens, double fastest) const;
+    const std::vector<const Upstream *> &ofService(const ServiceName &service) const;
     Upstream *find(const InstanceName &name);
 
     const DataCentreName m_here;
     std::map<InstanceName, Upstream> m_upstreams;
+    /// Each service's part of them.
+    std::map<ServiceName, std::vector<const Upstream *>> m_ofService;
     std::map<ServiceName, EnginePace> m_engines;
     std::map<VmName, Peer> m_peers;
 };
--- a/tests/proxy/placementclienttest.cpp
+++ b/tests/proxy/placementclienttest.cpp
@@ -135,3 +135,45 @@
     CHECK(second.ended(0).outcome() == v1::PLACEMENT_SERVED);
     CHECK(client.state(after(300)).ended_size() == 0);
 }
+
+// Pattern: a burst that makes forty requests wait at each of twenty VMs. Told whole with each change, they used up the placement server's
+// processor, and every first event came half a second late. What the server has confirmed is told by its id alone.
+TEST_CASE("what the server has confirmed is told by its id until it changes or another server is asked")
+{
+    PlacementClient client(Self, Here, 7);
+    client.takeCandidates(fleetOf({"10.0.0.2", "10.0.0.3"}));
+    const PlacementId id = client.ask(draft(), Start);
+    const VmName server = client.server(Start);
+    v1::PlacementReply reply;
+    reply.set_incarnation(7);
+    reply.set_server_incarnation(30);
+    reply.set_seen(client.state(Start).sequence());
+    CHECK(client.state(Start).asks_size() == 1);
+    client.takeReply(server, reply, after(1));
+    CHECK(client.state(after(1)).asks_size() == 1); // Told by a process that was not known before.
+    reply.set_seen(client.state(after(2)).sequence());
+    client.takeReply(server, reply, after(3));
+    const v1::EntryState confirmed = client.state(after(3));
+    CHECK(confirmed.asks_size() == 0);
+    REQUIRE(confirmed.unchanged_size() == 1);
+    CHECK(confirmed.unchanged(0) == id.value);
+    SECTION("granted")
+    {
+        v1::PlacementReply grant = granting(id);
+        grant.set_server_incarnation(30);
+        client.takeReply(server, grant, after(4));
+        CHECK(client.state(after(4)).placed_size() == 1);
+    }
+    SECTION("the server's process restarted")
+    {
+        reply.set_server_incarnation(31);
+        reply.set_seen(1);
+        client.takeReply(server, reply, after(4));
+        CHECK(client.state(after(4)).asks_size() == 1);
+    }
+    SECTION("another server")
+    {
+        REQUIRE(client.passOverSilent(after(200)));
+        CHECK(client.state(after(200)).asks_size() == 1);
+    }
+}
--- a/tests/proxy/placementservertest.cpp
+++ b/tests/proxy/placementservertest.cpp
@@ -95,7 +95,7 @@
 // free, and the engine, which knows no priorities, lets the others wait inside.
 TEST_CASE("two VMs together get no more places than there are")
 {
-    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
     server.takeList({engine("a", 2)}, Start);
     Entry one;
     Entry two;
@@ -111,7 +111,7 @@
 
 TEST_CASE("a place that becomes free goes to the most urgent request of all VMs")
 {
-    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry one;
     Entry two;
@@ -136,7 +136,7 @@
 // VM's next state still asks, which says so.
 TEST_CASE("a grant that the VM does not know of is told again and takes no second place")
 {
-    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
     server.takeList({engine("a", 2)}, Start);
     Entry entry;
     entry.asks(1);
@@ -156,7 +156,7 @@
 // whose VM died or started anew, was never given back.
 TEST_CASE("places come back when a request ends, its VM restarts, and its VM falls silent")
 {
-    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry entry;
     entry.asks(1);
@@ -186,7 +186,7 @@
 
 TEST_CASE("an overtaken state changes nothing")
 {
-    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry entry;
     const v1::EntryState empty = entry.next();
@@ -200,7 +200,7 @@
 // engines that are full, and first events come late for seconds. The states tell what is under way.
 TEST_CASE("a server that takes over counts what was granted before it")
 {
-    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
     server.takeList({engine("a", 2)}, Start);
     Entry entry;
     entry.isSent(1, "a");
@@ -215,7 +215,7 @@
 
 TEST_CASE("what waited too long is refused and told when to come back, and a request of a lower rank with it")
 {
-    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry entry;
     entry.isSent(1, "a");
@@ -231,7 +231,7 @@
 // An entry VM passes over a server that is silent while something waits: without a sign of life a full service would look like a dead server.
 TEST_CASE("a VM whose requests wait hears that the server lives")
 {
-    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
     server.takeList({engine("a", 1)}, Start);
     Entry entry;
     entry.isSent(1, "a");
@@ -245,7 +245,7 @@
 // What callers see: an organisation over its limit is refused as if the service were full, and others are sent away with it.
 TEST_CASE("a request over its organisation's limit is refused at once, and one without room gives its part of the limit back")
 {
-    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
     server.takeList({engine("a", 1)}, Start);
     v1::RouteTable routes;
     v1::RoutedOrganisation &organisation = *routes.add_organisations();
@@ -275,3 +275,49 @@
     REQUIRE(notice.spends_size() == 1);
     CHECK(notice.spends(0).admitted() == 400);
 }
+
+TEST_CASE("a request that is told by its id alone keeps its place, and loses it when it is left out")
+{
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
+    server.takeList({engine("a", 1)}, Start);
+    Entry entry;
+    entry.asks(1);
+    entry.asks(2);
+    server.takeState(Vm1, entry.next(), Start);
+    REQUIRE(grantedTo(Vm1, server.advance(Start)) == Ids{1});
+    entry.state.clear_asks();
+    entry.state.add_unchanged(1);
+    entry.state.add_unchanged(2);
+    server.takeState(Vm1, entry.next(), after(5));
+    CHECK(grantedTo(Vm1, server.advance(after(5))).empty());
+    CHECK(server.waiting() == 1);
+    // The grant is told again, since the VM still waits.
+    server.takeState(Vm1, entry.next(), after(30));
+    CHECK(grantedTo(Vm1, server.advance(after(30))) == Ids{1});
+    entry.state.clear_unchanged();
+    entry.state.add_unchanged(2);
+    server.takeState(Vm1, entry.next(), after(40));
+    CHECK(grantedTo(Vm1, server.advance(after(40))) == Ids{2});
+}
+
+// What the operator sees: an upstream that leaves gets new work seconds after the platform's list showed it. The VM that places was not
+// asked for a while and did not read the list meanwhile; then the VM before it fails, and the first requests go by the old list.
+TEST_CASE("nothing is granted by a list from before a pause, unless the list can't be read")
+{
+    PlacementServer server(DataCentreName{"dc-a"}, 1, 0);
+    server.takeList({engine("a", 1)}, Start);
+    Entry entry;
+    entry.asks(1);
+    server.takeState(Vm1, entry.next(), after(5000));
+    CHECK(grantedTo(Vm1, server.advance(after(5000))).empty());
+    SECTION("the list is read")
+    {
+        server.takeList({engine("a", 1)}, after(5010));
+        CHECK(grantedTo(Vm1, server.advance(after(5010))) == Ids{1});
+    }
+    SECTION("the platform does not answer")
+    {
+        server.setListReadable(false);
+        CHECK(grantedTo(Vm1, server.advance(after(5010))) == Ids{1});
+    }
+}
--- a/tests/proxy/upstreamboardtest.cpp
+++ b/tests/proxy/upstreamboardtest.cpp
@@ -140,3 +140,37 @@
     query.versions.toTarget = true;
     CHECK(chosen(board, Start, query) == "new");
 }
+
+// Pattern: a burst on engines of which a third are 4.4 times slower (speeds 0.68 and 3). What callers see: streams on the slow ones stand
+// still for over 200 ms while a long prompt is read beside them, so all of them are late; the same prompts do no harm on the fast ones.
+// Figures: events 20 ms apart on a fast engine and 65 on a slow one, prompts read at 160 tokens a millisecond.
+TEST_CASE("a prompt whose reading would make the streams beside it pause too long goes elsewhere")
+{
+    UpstreamBoard board(Here);
+    board.takeList({instance("fast", "dc-a", 3), instance("slow", "dc-a", 3)});
+    board.observedPace(InstanceName{"fast"}, 20);
+    board.observedPace(InstanceName{"slow"}, 65);
+    for (int i = 1; i <= 20; ++i) {
+        board.observedFirstEvent(InstanceName{"fast"}, 1000.0 * i, 25 + 6.25 * i);
+    }
+    board.sent(InstanceName{"fast"}, 0);
+    board.sent(InstanceName{"fast"}, 0);
+    board.sent(InstanceName{"slow"}, 0);
+    const auto query = [](std::uint32_t promptTokens) {
+        return PlacementQuery{.service = ServiceName{"drafts"}, .versions = {}, .promptTokens = promptTokens, .tried = {}, .longestPauseMs = 200};
+    };
+    CHECK(chosen(board, Start, query(20'000)) == "fast");
+    board.sent(InstanceName{"fast"}, 0);
+    CHECK(chosen(board, Start, query(20'000)).empty());
+    CHECK(chosen(board, Start, query(1000)) == "slow");
+    SECTION("nobody is disturbed on an engine that has nothing to do")
+    {
+        board.ended(InstanceName{"slow"});
+        CHECK(chosen(board, Start, query(20'000)) == "slow");
+    }
+    SECTION("prompts that are not read yet count with it")
+    {
+        board.sent(InstanceName{"slow"}, 5000);
+        CHECK(chosen(board, Start, query(1000)).empty());
+    }
+}
--- a/tests/raft/electiontest.cpp
+++ b/tests/raft/electiontest.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr TimePoint Start{std::chrono::seconds(100)};
-constexpr Duration Step = std::chrono::milliseconds(10);
 const std::vector<std::string> Names{"a", "b", "c"};
 
 /// Three voters whose processes have all just restarted, at the end of the same log; messages arrive at the next step.
