--- a/tests/platform/wholepathtest.cpp
+++ b/tests/platform/wholepathtest.cpp
@@ -203,3 +203,29 @@
     CHECK_FALSE(stream.failure);
     CHECK(system.daemons[vm]->wait() == 0);
 }
+
+// What callers see: every request of a data centre is refused for want of room, though upstreams are idle. Of two entry VMs one places the
+// requests of both. It is killed, or stands still with its sockets open; the other one hears nothing of it, and places its own.
+TEST_CASE("process: requests go on when the VM that places them is killed or stands still")
+{
+    const int signal = GENERATE(SIGKILL, SIGSTOP);
+    System system;
+    REQUIRE(system.publish(documentOf(3)));
+    REQUIRE(system.allReady());
+    // Which of the two places is decided by a hash of their names, so each is lost once.
+    for (const int lost : {ControlVms + 1, ControlVms + 2}) {
+        const int other = lost == ControlVms + 1 ? ControlVms + 2 : ControlVms + 1;
+        const std::string id = "id-" + std::to_string(lost);
+        CHECK(http(system.front(other), "POST", "/deposits/a", callerHeaders(id + "-before")).status == 200);
+        system.daemons[lost]->signal(signal);
+        CHECK(http(system.front(other), "POST", "/deposits/a", callerHeaders(id + "-after")).status == 200);
+        if (signal == SIGSTOP) {
+            system.daemons[lost]->signal(SIGCONT);
+        } else {
+            system.daemons[lost]->wait();
+            system.start(lost);
+        }
+        REQUIRE(system.allReady());
+    }
+    CHECK(system.platform.seen().size() == 4);
+}
