Placement servers give back what they had planned for a request that another one placed, and ask for what they have forgotten

(2) A server that stood still over 1.5 s forgets a VM, which goes on naming requests by ids that the server does not know: they waited in vain, and those under way counted nowhere.

Ruled out: one more special case for the server's restart: the number of its process, which guarded that alone, goes; "tell all" covers a restart and a forgotten VM by one rule.

Change: takePlaced releases what was planned; release gives back a waiting request's part of the limit, for refusals and departures alike; an unknown id is answered by "tell all".

--- a/src/proxy/placementclient.cpp
+++ b/src/proxy/placementclient.cpp
@@ -162,11 +162,10 @@
         return answers;
     }
     m_heard = now;
-    if (reply.server_incarnation() != m_serverIncarnation) {
-        m_serverIncarnation = reply.server_incarnation();
+    m_confirmed = std::max(m_confirmed, reply.seen());
+    if (reply.tell_all()) {
         forgetConfirmed();
     }
-    m_confirmed = std::max(m_confirmed, reply.seen());
     if (reply.leaving()) {
         m_passedOverUntil[from] = now + PassOver;
     }
--- a/src/proxy/placementclient.h
+++ b/src/proxy/placementclient.h
@@ -127,9 +127,8 @@
     std::map<PlacementId, Held> m_held;
     std::size_t m_waiting = 0;
     std::vector<v1::EndedRequest> m_ended;
-    /// The server's process, and the newest state that it has seen.
+    /// The server, and the newest state that it has seen.
     VmName m_confirmedBy;
-    std::uint64_t m_serverIncarnation = 0;
     std::uint64_t m_confirmed = 0;
     /// The server's last reply, or when there was first something to reply to.
     TimePoint m_heard{};
--- a/src/proxy/placementserver.cpp
+++ b/src/proxy/placementserver.cpp
@@ -85,7 +85,7 @@
     std::vector<std::uint64_t> told(state.unchanged().begin(), state.unchanged().end());
     for (const v1::PlacedRequest &placed : state.placed()) {
         told.push_back(placed.id());
-        takePlaced(entry, placed);
+        takePlaced(from, entry, placed);
     }
     for (const v1::PlacementAsk &ask : state.asks()) {
         told.push_back(ask.id());
@@ -106,10 +106,14 @@
 }
 
 /// The entry VM still waits: an answer that was sent some round trips ago was lost.
+///
+/// What this server does not know, it has forgotten: it restarted, or stood still until the VM counted as silent. Without being told so the VM
+/// would go on with ids alone: its requests would wait in vain, and those under way would count nowhere.
 void PlacementServer::tellAgain(Entry &entry, PlacementId id, TimePoint now)
 {
     const auto known = entry.items.find(id);
     if (known == entry.items.end()) {
+        entry.due.set_tell_all(true);
         return;
     }
     Item &item = known->second;
@@ -131,6 +135,18 @@
         tellAgain(entry, id, now);
         return;
     }
+    Item &item = entry.items.emplace(id, itemOf(ask, now)).first->second;
+    if (const auto wait = item.organisation.empty() ? std::nullopt : m_limits.take(item.organisation, item.cost, now)) {
+        item.refusal.set_inputs(m_limits.inputs(item.organisation) + " cost=" + std::to_string(item.cost));
+        item.refusal.set_closed_ms(wholeMilliseconds(m_limits.closedFor(item.organisation)));
+        refuse(entry, id, item, v1::PLACEMENT_OVER_LIMIT, *wait, now);
+        return;
+    }
+    m_services[item.service].line.add(AskKey{from, id}, WaitingRank{ask.rank()}, item.latestStart, item.giveUpAt);
+}
+
+PlacementServer::Item PlacementServer::itemOf(const v1::PlacementAsk &ask, TimePoint now) const
+{
     Item item{
         .service = ServiceName{ask.service()},
         .promptTokens = ask.prompt_tokens(),
@@ -141,6 +157,7 @@
         .tried = {},
         .objectiveAt = now + std::chrono::milliseconds(ask.objective_in_ms()),
         .latestStart = {},
+        .giveUpAt = {},
         .upstream = {},
         .grant = {},
         .refusal = {},
@@ -152,25 +169,30 @@
     const Duration needed = std::max(m_board.soonestIdle(item.service, item.promptTokens), LeastAnswerTime);
     item.latestStart = item.objectiveAt - needed;
     const TimePoint answerBy = now + std::chrono::milliseconds(ask.answer_in_ms());
-    const TimePoint giveUpAt = std::min(std::max(item.latestStart, now) + LateWait, answerBy);
-    Item &held = entry.items.emplace(id, std::move(item)).first->second;
-    if (const auto wait = held.organisation.empty() ? std::nullopt : m_limits.take(held.organisation, held.cost, now)) {
-        held.refusal.set_inputs(m_limits.inputs(held.organisation) + " cost=" + std::to_string(held.cost));
-        held.refusal.set_closed_ms(wholeMilliseconds(m_limits.closedFor(held.organisation)));
-        refuse(entry, id, held, v1::PLACEMENT_OVER_LIMIT, *wait, now);
-        return;
-    }
-    m_services[held.service].line.add(AskKey{from, id}, WaitingRank{ask.rank()}, held.latestStart, giveUpAt);
+    item.giveUpAt = std::min(std::max(item.latestStart, now) + LateWait, answerBy);
+    return item;
 }
 
-/// One that was not granted here was granted by the server before this one.
-void PlacementServer::takePlaced(Entry &entry, const v1::PlacedRequest &placed)
+/// One that was not granted here was granted by another server. What this one had planned for it, a wait or another upstream, is over: left
+/// standing, it would hold a place for ever.
+void PlacementServer::takePlaced(const VmName &from, Entry &entry, const v1::PlacedRequest &placed)
 {
-    Item &item = entry.items[PlacementId{placed.id()}];
+    const PlacementId id{placed.id()};
+    Item &item = entry.items[id];
     const InstanceName upstream{placed.upstream()};
     if (item.upstream != upstream) {
-        item.upstream = upstream;
-        item.promptTokens = placed.prompt_tokens();
+        release(from, id, item);
+        item = Item{.service = item.service,
+                    .promptTokens = placed.prompt_tokens(),
+                    .organisation = {},
+                    .tried = {},
+                    .objectiveAt = {},
+                    .latestStart = {},
+                    .giveUpAt = {},
+                    .upstream = upstream,
+                    .grant = {},
+                    .refusal = {},
+                    .toldAt = {}};
         m_board.sent(upstream, item.promptTokens);
     }
     item.stage = Stage::Sent;
@@ -208,9 +230,13 @@
     }
 }
 
+/// Gives back what the request holds: its place in the line and its part of the limit while it waits, its place at the upstream afterwards.
 void PlacementServer::release(const VmName &from, PlacementId id, const Item &item)
 {
-    m_services[item.service].line.remove(AskKey{from, id});
+    if (item.stage == Stage::Waiting && !item.service.value.empty()) {
+        m_services[item.service].line.remove(AskKey{from, id});
+        m_limits.giveBack(item.organisation, item.cost);
+    }
     if (item.upstream.value.empty()) {
         return;
     }
@@ -356,9 +382,7 @@
     for (const AskKey &key : service.line.takeOverdue(now)) {
         Entry &entry = m_entries[key.vm];
         Item &item = entry.items[key.id];
-        if (!item.organisation.empty()) {
-            m_limits.giveBack(item.organisation, item.cost);
-        }
+        m_limits.giveBack(item.organisation, item.cost);
         refuse(entry, key.id, item, v1::PLACEMENT_NO_ROOM, retryAfterFull(service, now), now);
     }
 }
@@ -391,7 +415,7 @@
     }
     std::vector<Reply> replies;
     for (auto &[vm, entry] : m_entries) {
-        const bool decided = entry.due.grants_size() + entry.due.refusals_size() > 0;
+        const bool decided = entry.due.grants_size() + entry.due.refusals_size() > 0 || entry.due.tell_all();
         const bool waits = std::ranges::any_of(entry.items, [](const auto &held) { return held.second.stage != Stage::Sent; });
         if (!decided && !(waits && now - entry.repliedAt >= SignOfLife)) {
             continue;
@@ -399,7 +423,6 @@
         entry.repliedAt = now;
         entry.due.set_incarnation(entry.incarnation);
         entry.due.set_seen(entry.sequence);
-        entry.due.set_server_incarnation(m_incarnation);
         replies.emplace_back(vm, std::exchange(entry.due, {}));
     }
     return replies;
--- a/src/proxy/placementserver.h
+++ b/src/proxy/placementserver.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -28,10 +29,9 @@
 public:
     using Reply = std::pair<VmName, v1::PlacementReply>;
 
-    /// "incarnation" differs at each start of the process. "limitTolerance" may be admitted beyond each limit.
-    PlacementServer(DataCentreName here, std::uint64_t incarnation, std::uint64_t limitTolerance)
-        : m_incarnation(incarnation)
-        , m_board(std::move(here))
+    /// "limitTolerance": tokens (or requests) that may be admitted beyond each limit; the setting limit_slack.
+    PlacementServer(DataCentreName here, std::uint64_t limitTolerance)
+        : m_board(std::move(here))
         , m_limits(limitTolerance)
     {
     }
@@ -103,6 +103,8 @@
         TimePoint objectiveAt;
         /// Until when a start is early enough for an answer on time.
         TimePoint latestStart;
+        /// When its waiting ends.
+        TimePoint giveUpAt;
         InstanceName upstream;
         /// Up to this prompt's end, when it was granted.
         std::uint64_t tokensToRead = 0;
@@ -137,8 +139,9 @@
     };
 
     void takeAsk(const VmName &from, Entry &entry, const v1::PlacementAsk &ask, TimePoint now);
+    Item itemOf(const v1::PlacementAsk &ask, TimePoint now) const;
     void tellAgain(Entry &entry, PlacementId id, TimePoint now);
-    void takePlaced(Entry &entry, const v1::PlacedRequest &placed);
+    void takePlaced(const VmName &from, Entry &entry, const v1::PlacedRequest &placed);
     void takeEnded(const v1::EndedRequest &ended, TimePoint now);
     void release(const VmName &from, PlacementId id, const Item &item);
     void releaseAll(const VmName &from, const Entry &entry);
@@ -151,7 +154,6 @@
     void grant(const AskKey &key, Item &item, const Placement &placement, TimePoint now);
     Duration retryAfterFull(Service &service, TimePoint now);
 
-    const std::uint64_t m_incarnation;
     UpstreamBoard m_board;
     FleetLimits m_limits;
     std::size_t m_fleetSize = 1;
