The placement's words, conversions and claims, read once more

Change: names, comments, one wholeMilliseconds in common/types.h, smaller functions; closed limits are forgotten when routes change.

--- a/src/common/types.h
+++ b/src/common/types.h
@@ -54,6 +54,12 @@
 using Duration = SchedulerClock::duration;
 using TimePoint = SchedulerClock::time_point;
 
+/// Rounded towards zero, for messages and logs.
+constexpr std::int64_t wholeMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /// Milliseconds since 1970 by the wall clock: only for what people declare and read, never for leases.
 using WallTime = Strong<struct WallTimeTag, std::int64_t>;
 
--- a/src/peer/datagramsocket.h
+++ b/src/peer/datagramsocket.h
@@ -13,8 +13,8 @@
 namespace cumindyke
 {
 
-/// A UDP socket on a task's loop, for messages that tell a whole state and of which a lost one costs nothing. A gRPC call costs about 100 us
-/// of processor time at each end, a datagram about a tenth of that: with several messages a request the calls would use up an entry VM.
+/// A UDP socket on a task's loop, for messages that tell a whole state and of which a lost one costs nothing. With gRPC
+/// an entry VM used about 0.04 of a core for 500 calls a second; several messages a request would use up a VM that has 0.12 of one.
 class DatagramSocket
 {
 public:
--- a/src/proxy/fleetlimits.cpp
+++ b/src/proxy/fleetlimits.cpp
@@ -22,7 +22,7 @@
 /// their limit would be refused for seconds.
 constexpr double FirstLevel = 0.5;
 /// A larger debt is forgiven: callers below the limit would pay for seconds for what others were given by mistake. With a quarter of a second,
-/// servers that heard of each other late gave out a ninth more than a limit with a tenth and 190,000 tokens of slack, in eight seconds.
+/// servers that heard of each other late gave out almost a quarter more than the limit in eight seconds.
 constexpr double MostDebtSeconds = 1;
 
 double seconds(Duration duration)
@@ -126,6 +126,7 @@
     if (found == m_buckets.end() || found->second.rate == 0 || found->second.level.value_or(1) > 0) {
         return Duration::zero();
     }
+    // At the whole rate, since another server may hear of more VMs than this one.
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(-*found->second.level / found->second.rate));
 }
 
--- a/src/proxy/fleetlimits.h
+++ b/src/proxy/fleetlimits.h
@@ -22,7 +22,7 @@
 class FleetLimits
 {
 public:
-    /// "tolerance": may be admitted beyond each burst.
+    /// "tolerance": tokens (or requests) that may be admitted beyond each burst; the setting limit_slack.
     explicit FleetLimits(std::uint64_t tolerance)
         : m_tolerance(static_cast<double>(tolerance))
     {
@@ -42,7 +42,7 @@
     std::optional<Duration> take(const std::string &organisation, std::uint64_t cost, TimePoint now);
     /// Admitted, and refused after all for another reason.
     void giveBack(const std::string &organisation, std::uint64_t cost);
-    /// How long no request of it can pass, whatever comes.
+    /// How long no request of it can pass, unless something is given back.
     Duration closedFor(const std::string &organisation) const;
     /// What the last decision about the organisation was made from, for the log.
     std::string inputs(const std::string &organisation) const;
--- a/src/proxy/placementclient.cpp
+++ b/src/proxy/placementclient.cpp
@@ -11,18 +11,13 @@
 namespace
 {
 
-/// Five signs of life. A VM whose processor allotment is used up stands still for a tenth of a second at most.
+/// Five signs of life (PlacementServer, 30 ms apart). A VM whose CPU quota is used up stands still for a tenth of a second at most.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(150);
 /// A VM that restarted or was frozen is back in some seconds; asked sooner, each try costs a silence.
 constexpr Duration PassOver = std::chrono::seconds(3);
-/// A datagram of this many is some 10 KB; the rest is told when these have ended.
+/// At some 65 bytes an ask this is 26 KB, under half of what a datagram carries; the rest is told when these have ended.
 constexpr std::size_t MostTold = 400;
 
-std::int32_t millisecondsUntil(TimePoint then, TimePoint now)
-{
-    return static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(then - now).count());
-}
-
 std::string inputsOf(const v1::PlacementGrant &grant, const VmName &from)
 {
     return "tokens_to_read=" + std::to_string(grant.tokens_to_read()) + " in_flight=" + std::to_string(grant.in_flight())
@@ -71,7 +66,7 @@
 void PlacementClient::firstEvent(PlacementId id, Duration after)
 {
     if (const auto held = m_held.find(id); held != m_held.end()) {
-        held->second.firstEventMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(after).count()));
+        held->second.firstEventMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, wholeMilliseconds(after)));
         held->second.toldIn = 0;
     }
 }
@@ -144,8 +139,8 @@
     ask.set_service(held.wish.service.value);
     ask.set_rank(held.wish.rank);
     ask.set_prompt_tokens(held.wish.promptTokens);
-    ask.set_objective_in_ms(millisecondsUntil(held.wish.objectiveAt, now));
-    ask.set_answer_in_ms(millisecondsUntil(held.wish.answerBy, now));
+    ask.set_objective_in_ms(static_cast<std::int32_t>(wholeMilliseconds(held.wish.objectiveAt - now)));
+    ask.set_answer_in_ms(static_cast<std::int32_t>(wholeMilliseconds(held.wish.answerBy - now)));
     ask.set_draw_permille(held.wish.draw);
     ask.set_organisation(held.wish.organisation.value);
     ask.set_cost(held.wish.cost);
@@ -170,21 +165,9 @@
         m_passedOverUntil[from] = now + PassOver;
     }
     for (const v1::PlacementGrant &grant : reply.grants()) {
-        const auto held = m_held.find(PlacementId{grant.id()});
-        const Result<Address> address = parseAddress(grant.address());
-        if (held == m_held.end() || held->second.placed || !ok(address)) {
-            continue; // The caller has left, or the grant came twice.
+        if (std::optional<PlacementGranted> granted = takeGrant(from, grant)) {
+            answers.emplace_back(std::move(*granted));
         }
-        held->second.placed = true;
-        held->second.toldIn = 0;
-        held->second.upstream = InstanceName{grant.upstream()};
-        --m_waiting;
-        UpstreamInstance upstream{.name = held->second.upstream,
-                                  .service = held->second.wish.service,
-                                  .address = valueOf(address),
-                                  .dataCentre = {},
-                                  .version = VersionName{grant.version()}};
-        answers.emplace_back(PlacementGranted{.id = held->first, .upstream = std::move(upstream), .inputs = inputsOf(grant, from)});
     }
     for (const v1::PlacementRefusal &refusal : reply.refusals()) {
         const auto held = m_held.find(PlacementId{refusal.id()});
@@ -201,6 +184,25 @@
     return answers;
 }
 
+/// None: the caller has left, or the grant came twice, or its address can't be read (another version of the program sent it; the request ends at its
+/// own time limit).
+std::optional<PlacementGranted> PlacementClient::takeGrant(const VmName &from, const v1::PlacementGrant &grant)
+{
+    const auto found = m_held.find(PlacementId{grant.id()});
+    const Result<Address> address = parseAddress(grant.address());
+    if (found == m_held.end() || found->second.placed || !ok(address)) {
+        return {};
+    }
+    Held &held = found->second;
+    held.placed = true;
+    held.toldIn = 0;
+    held.upstream = InstanceName{grant.upstream()};
+    --m_waiting;
+    UpstreamInstance upstream{
+        .name = held.upstream, .service = held.wish.service, .address = valueOf(address), .dataCentre = {}, .version = VersionName{grant.version()}};
+    return PlacementGranted{.id = found->first, .upstream = std::move(upstream), .inputs = inputsOf(grant, from)};
+}
+
 bool PlacementClient::passOverSilent(TimePoint now)
 {
     const VmName &asked = server(now);
--- a/src/proxy/placementclient.h
+++ b/src/proxy/placementclient.h
@@ -5,6 +5,7 @@
 #include "placement.pb.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
@@ -16,7 +17,9 @@
 struct PlacementWish
 {
     ServiceName service;
+    /// 0 is the most urgent.
     std::uint32_t rank = 0;
+    /// 0: a plain request.
     std::uint32_t promptTokens = 0;
     /// Until when an answer is on time, and of any use.
     TimePoint objectiveAt;
@@ -24,10 +27,10 @@
     /// 0 to 999, from the request's id: which part of a rollout's split it belongs to.
     std::uint32_t draw = 0;
     std::set<InstanceName> tried;
-    /// Whose limit it is charged to, and how much; empty for a further try, and on a route that is open to all.
+    /// Whose limit it is charged to, and how many tokens (or requests); empty for a further try, and on a route that is open to all.
     OrganisationName organisation;
     std::uint64_t cost = 0;
-    /// Between events, for an answer on time; 0: none is set.
+    /// Milliseconds between events, for an answer on time; 0: none is set.
     std::uint32_t longestPauseMs = 0;
 };
 
@@ -110,6 +113,7 @@
         std::uint64_t toldIn = 0;
     };
 
+    std::optional<PlacementGranted> takeGrant(const VmName &from, const v1::PlacementGrant &grant);
     void tell(PlacementId id, const Held &held, v1::EntryState &state, TimePoint now) const;
     void forgetConfirmed();
     bool anyWaiting() const
--- a/src/proxy/placementhost.cpp
+++ b/src/proxy/placementhost.cpp
@@ -49,8 +49,7 @@
 }
 
 PlacementHost::PlacementHost(EventLoop &loop, PlacementHostOptions options)
-    : m_loop(loop)
-    , m_options(std::move(options))
+    : m_options(std::move(options))
     , m_client(m_options.vm, m_options.dataCentre, m_options.incarnation)
     , m_server(m_options.dataCentre, m_options.limitTolerance)
     , m_feed(loop, m_options.list, m_options.listInterval)
@@ -141,18 +140,26 @@
     }
     v1::PlacementDatagram datagram;
     *datagram.mutable_state() = m_client.state(now);
-    send(server, datagram);
+    send(server, std::move(datagram));
 }
 
-void PlacementHost::send(const VmName &to, const v1::PlacementDatagram &datagram)
+std::string PlacementHost::bytesOf(v1::PlacementDatagram &&datagram) const
 {
-    if (!m_socket) {
-        return;
+    datagram.set_from(m_options.vm.value);
+    return datagram.SerializeAsString();
+}
+
+/// VMs are named by their IPv4 addresses, and all use the same port.
+void PlacementHost::sendBytes(const VmName &to, const std::string &bytes)
+{
+    if (m_socket) {
+        m_socket->send(Address{.host = to.value, .port = m_options.datagrams->port}, bytes);
     }
-    v1::PlacementDatagram signedDatagram = datagram;
-    signedDatagram.set_from(m_options.vm.value);
-    // VMs are named by their IPv4 addresses, and all use the same port.
-    m_socket->send(Address{.host = to.value, .port = m_options.datagrams->port}, signedDatagram.SerializeAsString());
+}
+
+void PlacementHost::send(const VmName &to, v1::PlacementDatagram &&datagram)
+{
+    sendBytes(to, bytesOf(std::move(datagram)));
 }
 
 void PlacementHost::takeDatagram(const std::string &host, std::string_view bytes)
@@ -212,7 +219,7 @@
         reply.set_leaving(m_leaving);
         v1::PlacementDatagram datagram;
         *datagram.mutable_reply() = std::move(reply);
-        send(vm, datagram);
+        send(vm, std::move(datagram));
     }
     if (m_socket && !std::exchange(m_noticeDue, true)) {
         m_noticeTimer.startOnce(NoticeInterval);
@@ -242,8 +249,8 @@
     datagram.mutable_notice()->set_incarnation(m_options.incarnation);
     datagram.mutable_notice()->set_sequence(m_notices);
     m_server.fillNotice(*datagram.mutable_notice(), toBackups, EventLoop::now());
-    // A VM that is asked in another one's place hears of the others as often as they do: by notices for backups alone, ten times as rare, several of
-    // them together gave out twice a limit.
+    // A VM that is asked in another one's place hears of the others as often as they do: by notices for backups alone, ten times as rare, it gave
+    // out places and limits that were long gone.
     const std::vector<VmName> active = m_server.activePeers(EventLoop::now());
     std::set<VmName> receivers(active.begin(), active.end());
     for (const auto &[dataCentre, vms] : m_client.ranked()) {
@@ -251,8 +258,9 @@
         receivers.insert(vms.begin(), vms.begin() + static_cast<std::ptrdiff_t>(count));
     }
     receivers.erase(m_options.vm);
+    const std::string bytes = bytesOf(std::move(datagram));
     for (const VmName &vm : receivers) {
-        send(vm, datagram);
+        sendBytes(vm, bytes);
     }
 }
 
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -19,7 +19,7 @@
     std::uint64_t incarnation = 0;
     /// Where datagrams come in and, on other VMs, go to. Without it every VM places its own requests.
     std::optional<Address> datagrams;
-    /// Beyond the organisations' limits.
+    /// Tokens (or requests) that may be admitted beyond each organisation's limit.
     std::uint64_t limitTolerance = 0;
     InstanceListProtocol list;
     /// Between two readings of the platform's list, while this VM places requests.
@@ -34,7 +34,9 @@
     /// Error: Unavailable, when the datagrams' address can't be bound.
     static Result<std::unique_ptr<PlacementHost>> open(EventLoop &loop, PlacementHostOptions options);
 
+    /// Answered by granted or refused, unless it is ended before.
     PlacementId ask(PlacementWish wish);
+    /// See PlacementClient.
     void firstEvent(PlacementId id, Duration after);
     void ended(PlacementId id, v1::PlacementOutcome outcome, double paceMs);
     /// Emitted for what was asked for here.
@@ -61,7 +63,9 @@
     void takeDatagram(const std::string &host, std::string_view bytes);
     void takeState(const VmName &from, const v1::EntryState &state);
     void takeReply(const VmName &from, const v1::PlacementReply &reply);
-    void send(const VmName &to, const v1::PlacementDatagram &datagram);
+    void send(const VmName &to, v1::PlacementDatagram &&datagram);
+    void sendBytes(const VmName &to, const std::string &bytes);
+    std::string bytesOf(v1::PlacementDatagram &&datagram) const;
     void stateChanged();
     void sendState();
     void advanceSoon();
@@ -69,7 +73,6 @@
     void sendNotices();
     void tick();
 
-    EventLoop &m_loop;
     const PlacementHostOptions m_options;
     std::unique_ptr<DatagramSocket> m_socket;
     PlacementClient m_client;
--- a/src/proxy/placementserver.cpp
+++ b/src/proxy/placementserver.cpp
@@ -29,9 +29,10 @@
 /// Entry VMs tell their state several times a second while they have anything under way.
 constexpr Duration EntryHolds = std::chrono::milliseconds(1500);
 
-std::uint32_t wholeMilliseconds(Duration duration)
+/// As it stands in messages; nothing there is negative.
+std::uint32_t wireMilliseconds(Duration duration)
 {
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, wholeMilliseconds(duration)));
 }
 
 }
@@ -138,7 +139,7 @@
     Item &item = entry.items.emplace(id, itemOf(ask, now)).first->second;
     if (const auto wait = item.organisation.empty() ? std::nullopt : m_limits.take(item.organisation, item.cost, now)) {
         item.refusal.set_inputs(m_limits.inputs(item.organisation) + " cost=" + std::to_string(item.cost));
-        item.refusal.set_closed_ms(wholeMilliseconds(m_limits.closedFor(item.organisation)));
+        item.refusal.set_closed_ms(wireMilliseconds(m_limits.closedFor(item.organisation)));
         refuse(entry, id, item, v1::PLACEMENT_OVER_LIMIT, *wait, now);
         return;
     }
@@ -333,8 +334,8 @@
     grant.set_version(to.version.value);
     grant.set_tokens_to_read(item.tokensToRead);
     grant.set_in_flight(m_board.inFlight(to.name));
-    grant.set_predicted_ms(wholeMilliseconds(placement.predicted));
-    grant.set_list_age_ms(wholeMilliseconds(now - m_listReadAt));
+    grant.set_predicted_ms(wireMilliseconds(placement.predicted));
+    grant.set_list_age_ms(wireMilliseconds(now - m_listReadAt));
     item.grant = grant;
     *m_entries[key.vm].due.add_grants() = std::move(grant);
 }
@@ -393,7 +394,7 @@
     item.toldAt = now;
     item.refusal.set_id(id.value);
     item.refusal.set_reason(reason);
-    item.refusal.set_retry_after_ms(wholeMilliseconds(retryAfter));
+    item.refusal.set_retry_after_ms(wireMilliseconds(retryAfter));
     *entry.due.add_refusals() = item.refusal;
 }
 
--- a/src/proxy/placementserver.h
+++ b/src/proxy/placementserver.h
@@ -19,8 +19,8 @@
 /// Decides for the entry VMs of one data centre which request goes to which upstream, and when. Pure: time is an argument.
 ///
 /// Failure guarded against: entry VMs that each choose by loads some milliseconds old pick the same upstream, and a place that becomes free
-/// is taken by several at once. The symptom with 58 VMs was that engines got a sixth of their requests beyond their places, and half of all
-/// first events came late. One place where the loads meet is enough, since a sending begins only by its grant.
+/// is taken by several at once. The symptom with 58 VMs in a burst was that engines refused a sixth of their requests for want of places, and more than a
+/// third of the answers came late. One place where the loads meet is enough, since a sending begins only by its grant.
 ///
 /// All state is soft: entry VMs tell theirs whole with each datagram, so another VM takes over by being asked, without an election. Two
 /// servers at a time cost precision, never a second sending: that is the entry VM's own record (Attempts).
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -54,11 +54,6 @@
     return nullptr;
 }
 
-std::int64_t wholeMilliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 /// Between the events of a stream, or to a plain answer's end; 0 when a stream was too short to tell.
 double paceMsOf(const ProxyRequest &request, TimePoint now)
 {
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -1,9 +1,7 @@
 #include "proxy/proxytask.h"
 
-#include "common/hash.h"
 #include "common/log.h"
 
-#include <algorithm>
 #include <random>
 
 namespace cumindyke
@@ -24,7 +22,7 @@
 
 std::string milliseconds(Duration duration)
 {
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    return std::to_string(wholeMilliseconds(duration));
 }
 
 }
@@ -115,6 +113,8 @@
     if (configuration.routes && (!m_routes || &m_routes->table() != configuration.routes.get())) {
         m_routes = std::make_shared<const RouteIndex>(configuration.routes);
         m_placement->takeRoutes(*configuration.routes);
+        // Limits may have been raised.
+        m_closedLimits.clear();
         logChange("proxy", "routes-in-force", {{"version", std::to_string(configuration.routes->version())}});
     }
     std::map<std::string, v1::Rollout> rollouts;
@@ -315,7 +315,6 @@
 void ProxyTask::sendTally()
 {
     v1::EntryTally tally;
-    tally.set_sequence(++m_tallies);
     tally.set_data_centre(m_options.dataCentre.value);
     tally.set_draining(m_drain.has_value());
     for (const auto &[key, counts] : m_versions) {
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -169,7 +169,6 @@
     std::map<std::pair<std::string, std::string>, VersionCount> m_versions;
     std::map<LocalRequest, std::unique_ptr<ProxyRequest>> m_requests;
     std::uint64_t m_nextLocal = 1;
-    std::uint64_t m_tallies = 0;
     /// Ended requests: their signals may be under way, so they are destroyed from the loop.
     std::vector<std::unique_ptr<ProxyRequest>> m_ended;
     std::vector<std::shared_ptr<Exchange>> m_aborting;
