The simulation of the log in three files: what happens, the network, the checks

Change: the network and the checks are classes of their own; what is drawn comes from one SeededRandom. The order in which two arguments were drawn was the compiler's; it is written out.

--- a/tests/raft/simulation.cpp
+++ b/tests/raft/simulation.cpp
@@ -1,6 +1,7 @@
 #include "raft/simulation.h"
 
-#include "raft/history.h"
+#include "raft/simulatednetwork.h"
+#include "raft/simulationchecks.h"
 
 #include <algorithm>
 #include <set>
@@ -17,8 +18,6 @@
 constexpr Duration TickInterval = 50ms;
 constexpr Duration FaultyPart = 30s;
 constexpr Duration HealedPart = 90s;
-constexpr std::uint64_t FastDelay = 4'000;
-constexpr std::uint64_t SlowDelay = 300'000;
 constexpr std::size_t Voters = 5;
 constexpr std::size_t Vms = 7;
 constexpr SnapshotPolicy Snapshots{.every = 40, .keep = 10};
@@ -28,23 +27,6 @@
     return VmName{"vm-" + std::to_string(number)};
 }
 
-}
-
-namespace
-{
-
-struct InFlight
-{
-    TimePoint at;
-    std::uint64_t sequence;
-    v1::RaftMessage message;
-
-    bool operator>(const InFlight &other) const
-    {
-        return std::tie(at, sequence) > std::tie(other.at, other.sequence);
-    }
-};
-
 template<typename Order>
 class Simulation
 {
@@ -52,6 +34,7 @@
     Simulation(std::uint64_t seed, Planted planted)
         : m_random(seed)
         , m_planted(planted)
+        , m_network(m_random)
     {
         v1::Membership first;
         for (std::size_t i = 0; i < Voters; ++i) {
@@ -60,9 +43,9 @@
         for (std::size_t i = 0; i < Vms; ++i) {
             auto node = std::make_unique<Node>();
             node->name = vmName(i);
-            node->disk.random = &m_random;
-            node->clockOffset = Duration(static_cast<Duration::rep>(below(100'000'000)));
-            node->clockRate = 960 + static_cast<Duration::rep>(below(81));
+            node->disk.random = &m_random.generator();
+            node->clockOffset = Duration(static_cast<Duration::rep>(m_random.below(100'000'000)));
+            node->clockRate = 960 + static_cast<Duration::rep>(m_random.below(81));
             newFolder(*node, i < Voters ? first : v1::Membership{}, i < Voters);
             m_nodes.push_back(std::move(node));
         }
@@ -77,12 +60,12 @@
             runFaults();
             heal();
             runUntilConverged();
-            m_result.acknowledged = checkHistory(m_commands, m_appends, m_reads);
-            m_result.reads = m_reads.size();
+            m_result.acknowledged = m_checks.checkAll();
+            m_result.reads = m_checks.reads();
         } catch (const CheckFailed &failed) {
             m_result.fault = failed.what();
         }
-        m_result.leaders = m_leaders.size();
+        m_result.leaders = m_checks.leaders();
         return m_result;
     }
 
@@ -107,14 +90,6 @@
         std::map<Index, std::pair<Term, std::size_t>> proposed;
     };
 
-    std::uint64_t below(std::uint64_t limit)
-    {
-        return m_random() % limit;
-    }
-    bool chance(std::uint64_t inThousand)
-    {
-        return below(1000) < inThousand;
-    }
     static TimePoint localTime(const Node &node, TimePoint now)
     {
         return TimePoint(node.clockOffset + now.time_since_epoch() * node.clockRate / 1000);
@@ -124,7 +99,7 @@
     {
         auto snapshot = std::make_shared<Snapshot>();
         snapshot->membership = membership;
-        node.disk.content = Recovered{.identity = {.incarnation = m_random() | 1U, .admitted = admitted}, .vote = {}, .snapshot = snapshot};
+        node.disk.content = Recovered{.identity = {.incarnation = m_random.generator()() | 1U, .admitted = admitted}, .vote = {}, .snapshot = snapshot};
     }
 
     void start(Node &node)
@@ -149,7 +124,7 @@
         node.state.installed = [this](Index index, std::uint64_t sum) { installed(index, sum); };
         const CoreOptions options{.self = node.name, .maxBatchBytes = 64, .maxInFlight = 4, .chunkBytes = 24, .maxPromotionLag = 8};
         node.replica = std::make_unique<Replica<SimulatedDisk, SimulatedTransport, SimulatedState, Order>>(
-            options, content, m_random(), bootTime(node), Snapshots, node.disk, node.transport, node.state);
+            options, content, m_random.generator()(), bootTime(node), Snapshots, node.disk, node.transport, node.state);
         node.repair = std::make_unique<Repair>(RepairOptions{.voters = Voters, .lostAfter = 4s, .offerHolds = 3s});
         node.nextTick = m_now;
         node.heardLeader = m_now;
@@ -172,7 +147,7 @@
     /// Often so short that messages from before the crash are still on their way.
     Duration downTime()
     {
-        return Duration(static_cast<Duration::rep>(below(chance(500) ? 20'000 : 3'000'000)));
+        return Duration(static_cast<Duration::rep>(m_random.below(m_random.chance(500) ? 20'000 : 3'000'000)));
     }
 
     void flush(Node &node)
@@ -181,25 +156,13 @@
             crash(node, downTime());
             return;
         }
-        noteLeader(node);
-    }
-
-    void noteLeader(const Node &node)
-    {
-        const Core &core = node.replica->core();
-        if (core.role() != Core::Role::Leader) {
-            return;
-        }
-        const auto [known, fresh] = m_leaders.emplace(core.term(), node.name);
-        if (known->second != node.name) {
-            throw CheckFailed("two leaders in term " + std::to_string(core.term()) + ": " + known->second.value + " and " + node.name.value);
-        }
+        m_checks.leads(node.name, node.replica->core());
     }
 
     /// In slow times several replicas ask for votes at once, and some that voted restart before the other requests come.
     void crashAfterVote(const v1::RaftMessage &message)
     {
-        if (message.kind() != v1::RaftMessage::VOTE_REPLY || !message.granted() || m_delay == FastDelay || !chance(400)) {
+        if (message.kind() != v1::RaftMessage::VOTE_REPLY || !message.granted() || !m_network.isSlow() || !m_random.chance(400)) {
             return;
         }
         Node &voter = nodeOf(message.from());
@@ -210,14 +173,7 @@
     void post(v1::RaftMessage &&message)
     {
         crashAfterVote(message);
-        const int copies = m_faulty && chance(20) ? 2 : 1;
-        for (int copy = 0; copy < copies; ++copy) {
-            if (m_faulty && chance(m_lossInThousand)) {
-                continue;
-            }
-            const std::uint64_t late = !m_faulty || chance(960) ? m_delay : chance(700) ? 400'000 : 3'000'000;
-            m_network.push(InFlight{.at = m_now + Duration(static_cast<Duration::rep>(500 + below(late))), .sequence = ++m_sequence, .message = message});
-        }
+        m_network.post(message, m_now);
     }
 
     Node &nodeOf(const std::string &name)
@@ -228,14 +184,12 @@
     void deliverDue()
     {
         std::set<Node *> touched;
-        while (!m_network.empty() && m_network.top().at <= m_now) {
-            const v1::RaftMessage message = m_network.top().message;
-            m_network.pop();
-            Node &to = nodeOf(message.to());
-            if (!to.replica || m_blocked.contains({message.from(), message.to()})) {
+        while (const std::optional<v1::RaftMessage> message = m_network.arrived(m_now)) {
+            Node &to = nodeOf(message->to());
+            if (!to.replica) {
                 continue;
             }
-            to.replica->core().step(message, localTime(to, m_now));
+            to.replica->core().step(*message, localTime(to, m_now));
             touched.insert(&to);
         }
         // In the order of the VMs, not of their addresses in memory: the same seed gives the same history.
@@ -266,7 +220,7 @@
     void offer(const Node &node)
     {
         for (const auto &other : m_nodes) {
-            if (other->replica && !m_blocked.contains({node.name.value, other->name.value})) {
+            if (other->replica && !m_network.isBlocked(node.name, other->name)) {
                 other->repair->offered(node.name, node.disk.content.identity.incarnation, localTime(*other, m_now));
             }
         }
@@ -291,40 +245,37 @@
 
     void clientStep()
     {
-        Node &node = *m_nodes[below(m_nodes.size())];
+        Node &node = *m_nodes[m_random.below(m_nodes.size())];
         if (!node.replica || node.replica->core().role() != Core::Role::Leader) {
             return;
         }
         const TimePoint now = localTime(node, m_now);
-        if (chance(400)) {
+        if (m_random.chance(400)) {
             if (node.replica->readable(now)) {
-                m_reads.push_back(ClientRead{.at = m_now, .index = node.replica->applied()});
+                m_checks.read(node.replica->applied(), m_now);
             }
             return;
         }
-        const std::size_t id = m_appends.size();
-        const std::string command = "command-" + std::to_string(id);
+        const std::string command = "command-" + std::to_string(m_checks.appends());
         const auto index = node.replica->core().propose(command);
         if (!index) {
             return;
         }
-        m_appends.push_back(ClientAppend{.command = command, .invoked = m_now, .acknowledged = {}});
-        node.proposed[*index] = {node.replica->core().term(), id};
-        if (chance(500)) {
+        node.proposed[*index] = {node.replica->core().term(), m_checks.invoked(command, m_now)};
+        if (m_random.chance(500)) {
             flush(node);
         }
     }
 
     void applied(Node &node, const v1::LogEntry &entry, std::uint64_t sum)
     {
-        checkSum(entry.index(), sum);
-        m_commands.emplace(entry.index(), entry.command());
+        m_checks.applied(entry, sum);
         const auto mine = node.proposed.find(entry.index());
         if (mine == node.proposed.end()) {
             return;
         }
         if (mine->second.first == entry.term()) {
-            m_appends[mine->second.second].acknowledged = m_now;
+            m_checks.acknowledged(mine->second.second, m_now);
         }
         node.proposed.erase(mine);
     }
@@ -332,31 +283,23 @@
     void installed(Index index, std::uint64_t sum)
     {
         ++m_result.installs;
-        checkSum(index, sum);
-    }
-
-    /// Every replica that applied up to an index must hold the same state there.
-    void checkSum(Index index, std::uint64_t sum)
-    {
-        if (m_sums.emplace(index, sum).first->second != sum) {
-            throw CheckFailed("replicas differ at index " + std::to_string(index));
-        }
+        m_checks.holds(index, sum);
     }
 
     void fault()
     {
-        Node &node = *m_nodes[below(m_nodes.size())];
-        const std::uint64_t kind = below(20);
+        Node &node = *m_nodes[m_random.below(m_nodes.size())];
+        const std::uint64_t kind = m_random.below(20);
         if (kind < 4 && node.replica) {
             crash(node, downTime());
         } else if (kind < 8) {
             node.disk.crashInNextSync = node.replica != nullptr;
         } else if (kind < 10) {
-            cutOff(node, true, true);
+            m_network.cutOff(node.name, names(), true, true);
         } else if (kind < 12) {
-            cutOff(node, chance(500), chance(500));
+            cutOffPartly(node);
         } else if (kind < 14) {
-            split();
+            m_network.split(names());
         } else if (kind < 16) {
             wipe(node);
         } else if (kind < 17 && node.replica && allUp()) {
@@ -379,34 +322,27 @@
             const bool leads = node->replica->core().role() == Core::Role::Leader;
             node->disk.crashInNextSync = !leads;
             if (leads) {
-                node->crashAt = m_now + Duration(static_cast<Duration::rep>(below(100'000)));
+                node->crashAt = m_now + Duration(static_cast<Duration::rep>(m_random.below(100'000)));
                 node->downFor = 4s;
             }
         }
     }
 
-    void cutOff(const Node &node, bool in, bool out)
+    void cutOffPartly(const Node &node)
     {
-        for (const auto &other : m_nodes) {
-            if (out) {
-                m_blocked.insert({node.name.value, other->name.value});
-            }
-            if (in) {
-                m_blocked.insert({other->name.value, node.name.value});
-            }
-        }
+        // The compiler may evaluate arguments in any order; the history may not depend on it.
+        const bool out = m_random.chance(500);
+        const bool in = m_random.chance(500);
+        m_network.cutOff(node.name, names(), in, out);
     }
 
-    void split()
+    std::vector<VmName> names() const
     {
-        const std::uint64_t sides = m_random();
-        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-            for (std::size_t j = 0; j < m_nodes.size(); ++j) {
-                if (((sides >> i) & 1U) != ((sides >> j) & 1U)) {
-                    m_blocked.insert({vmName(i).value, vmName(j).value});
-                }
-            }
+        std::vector<VmName> names;
+        for (const auto &node : m_nodes) {
+            names.push_back(node->name);
         }
+        return names;
     }
 
     bool allUp() const
@@ -423,8 +359,8 @@
         if (repairing || !allUp()) {
             return;
         }
-        if (chance(500)) {
-            split();
+        if (m_random.chance(500)) {
+            m_network.split(names());
         }
         newFolder(node, v1::Membership{}, m_planted == Planted::WipeKeepsVoting);
         crash(node, downTime());
@@ -451,20 +387,16 @@
 
     void runFaults()
     {
-        m_faulty = true;
+        m_network.setFaulty(true);
         TimePoint nextFault = m_now + 2s;
         while (m_now < TimePoint(FaultyPart)) {
             step();
             if (m_now >= nextFault) {
-                nextFault = m_now + Duration(static_cast<Duration::rep>(below(1'500'000)));
-                m_lossInThousand = chance(300) ? 100 : 5;
-                m_delay = chance(200) ? SlowDelay : FastDelay;
-                if (chance(400)) {
-                    m_blocked.clear();
-                }
+                nextFault = m_now + Duration(static_cast<Duration::rep>(m_random.below(1'500'000)));
+                m_network.turn();
                 fault();
             }
-            if (chance(100)) {
+            if (m_random.chance(100)) {
                 clientStep();
             }
         }
@@ -472,9 +404,7 @@
 
     void heal()
     {
-        m_faulty = false;
-        m_delay = FastDelay;
-        m_blocked.clear();
+        m_network.setFaulty(false);
         for (const auto &node : m_nodes) {
             node->disk.crashInNextSync = false;
             node->startAt = std::min(node->startAt, m_now);
@@ -524,7 +454,7 @@
     bool converged()
     {
         for (const auto &node : m_nodes) {
-            if (!node->replica || !node->replica->readable(localTime(*node, m_now)) || m_appends.empty() || !m_appends.back().acknowledged) {
+            if (!node->replica || !node->replica->readable(localTime(*node, m_now)) || !m_checks.lastIsAcknowledged()) {
                 continue;
             }
             const Core &core = node->replica->core();
@@ -537,22 +467,12 @@
         return false;
     }
 
-    std::mt19937_64 m_random;
+    SeededRandom m_random;
     const Planted m_planted;
     TimePoint m_now{};
-    bool m_faulty = false;
-    std::uint64_t m_lossInThousand = 5;
-    /// Microseconds.
-    std::uint64_t m_delay = FastDelay;
+    SimulatedNetwork m_network;
     std::vector<std::unique_ptr<Node>> m_nodes;
-    std::priority_queue<InFlight, std::vector<InFlight>, std::greater<>> m_network;
-    std::uint64_t m_sequence = 0;
-    std::set<std::pair<std::string, std::string>> m_blocked;
-    std::map<Term, VmName> m_leaders;
-    std::map<Index, std::uint64_t> m_sums;
-    std::map<Index, std::string> m_commands;
-    std::vector<ClientAppend> m_appends;
-    std::vector<ClientRead> m_reads;
+    SimulationChecks m_checks;
     SimulationResult m_result;
 };
 
