Histories in which most replicas restart at once, and a planted promise that a restart forgets

Cause: the quick election after a common restart rests on an argument, that no leader is left when every other voter says that it does not lead; the seeded histories held no common restart, so they hardly tried it.

Change: Faults::CommonRestarts: four faults in ten restart all replicas within 0.3 s, or all but one, mostly the leader, which is cut off and may go on reading. A planted fault, the promise forgotten, shows that the check sees stale reads. The usual histories draw as before.

--- a/tests/raft/historytest.cpp
+++ b/tests/raft/historytest.cpp
@@ -23,12 +23,12 @@
 /// What the callers see: commands are answered, then replicas crash in the middle of a sync, lose data folders, are cut off one way or
 /// both, messages are lost, repeated and late, and leaders hand over. No acknowledged command may be lost or run twice, no term may have
 /// two leaders, replicas must hold the same state at the same index, and reads must see all that was acknowledged before.
-void runSeeds(std::uint64_t part)
+void runSeeds(std::uint64_t part, Faults faults = Faults::Usual)
 {
     SimulationResult sum;
     for (std::uint64_t i = 0; i < SeedsPerCase; ++i) {
         const std::uint64_t seed = firstSeed() + part * SeedsPerCase + i;
-        const SimulationResult result = simulate(seed);
+        const SimulationResult result = simulate(seed, Planted::Nothing, faults);
         INFO("seed " << seed);
         CHECK_THAT(result.fault, Catch::Matchers::Equals(""));
         sum.acknowledged += result.acknowledged;
@@ -49,11 +49,11 @@
 
 /// The number of seeds, of the first ones, whose checks fail.
 template<typename Order>
-std::size_t faultsFound(Planted planted)
+std::size_t faultsFound(Planted planted, Faults faults = Faults::Usual)
 {
     std::size_t found = 0;
     for (std::uint64_t seed = 1; seed <= PlantedSeeds; ++seed) {
-        found += simulate<Order>(seed, planted).fault.empty() ? 0 : 1;
+        found += simulate<Order>(seed, planted, faults).fault.empty() ? 0 : 1;
     }
     WARN(found << " of " << PlantedSeeds << " seeds found it");
     return found;
@@ -116,3 +116,16 @@
 {
     CHECK(faultsFound<SyncThenPromise>(Planted::WipeKeepsVoting) > 0);
 }
+
+// What callers would see: a key that was taken away goes on working. Replicas that restarted together elect a leader at once when all say that
+// they don't lead; one that is cut off meanwhile says nothing, and may still answer reads.
+TEST_CASE("seeded histories with common restarts")
+{
+    runSeeds(0, Faults::CommonRestarts);
+    runSeeds(1, Faults::CommonRestarts);
+}
+
+TEST_CASE("the histories find a promise that a restart forgets")
+{
+    CHECK(faultsFound<SyncThenPromise>(Planted::ForgetPromise, Faults::CommonRestarts) > 0);
+}
--- a/tests/raft/simulation.cpp
+++ b/tests/raft/simulation.cpp
@@ -31,9 +31,10 @@
 class Simulation
 {
 public:
-    Simulation(std::uint64_t seed, Planted planted)
+    Simulation(std::uint64_t seed, Planted planted, Faults faults)
         : m_random(seed)
         , m_planted(planted)
+        , m_faults(faults)
         , m_network(m_random)
     {
         v1::Membership first;
@@ -133,7 +134,7 @@
     TimePoint bootTime(const Node &node) const
     {
         const TimePoint now = localTime(node, m_now);
-        return m_planted == Planted::ForgetVote ? now - 10s : now;
+        return m_planted == Planted::ForgetVote || m_planted == Planted::ForgetPromise ? now - 10s : now;
     }
 
     void crash(Node &node, Duration downFor)
@@ -288,6 +289,10 @@
 
     void fault()
     {
+        if (m_faults == Faults::CommonRestarts && m_random.chance(400)) {
+            commonRestart();
+            return;
+        }
         Node &node = *m_nodes[m_random.below(m_nodes.size())];
         const std::uint64_t kind = m_random.below(20);
         if (kind < 4 && node.replica) {
@@ -311,6 +316,26 @@
         }
     }
 
+    /// All restart at once, or all but one, which is cut off: if it leads, it reads under what the others promised before they restarted.
+    void commonRestart()
+    {
+        const bool allRestart = m_random.chance(400);
+        const bool sparesLeader = m_random.chance(700);
+        const Node *spared = allRestart ? nullptr : m_nodes[m_random.below(m_nodes.size())].get();
+        for (const auto &node : m_nodes) {
+            const bool leads = node->replica && node->replica->core().role() == Core::Role::Leader;
+            spared = spared && sparesLeader && leads ? node.get() : spared;
+        }
+        for (const auto &node : m_nodes) {
+            if (node.get() != spared) {
+                crash(*node, Duration(static_cast<Duration::rep>(m_random.below(300'000))));
+            }
+        }
+        if (spared) {
+            m_network.cutOff(spared->name, names(), true, true);
+        }
+    }
+
     /// All but the leader fail in their next sync; the leader a moment later, and it stays away longer. What it acknowledged
     /// meanwhile must be on the others' disks.
     void powerFailure()
@@ -469,6 +494,7 @@
 
     SeededRandom m_random;
     const Planted m_planted;
+    const Faults m_faults;
     TimePoint m_now{};
     SimulatedNetwork m_network;
     std::vector<std::unique_ptr<Node>> m_nodes;
@@ -479,12 +505,12 @@
 }
 
 template<typename Order>
-SimulationResult simulate(std::uint64_t seed, Planted planted)
+SimulationResult simulate(std::uint64_t seed, Planted planted, Faults faults)
 {
-    return Simulation<Order>(seed, planted).run();
+    return Simulation<Order>(seed, planted, faults).run();
 }
 
-template SimulationResult simulate<SyncThenPromise>(std::uint64_t seed, Planted planted);
-template SimulationResult simulate<PromiseThenSync>(std::uint64_t seed, Planted planted);
+template SimulationResult simulate<SyncThenPromise>(std::uint64_t seed, Planted planted, Faults faults);
+template SimulationResult simulate<PromiseThenSync>(std::uint64_t seed, Planted planted, Faults faults);
 
 }
--- a/tests/raft/simulation.h
+++ b/tests/raft/simulation.h
@@ -59,6 +59,7 @@
 enum class Planted {
     Nothing,
     ForgetVote, ///< a restart loses the vote, and the promise to vote for nobody while a leader may live
+    ForgetPromise, ///< a restart ends the promise to vote for nobody while a leader may live
     WipeKeepsVoting, ///< a replica with a new data folder votes as if it were the old one
 };
 
@@ -73,17 +74,24 @@
     std::size_t installs = 0;
 };
 
+/// Which faults a history is made of.
+enum class Faults {
+    Usual,
+    /// Besides, most replicas restart at the same moment, often while the one that is spared is cut off and may still lead.
+    CommonRestarts,
+};
+
 /// Runs one history: faults for half a minute, then a healed network, then the checks.
 template<typename Order = SyncThenPromise>
-SimulationResult simulate(std::uint64_t seed, Planted planted = Planted::Nothing);
+SimulationResult simulate(std::uint64_t seed, Planted planted = Planted::Nothing, Faults faults = Faults::Usual);
 
-extern template SimulationResult simulate<SyncThenPromise>(std::uint64_t seed, Planted planted);
+extern template SimulationResult simulate<SyncThenPromise>(std::uint64_t seed, Planted planted, Faults faults);
 
 /// The planted fault of acknowledging before the sync.
 struct PromiseThenSync
 {
     static constexpr bool PromiseBeforeSync = true;
 };
-extern template SimulationResult simulate<PromiseThenSync>(std::uint64_t seed, Planted planted);
+extern template SimulationResult simulate<PromiseThenSync>(std::uint64_t seed, Planted planted, Faults faults);
 
 }
