A VM that shuts down sends its callers on without a wait

The other VMs had places. Ruled out: serving on until the end of the grace (answers of up to 15 s would be cut). Change: Retry-After 0 while the VM drains; 0.5 s stays where no VM has a configuration in force.

--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -178,7 +178,9 @@
 {
     const char *why = m_drain ? "this VM shuts down: try another" : "this VM has no configuration in force: try another";
     const RequestId id{exchange.header(m_options.headers.requestId.c_str())};
-    refuse(exchange, id, Refusal{.error = Error{ErrorKind::Unavailable, why}, .retryAfter = RetryAfterUnready});
+    // The other VMs go on while this one shuts down: a wait would only make the answer late.
+    const Duration retryAfter = m_drain ? Duration::zero() : RetryAfterUnready;
+    refuse(exchange, id, Refusal{.error = Error{ErrorKind::Unavailable, why}, .retryAfter = retryAfter});
 }
 
 /// A process that has just started has its first lease within some tenths of a second. When all of them start at once, a refusal would
