--- a/src/bench/benchcommand.cpp
+++ b/src/bench/benchcommand.cpp
@@ -2,6 +2,7 @@
 
 #include "bench/loadrun.h"
 #include "bench/movereport.h"
+#include "bench/placementrig.h"
 #include "bench/report.h"
 #include "common/hash.h"
 
@@ -71,7 +72,7 @@
 cxxopts::Options makeParser()
 {
     cxxopts::Options parser("cumindyke-bench", "Measures cumindyke's decisions in virtual time, and drives a running daemon.");
-    parser.positional_help("list | run NAME|FILE.toml | signature | load URL");
+    parser.positional_help("list | run NAME|FILE.toml | placement NAME|FILE.toml | signature | load URL");
     // clang-format off
     parser.add_options()
         ("command", "", cxxopts::value<std::string>()->default_value(""))
@@ -122,6 +123,18 @@
     return 0;
 }
 
+int playLoad(const Options &options, std::ostream &out, std::ostream &err)
+{
+    const bool isFile = options.target.ends_with(".toml");
+    const Result<PlacementLoad> load = readPlacementLoad(isFile ? options.target : options.folder + "/placement/" + options.target + ".toml");
+    if (!ok(load)) {
+        err << "cumindyke-bench: " << errorOf(load).message << "\n";
+        return Failed;
+    }
+    printPlacement(out, valueOf(load), options.firstSeed, options.lastSeed);
+    return 0;
+}
+
 int listAll(const Options &options, std::ostream &out, std::ostream &err)
 {
     const auto names = listScenarios(options.folder);
@@ -221,6 +234,9 @@
     if (options.command == "run" && !options.target.empty()) {
         return runScenario(options, out, err);
     }
+    if (options.command == "placement" && !options.target.empty()) {
+        return playLoad(options, out, err);
+    }
     if (options.command == "signature") {
         return printSignature(options, out, err);
     }
--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -18,6 +18,10 @@
 constexpr Duration DepartureLimit = std::chrono::seconds(2);
 /// For calls of operators that are under way when the process is told to end.
 constexpr Duration LastAnswers = std::chrono::milliseconds(500);
+/// After a common restart the first lease names only the VMs that beat before this one. Until the next beat each VM placed its own requests by itself, all at
+/// the same upstreams: so the first beats follow each other soon.
+constexpr int SettlingBeats = 2;
+constexpr Duration SettlingInterval = std::chrono::milliseconds(80);
 /// Without an answer of the leader for this long, more than the beats are apart, another VM is asked who leads.
 constexpr Duration LeaderSilence = std::chrono::milliseconds(700);
 /// While nobody answered, the next one is asked this much later: several round trips, and short against the lease.
@@ -327,7 +331,8 @@
 
 void ControlTask::beat(TimePoint now)
 {
-    m_nextBeat = now + BeatInterval;
+    m_nextBeat = now + (m_settlingBeats > 0 ? SettlingInterval : BeatInterval);
+    m_settlingBeats = std::max(0, m_settlingBeats - 1);
     v1::Envelope envelope;
     *envelope.mutable_config_heartbeat() = m_follower.beat(now);
     if (m_tally) {
@@ -390,6 +395,8 @@
     }
     if (!m_hadLease) {
         m_hadLease = true;
+        m_settlingBeats = SettlingBeats;
+        m_nextBeat = std::min(m_nextBeat, now + SettlingInterval);
         logChange("control", "lease-granted", {{"by", from.value}, {"version", std::to_string(m_follower.version())}});
     }
     m_configurationChanged.emit(configuration());
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -220,6 +220,8 @@
     /// A hint was followed since another candidate was asked, or since the last lease.
     bool m_hintFollowed = false;
     bool m_hadLease = false;
+    /// Beats that still follow soon on each other.
+    int m_settlingBeats = 0;
     std::function<void()> m_left;
     TimePoint m_leaveBy{};
     std::optional<v1::EntryTally> m_tally;
--- a/src/proxy/enginepace.cpp
+++ b/src/placement/enginepace.cpp
@@ -1,4 +1,4 @@
-#include "proxy/enginepace.h"
+#include "placement/enginepace.h"
 
 #include <algorithm>
 
--- a/src/proxy/fleetlimits.cpp
+++ b/src/placement/fleetlimits.cpp
@@ -1,4 +1,4 @@
-#include "proxy/fleetlimits.h"
+#include "placement/fleetlimits.h"
 
 #include <algorithm>
 #include <cmath>
@@ -18,6 +18,10 @@
 constexpr Duration LongestWait = std::chrono::seconds(5);
 /// While several times the limit is asked for, most of those that come back at once are refused again: they are sent away for longer.
 constexpr std::chrono::duration<double> WaitPerOverload{0.1};
+/// How much of the more urgent demand is left to it: what comes within the time that a refusal of it would last.
+constexpr double ReserveSeconds = 0.2;
+/// Of the tokens of a second.
+constexpr double SmallPart = 0.01;
 /// A server that begins knows nothing of what was admitted just before: half of the burst may be spent twice then. With less, callers near
 /// their limit would be refused for seconds.
 constexpr double FirstLevel = 0.5;
@@ -53,8 +57,9 @@
 void FleetLimits::setCoverage(double coverage, TimePoint now)
 {
     const double next = std::clamp(coverage, 0.0, 1.0);
-    // With nobody left to admit anything there is nothing to take from.
-    if (next > 0 && next < m_coverage) {
+    // With nobody left to admit anything there is nothing to take from. What a smaller part takes with it comes back with a larger one: a server that began
+    // with its first entry VM would refuse for seconds what belongs to the others' parts.
+    if (next > 0 && m_coverage > 0 && next != m_coverage) {
         for (auto &[name, bucket] : m_buckets) {
             fill(bucket, now);
             if (bucket.level && *bucket.level > 0) {
@@ -82,14 +87,33 @@
     bucket.level = std::max(*bucket.level - static_cast<double>(cost), -MostDebtSeconds * bucket.rate);
 }
 
-void FleetLimits::noteAsked(Bucket &bucket, double cost, TimePoint now)
+void FleetLimits::Demand::add(double cost, TimePoint now)
 {
-    const double kept = std::exp(-seconds(now - bucket.askedAt) / DemandWindow.count());
-    bucket.askedPerSecond = bucket.askedPerSecond * kept + cost / DemandWindow.count();
-    bucket.askedAt = now;
+    perSecond = value(now) + cost / DemandWindow.count();
+    at = now;
 }
 
-std::optional<Duration> FleetLimits::take(const std::string &organisation, std::uint64_t cost, TimePoint now)
+double FleetLimits::Demand::value(TimePoint now) const
+{
+    return perSecond * std::exp(-seconds(now - at) / DemandWindow.count());
+}
+
+/// An organisation over its limit takes whatever comes in the moment it comes, so that urgent requests are refused for what routine ones have just taken.
+/// What more urgent ones ask for in a moment is left to them. A request that is small beside the limit costs them nothing.
+double FleetLimits::reserve(const Bucket &bucket, std::uint64_t cost, WaitingRank rank, TimePoint now) const
+{
+    const bool within = bucket.asked.value(now) <= m_coverage * bucket.rate;
+    if (within || static_cast<double>(cost) < SmallPart * bucket.rate) {
+        return 0;
+    }
+    double moreUrgent = 0;
+    for (const auto &[other, demand] : bucket.askedByRank) {
+        moreUrgent += other < rank ? demand.value(now) : 0;
+    }
+    return ReserveSeconds * moreUrgent;
+}
+
+std::optional<Duration> FleetLimits::take(const std::string &organisation, std::uint64_t cost, WaitingRank rank, TimePoint now)
 {
     const auto found = m_buckets.find(organisation);
     if (found == m_buckets.end() || found->second.rate == 0) {
@@ -97,16 +121,18 @@
     }
     Bucket &bucket = found->second;
     fill(bucket, now);
-    noteAsked(bucket, static_cast<double>(cost), now);
+    bucket.asked.add(static_cast<double>(cost), now);
+    bucket.askedByRank[rank].add(static_cast<double>(cost), now);
+    const double kept = reserve(bucket, cost, rank, now);
     // A request may take the level below zero: one that is larger than the whole burst would never pass otherwise.
-    if (*bucket.level > 0) {
+    if (*bucket.level > kept) {
         bucket.admitted += static_cast<std::int64_t>(cost);
         charge(bucket, static_cast<std::int64_t>(cost));
         return {};
     }
     const double share = std::max(m_coverage, 0.01) * bucket.rate;
-    const double overload = std::max(0.0, bucket.askedPerSecond / share - 1);
-    const std::chrono::duration<double> wait(-*bucket.level / share + overload * WaitPerOverload.count());
+    const double overload = std::max(0.0, bucket.asked.value(now) / share - 1);
+    const std::chrono::duration<double> wait((kept - *bucket.level) / share + overload * WaitPerOverload.count());
     return std::clamp(std::chrono::duration_cast<Duration>(wait), ShortestWait, LongestWait);
 }
 
@@ -139,7 +165,7 @@
     const Bucket &bucket = found->second;
     const auto whole = [](double value) { return std::to_string(static_cast<std::int64_t>(value)); };
     return "organisation=" + organisation + " level=" + whole(bucket.level.value_or(0)) + " rate=" + whole(bucket.rate)
-        + " asked_per_s=" + whole(bucket.askedPerSecond) + " coverage=" + std::to_string(m_coverage);
+        + " asked_per_s=" + whole(bucket.asked.perSecond) + " coverage=" + std::to_string(m_coverage);
 }
 
 void FleetLimits::takeNotice(const VmName &from, const v1::LoadNotice &notice, bool adopt, TimePoint now)
@@ -172,7 +198,7 @@
         const std::int64_t grown = isNew ? 0 : spend.admitted() - counted;
         fill(bucket, now);
         charge(bucket, grown);
-        noteAsked(bucket, static_cast<double>(std::max<std::int64_t>(grown, 0)), now);
+        bucket.asked.add(static_cast<double>(std::max<std::int64_t>(grown, 0)), now);
     }
 }
 
--- a/src/proxy/fleetlimits.h
+++ b/src/placement/fleetlimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/types.h"
+#include "placement/waitingline.h"
 
 #include "routing.pb.h"
 
@@ -38,8 +39,9 @@
     /// For notices: all that was admitted here, and the levels if the receiver may have to go on from them.
     void fillNotice(v1::LoadNotice &notice, bool withLevels, TimePoint now) const;
 
-    /// Admits the cost. None: admitted; otherwise how long until a request like it is likely to pass.
-    std::optional<Duration> take(const std::string &organisation, std::uint64_t cost, TimePoint now);
+    /// Admits the cost. None: admitted; otherwise how long until a request like it is likely to pass. While an organisation asks for more than its limit,
+    /// requests of lower ranks leave a reserve to the more urgent ones.
+    std::optional<Duration> take(const std::string &organisation, std::uint64_t cost, WaitingRank rank, TimePoint now);
     /// Admitted, and refused after all for another reason.
     void giveBack(const std::string &organisation, std::uint64_t cost);
     /// How long no request of it can pass, unless something is given back.
@@ -48,6 +50,15 @@
     std::string inputs(const std::string &organisation) const;
 
 private:
+    /// What is asked for a second, averaged over some seconds.
+    struct Demand
+    {
+        double perSecond = 0;
+        TimePoint at;
+
+        void add(double cost, TimePoint now);
+        double value(TimePoint now) const;
+    };
     struct Bucket
     {
         /// None: no limit.
@@ -57,9 +68,10 @@
         TimePoint filledAt;
         /// Admitted here since the start of the process.
         std::int64_t admitted = 0;
-        /// Asked for here and elsewhere, a second; averaged over some seconds.
-        double askedPerSecond = 0;
-        TimePoint askedAt;
+        /// Here and elsewhere.
+        Demand asked;
+        /// Here.
+        std::map<WaitingRank, Demand> askedByRank;
     };
     struct Peer
     {
@@ -70,7 +82,7 @@
 
     void fill(Bucket &bucket, TimePoint now) const;
     static void charge(Bucket &bucket, std::int64_t cost);
-    static void noteAsked(Bucket &bucket, double cost, TimePoint now);
+    double reserve(const Bucket &bucket, std::uint64_t cost, WaitingRank rank, TimePoint now) const;
 
     const double m_tolerance;
     double m_coverage = 0;
--- a/src/proxy/placementclient.cpp
+++ b/src/placement/placementclient.cpp
@@ -1,4 +1,4 @@
-#include "proxy/placementclient.h"
+#include "placement/placementclient.h"
 
 #include "common/address.h"
 #include "common/hash.h"
@@ -71,7 +71,15 @@
     }
 }
 
-void PlacementClient::ended(PlacementId id, v1::PlacementOutcome outcome, double paceMs)
+void PlacementClient::firstEvents(PlacementId id, double paceMs)
+{
+    if (const auto held = m_held.find(id); held != m_held.end()) {
+        held->second.earlyPaceMs = paceMs;
+        held->second.toldIn = 0;
+    }
+}
+
+void PlacementClient::ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace)
 {
     const auto held = m_held.find(id);
     if (held == m_held.end()) {
@@ -82,7 +90,8 @@
         ended.set_id(id.value);
         ended.set_upstream(held->second.upstream.value);
         ended.set_outcome(outcome);
-        ended.set_pace_ms(paceMs);
+        ended.set_pace_ms(pace.meanMs);
+        ended.set_longest_pause_ms(pace.longestMs);
     } else {
         --m_waiting;
     }
@@ -115,6 +124,15 @@
     return state;
 }
 
+v1::EntryState PlacementClient::farewell()
+{
+    v1::EntryState state;
+    state.set_incarnation(m_incarnation);
+    state.set_sequence(++m_states);
+    state.set_leaves(true);
+    return state;
+}
+
 /// Another server, or another process of it, is told everything.
 void PlacementClient::forgetConfirmed()
 {
@@ -132,6 +150,7 @@
         placed.set_upstream(held.upstream.value);
         placed.set_prompt_tokens(held.wish.promptTokens);
         placed.set_first_event_ms(held.firstEventMs);
+        placed.set_early_pace_ms(held.earlyPaceMs);
         return;
     }
     v1::PlacementAsk &ask = *state.add_asks();
@@ -145,6 +164,7 @@
     ask.set_organisation(held.wish.organisation.value);
     ask.set_cost(held.wish.cost);
     ask.set_longest_pause_ms(held.wish.longestPauseMs);
+    ask.set_expected_events(held.wish.expectedEvents);
     for (const InstanceName &tried : held.wish.tried) {
         ask.add_tried(tried.value);
     }
@@ -200,7 +220,7 @@
     --m_waiting;
     UpstreamInstance upstream{
         .name = held.upstream, .service = held.wish.service, .address = valueOf(address), .dataCentre = {}, .version = VersionName{grant.version()}};
-    return PlacementGranted{.id = found->first, .upstream = std::move(upstream), .inputs = inputsOf(grant, from)};
+    return PlacementGranted{.id = found->first, .upstream = std::move(upstream), .inputs = inputsOf(grant, from), .paceWanted = grant.pace_wanted()};
 }
 
 bool PlacementClient::passOverSilent(TimePoint now)
--- a/src/proxy/placementclient.h
+++ b/src/placement/placementclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "proxy/proxytypes.h"
+#include "placement/placementtypes.h"
 
 #include "placement.pb.h"
 
@@ -32,6 +32,17 @@
     std::uint64_t cost = 0;
     /// Milliseconds between events, for an answer on time; 0: none is set.
     std::uint32_t longestPauseMs = 0;
+    /// Events that the answer is likely to have; 0: not known.
+    std::uint32_t expectedEvents = 0;
+};
+
+/// How an upstream worked on a request, as far as its answer showed it.
+struct AnswerPace
+{
+    /// Milliseconds between events of a stream, or to a plain answer's end; 0: not measured.
+    double meanMs = 0;
+    /// Milliseconds of the longest pause between two events; 0: not measured.
+    std::uint32_t longestMs = 0;
 };
 
 /// The request may be sent to this upstream, now.
@@ -41,6 +52,8 @@
     UpstreamInstance upstream;
     /// What the choice was made from, for the log.
     std::string inputs;
+    /// See PlacementClient::firstEvents.
+    bool paceWanted = false;
 };
 
 /// There was no room in time, or the organisation's limit is reached.
@@ -83,11 +96,15 @@
     PlacementId ask(PlacementWish wish, TimePoint now);
     /// It was granted, and its first event came so long after the sending.
     void firstEvent(PlacementId id, Duration after);
-    /// The sending ended, or the request needs none any more. "paceMs": see EndedRequest.
-    void ended(PlacementId id, v1::PlacementOutcome outcome, double paceMs);
+    /// Milliseconds between its first events, where the grant asked for that.
+    void firstEvents(PlacementId id, double paceMs);
+    /// The sending ended, or the request needs none any more.
+    void ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace);
 
     /// Everything, for the server; the ends since the last call.
     v1::EntryState state(TimePoint now);
+    /// For a server that is asked no more.
+    v1::EntryState farewell();
     /// Answers of the VM that is asked now; others are ignored, so that its count of what it gave out stays right.
     std::vector<PlacementAnswer> takeReply(const VmName &from, const v1::PlacementReply &reply, TimePoint now);
     /// True when the server has been silent for too long and another one is to be asked.
@@ -109,6 +126,7 @@
         bool placed = false;
         InstanceName upstream;
         std::uint32_t firstEventMs = 0;
+        double earlyPaceMs = 0;
         /// The first state that told it as it is; 0: none yet.
         std::uint64_t toldIn = 0;
     };
--- a/src/proxy/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -1,7 +1,6 @@
-#include "proxy/placementserver.h"
+#include "placement/placementserver.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace cumindyke
 {
@@ -11,11 +10,10 @@
 
 /// What an answer takes at least while nothing was learned.
 constexpr Duration LeastAnswerTime = std::chrono::milliseconds(50);
-/// A request that can't be on time any more still waits for any place this long: a late answer is worth more to its caller than a refusal
-/// after which it asks again.
-constexpr Duration LateWait = std::chrono::milliseconds(800);
+/// Every request waits for a place for at least this part of its objective.
+constexpr int FairTryPart = 2;
 constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(500);
-constexpr Duration LongestRetryAfter = std::chrono::seconds(3);
+constexpr Duration LongestRetryAfter = std::chrono::seconds(5);
 /// Without a refusal for this long an overload is over.
 constexpr Duration OverloadEnds = std::chrono::seconds(1);
 /// The list is read every second; an attempt that fails takes less than another.
@@ -27,7 +25,19 @@
 /// Notices come every 30 ms. One that is silent for so long is cut off, or goes on under its own part of the limits.
 constexpr Duration PeerHolds = std::chrono::milliseconds(400);
 /// Entry VMs tell their state several times a second while they have anything under way.
-constexpr Duration EntryHolds = std::chrono::milliseconds(1500);
+constexpr Duration EntryHolds = std::chrono::milliseconds(800);
+
+/// What has no place for a request has none for one that is as large in prompt and answer.
+struct Size
+{
+    std::uint32_t promptTokens = 0;
+    std::uint32_t expectedEvents = 0;
+
+    bool isAsLargeAs(const Size &other) const
+    {
+        return promptTokens >= other.promptTokens && expectedEvents >= other.expectedEvents;
+    }
+};
 
 /// As it stands in messages; nothing there is negative.
 std::uint32_t wireMilliseconds(Duration duration)
@@ -69,6 +79,11 @@
 
 void PlacementServer::takeState(const VmName &from, const v1::EntryState &state, TimePoint now)
 {
+    if (state.leaves()) {
+        takeFarewell(from, state);
+        updateCoverage(now);
+        return;
+    }
     Entry &entry = m_entries[from];
     if (entry.incarnation != state.incarnation()) {
         releaseAll(from, entry);
@@ -106,6 +121,18 @@
     });
 }
 
+/// The VM's requests are counted by the server that it asks now. Counted here as well until the VM counts as silent, they would take every place twice:
+/// for more than a second after each change of servers, requests waited and were refused beside engines with free places.
+void PlacementServer::takeFarewell(const VmName &from, const v1::EntryState &state)
+{
+    const auto held = m_entries.find(from);
+    if (held == m_entries.end() || held->second.incarnation != state.incarnation() || state.sequence() <= held->second.sequence) {
+        return;
+    }
+    releaseAll(from, held->second);
+    m_entries.erase(held);
+}
+
 /// The entry VM still waits: an answer that was sent some round trips ago was lost.
 ///
 /// What this server does not know, it has forgotten: it restarted, or stood still until the VM counted as silent. Without being told so the VM
@@ -137,7 +164,7 @@
         return;
     }
     Item &item = entry.items.emplace(id, itemOf(ask, now)).first->second;
-    if (const auto wait = item.organisation.empty() ? std::nullopt : m_limits.take(item.organisation, item.cost, now)) {
+    if (const auto wait = item.organisation.empty() ? std::nullopt : m_limits.take(item.organisation, item.cost, WaitingRank{ask.rank()}, now)) {
         item.refusal.set_inputs(m_limits.inputs(item.organisation) + " cost=" + std::to_string(item.cost));
         item.refusal.set_closed_ms(wireMilliseconds(m_limits.closedFor(item.organisation)));
         refuse(entry, id, item, v1::PLACEMENT_OVER_LIMIT, *wait, now);
@@ -155,6 +182,8 @@
         .organisation = ask.organisation(),
         .cost = ask.cost(),
         .longestPauseMs = static_cast<double>(ask.longest_pause_ms()),
+        .expectedEvents = ask.expected_events(),
+        .answerBy = now + std::chrono::milliseconds(ask.answer_in_ms()),
         .tried = {},
         .objectiveAt = now + std::chrono::milliseconds(ask.objective_in_ms()),
         .latestStart = {},
@@ -169,8 +198,10 @@
     }
     const Duration needed = std::max(m_board.soonestIdle(item.service, item.promptTokens), LeastAnswerTime);
     item.latestStart = item.objectiveAt - needed;
-    const TimePoint answerBy = now + std::chrono::milliseconds(ask.answer_in_ms());
-    item.giveUpAt = std::min(std::max(item.latestStart, now) + LateWait, answerBy);
+    // One that can't be on time any more takes a place that is free now, or is told when to come back: waiting, it would take the next place from those
+    // that can still be on time, and in an overload everybody would be late. A prompt that takes most of its objective to read has a fair try all the same.
+    const TimePoint fairTry = now + std::max<Duration>(item.objectiveAt - now, Duration::zero()) / FairTryPart;
+    item.giveUpAt = std::min(std::max(item.latestStart, fairTry), item.answerBy);
     return item;
 }
 
@@ -186,6 +217,7 @@
         item = Item{.service = item.service,
                     .promptTokens = placed.prompt_tokens(),
                     .organisation = {},
+                    .answerBy = {},
                     .tried = {},
                     .objectiveAt = {},
                     .latestStart = {},
@@ -197,6 +229,9 @@
         m_board.sent(upstream, item.promptTokens);
     }
     item.stage = Stage::Sent;
+    if (placed.early_pace_ms() > 0) {
+        m_board.observedEarlyPace(upstream, placed.early_pace_ms());
+    }
     if (placed.first_event_ms() == 0 || item.promptRead) {
         return;
     }
@@ -215,6 +250,7 @@
         m_board.succeeded(upstream);
         if (ended.pace_ms() > 0) {
             m_board.observedPace(upstream, ended.pace_ms());
+            m_board.observedPauses(upstream, ended.pace_ms(), ended.longest_pause_ms());
         }
         break;
     case v1::PLACEMENT_FAILED:
@@ -300,6 +336,8 @@
         .promptTokens = item.promptTokens,
         .tried = item.tried,
         .longestPauseMs = item.longestPauseMs,
+        .expectedEvents = item.expectedEvents,
+        .answerWithin = item.answerBy - now,
     };
     const auto found = m_rollouts.find(item.service.value);
     if (found == m_rollouts.end()) {
@@ -335,6 +373,7 @@
     grant.set_tokens_to_read(item.tokensToRead);
     grant.set_in_flight(m_board.inFlight(to.name));
     grant.set_predicted_ms(wireMilliseconds(placement.predicted));
+    grant.set_pace_wanted(!m_board.knowsPace(to.name));
     grant.set_list_age_ms(wireMilliseconds(now - m_listReadAt));
     item.grant = grant;
     *m_entries[key.vm].due.add_grants() = std::move(grant);
@@ -343,20 +382,22 @@
 /// Grants as many waiting requests as there is room for, most urgent first.
 void PlacementServer::pump(const ServiceName &name, Service &service, TimePoint now)
 {
-    // What has no place for a prompt has none for a longer one.
-    std::uint32_t noPlaceFor = std::numeric_limits<std::uint32_t>::max();
+    std::vector<Size> noPlaceFor;
     for (const AskKey &key : service.line.inOrder(now)) {
         if (!m_board.hasRoom(name, now)) {
             return;
         }
         Item &item = m_entries[key.vm].items[key.id];
-        if (item.promptTokens >= noPlaceFor) {
+        const Size size{.promptTokens = item.promptTokens, .expectedEvents = item.expectedEvents};
+        if (std::ranges::any_of(noPlaceFor, [&size](const Size &smaller) { return size.isAsLargeAs(smaller); })) {
             continue;
         }
         const Placement placement = place(item, now);
         if (!placement.upstream) {
             const bool special = !item.tried.empty() || m_rollouts.contains(name.value);
-            noPlaceFor = special ? noPlaceFor : item.promptTokens;
+            if (!special) {
+                noPlaceFor.push_back(size);
+            }
             continue;
         }
         const bool onTime = now + placement.predicted <= item.objectiveAt;
--- a/src/proxy/placementserver.h
+++ b/src/placement/placementserver.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "proxy/fleetlimits.h"
-#include "proxy/upstreamboard.h"
-#include "proxy/waitingline.h"
+#include "placement/fleetlimits.h"
+#include "placement/upstreamboard.h"
+#include "placement/waitingline.h"
 
 #include "placement.pb.h"
 
@@ -99,6 +99,8 @@
         std::string organisation;
         std::uint64_t cost = 0;
         double longestPauseMs = 0;
+        std::uint32_t expectedEvents = 0;
+        TimePoint answerBy;
         std::set<InstanceName> tried;
         TimePoint objectiveAt;
         /// Until when a start is early enough for an answer on time.
@@ -138,6 +140,7 @@
         TimePoint refusedLast{};
     };
 
+    void takeFarewell(const VmName &from, const v1::EntryState &state);
     void takeAsk(const VmName &from, Entry &entry, const v1::PlacementAsk &ask, TimePoint now);
     Item itemOf(const v1::PlacementAsk &ask, TimePoint now) const;
     void tellAgain(Entry &entry, PlacementId id, TimePoint now);
--- a/src/proxy/upstreamboard.cpp
+++ b/src/placement/upstreamboard.cpp
@@ -1,4 +1,4 @@
-#include "proxy/upstreamboard.h"
+#include "placement/upstreamboard.h"
 
 #include <algorithm>
 #include <limits>
@@ -13,12 +13,12 @@
 constexpr double FartherFactor = 1.4;
 /// How much longer a first event takes on an engine whose places are all taken: its batch takes turns with the reading of prompts.
 constexpr double LoadWeight = 0.5;
-/// A part of a prompt takes an engine about twice as long as a step of its streams (1,024 tokens at 112 to 157 a millisecond, steps of 3.5 ms).
-constexpr double ReadingPerPace = 2;
-/// Of the longest allowed pause; the rest is for what the paces differ from their means.
-constexpr double PausePart = 0.85;
-/// Notices come at least every half second.
-constexpr Duration NoticeHolds = std::chrono::milliseconds(1500);
+/// Of the longest allowed pause; the rest is for streams that pause longer than most.
+constexpr double PausePart = 0.7;
+/// Requests that an upstream of unknown speed gets at a time.
+constexpr std::uint32_t MostOnUntried = 3;
+/// A server that has anything under way sends a notice every 30 ms. What one that is gone had given out is told by its successor.
+constexpr Duration NoticeHolds = std::chrono::milliseconds(400);
 /// Weight of the newest observation: about the last ten count.
 constexpr double PaceWeight = 0.1;
 constexpr Duration FirstRest = std::chrono::milliseconds(200);
@@ -138,35 +138,67 @@
     return first > 0 ? first * (1 + LoadWeight * load) : pace * (1 + load);
 }
 
+/// One that nothing is known of counts as the fastest, so that it is tried. Filled before it has shown anything, it may be the slowest: its answers would
+/// come too late, and it would hold what others could have taken.
+bool UpstreamBoard::hasPlace(const Upstream &upstream) const
+{
+    const std::uint32_t requests = upstream.own.requests + upstream.others.requests;
+    const bool untried = upstream.paceMs <= 0 && m_engines.contains(upstream.instance.service);
+    return requests < (untried ? std::min(MostOnUntried, upstream.instance.slots) : upstream.instance.slots);
+}
+
+/// Whether the whole answer is likely to be there before its deadline. A long answer on a slow engine isn't: its caller gets nothing, after it has held a
+/// place for all that time.
+bool UpstreamBoard::wouldEnd(const Upstream &upstream, const PlacementQuery &query, double firstMs, double fastest) const
+{
+    if (query.answerWithin <= Duration::zero() || query.expectedEvents == 0) {
+        return true;
+    }
+    const double pace = upstream.paceMs > 0 ? upstream.paceMs : fastest;
+    const double leftMs = std::chrono::duration<double, std::milli>(query.answerWithin).count();
+    return firstMs + pace * query.expectedEvents <= leftMs;
+}
+
+/// Whether waiting for another upstream may help: with nothing else to do, some would end the answer in time.
+bool UpstreamBoard::someWouldEnd(const PlacementQuery &query, double fastest, TimePoint now) const
+{
+    return std::ranges::any_of(ofService(query.service),
+                               [&](const Upstream *upstream) { return allowed(*upstream, query, now) && wouldEnd(*upstream, query, 0, fastest); });
+}
+
 /// An engine reads new prompts between the steps of the streams that it runs, so these pause: by the time of the reading, or by what its
 /// parts take between two events, whichever is less. On engines several times slower than the others the pause makes all of them late.
 bool UpstreamBoard::wouldPause(const Upstream &upstream, const PlacementQuery &query, double fastest) const
 {
     const auto engine = m_engines.find(upstream.instance.service);
+    const auto pauses = m_pauses.find(upstream.instance.service);
     const bool alone = upstream.own.requests + upstream.others.requests == 0;
-    if (query.longestPauseMs <= 0 || alone || upstream.paceMs <= 0 || engine == m_engines.end()) {
+    if (query.longestPauseMs <= 0 || alone || upstream.paceMs <= 0 || engine == m_engines.end() || pauses == m_pauses.end()) {
         return false;
     }
     const double unread = static_cast<double>(upstream.own.tokens + upstream.others.tokens + query.promptTokens);
     const double reading = engine->second.readingMs(unread, upstream.paceMs / fastest);
-    return upstream.paceMs + std::min(reading, ReadingPerPace * upstream.paceMs) > PausePart * query.longestPauseMs;
+    const double most = std::max(pauses->second.ratio() - 1, 0.0) * upstream.paceMs;
+    return upstream.paceMs + std::min(reading, most) > PausePart * query.longestPauseMs;
 }
 
 Placement UpstreamBoard::choose(const PlacementQuery &query, TimePoint now) const
 {
     const double fastest = fastestPace(query.service);
+    // An answer that no upstream would end in time is tried all the same: the estimate may be wrong.
+    const bool mustEnd = someWouldEnd(query, fastest, now);
     const Upstream *best = nullptr;
     double bestMs = 0;
     double bestScore = std::numeric_limits<double>::max();
     for (const Upstream *held : ofService(query.service)) {
         const Upstream &upstream = *held;
-        if (!allowed(upstream, query, now) || upstream.own.requests + upstream.others.requests >= upstream.instance.slots) {
+        if (!allowed(upstream, query, now) || !hasPlace(upstream) || wouldPause(upstream, query, fastest)) {
             continue;
         }
-        if (wouldPause(upstream, query, fastest)) {
+        const double predicted = predictedMs(upstream, query.promptTokens, fastest);
+        if (mustEnd && !wouldEnd(upstream, query, predicted, fastest)) {
             continue;
         }
-        const double predicted = predictedMs(upstream, query.promptTokens, fastest);
         const double score = predicted * (upstream.instance.dataCentre == m_here ? 1 : FartherFactor);
         if (score < bestScore) {
             bestScore = score;
@@ -189,9 +221,9 @@
 
 bool UpstreamBoard::hasRoom(const ServiceName &service, TimePoint now) const
 {
-    return std::ranges::any_of(ofService(service), [now](const Upstream *upstream) {
+    return std::ranges::any_of(ofService(service), [this, now](const Upstream *upstream) {
         const bool usable = !upstream->instance.draining && now >= upstream->restsUntil;
-        return usable && upstream->own.requests + upstream->others.requests < upstream->instance.slots;
+        return usable && hasPlace(*upstream);
     });
 }
 
@@ -253,6 +285,27 @@
     }
 }
 
+void UpstreamBoard::observedEarlyPace(const InstanceName &name, double milliseconds)
+{
+    Upstream *upstream = find(name);
+    if (upstream && upstream->paceMs == 0) {
+        upstream->paceMs = milliseconds;
+    }
+}
+
+bool UpstreamBoard::knowsPace(const InstanceName &name) const
+{
+    const auto found = m_upstreams.find(name);
+    return found != m_upstreams.end() && found->second.paceMs > 0;
+}
+
+void UpstreamBoard::observedPauses(const InstanceName &name, double meanMs, double longestMs)
+{
+    if (const Upstream *upstream = find(name)) {
+        m_pauses[upstream->instance.service].observed(meanMs, longestMs);
+    }
+}
+
 void UpstreamBoard::succeeded(const InstanceName &name)
 {
     if (Upstream *upstream = find(name)) {
--- a/src/proxy/upstreamboard.h
+++ b/src/placement/upstreamboard.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "proxy/enginepace.h"
-#include "proxy/proxytypes.h"
+#include "placement/enginepace.h"
+#include "placement/placementtypes.h"
+#include "placement/streampauses.h"
 
 #include "control.pb.h"
 
@@ -31,6 +32,10 @@
     std::set<InstanceName> tried;
     /// The longest pause between events with which an answer is still on time; 0: none is set.
     double longestPauseMs = 0;
+    /// Events that the answer is likely to have; 0: not known.
+    std::uint32_t expectedEvents = 0;
+    /// How long until no answer is of use any more; zero: for ever.
+    Duration answerWithin{};
 };
 
 /// Where a request would go, and how long its answer (a stream's first event) would take there.
@@ -70,6 +75,11 @@
     void ended(const InstanceName &name);
     /// Milliseconds between events of a stream, or to a plain answer's end: how fast the upstream works.
     void observedPace(const InstanceName &name, double milliseconds);
+    /// The pace of a stream's first events: counts while nothing else is known.
+    void observedEarlyPace(const InstanceName &name, double milliseconds);
+    bool knowsPace(const InstanceName &name) const;
+    /// The mean and the longest pause between the events of a stream.
+    void observedPauses(const InstanceName &name, double meanMs, double longestMs);
     /// A first event, and the tokens that were to be read for it when the request was sent.
     void observedFirstEvent(const InstanceName &name, double tokens, double milliseconds);
     /// Tokens that an upstream has to read before a new prompt.
@@ -116,7 +126,10 @@
     void addLoads(const Peer &peer, int sign);
     bool allowed(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
     double fastestPace(const ServiceName &service) const;
+    bool hasPlace(const Upstream &upstream) const;
     bool wouldPause(const Upstream &upstream, const PlacementQuery &query, double fastest) const;
+    bool wouldEnd(const Upstream &upstream, const PlacementQuery &query, double firstMs, double fastest) const;
+    bool someWouldEnd(const PlacementQuery &query, double fastest, TimePoint now) const;
     double predictedMs(const Upstream &upstream, std::uint32_t promptTokens, double fastest) const;
     const std::vector<const Upstream *> &ofService(const ServiceName &service) const;
     Upstream *find(const InstanceName &name);
@@ -126,6 +139,7 @@
     /// Each service's part of them.
     std::map<ServiceName, std::vector<const Upstream *>> m_ofService;
     std::map<ServiceName, EnginePace> m_engines;
+    std::map<ServiceName, StreamPauses> m_pauses;
     std::map<VmName, Peer> m_peers;
 };
 
--- a/src/proxy/ordermaker.cpp
+++ b/src/proxy/ordermaker.cpp
@@ -67,6 +67,15 @@
     return prompt && output ? std::optional(TokenCounts{*prompt, *output}) : std::nullopt;
 }
 
+/// The caller's expectation, and no more than what it allows; without one, half of what it allows.
+std::uint32_t expectedEventsOf(const Exchange &exchange, const ProxyHeaders &headers, const TokenCounts &tokens, const v1::RoutedService *service)
+{
+    const std::uint64_t mostTokens = std::min(tokens.mostOutput, MostPromptTokens);
+    const std::uint64_t tokensExpected = std::min(numberIn(exchange.header(headers.expectedTokens.c_str())).value_or(mostTokens / 2), mostTokens);
+    const std::uint64_t perEvent = std::max<std::uint64_t>(service ? service->tokens_per_event() : 1, 1);
+    return static_cast<std::uint32_t>((tokensExpected + perEvent - 1) / perEvent);
+}
+
 std::uint64_t costOf(const std::optional<TokenCounts> &tokens, const v1::RoutedOrganisation &organisation)
 {
     if (!organisation.counts_tokens()) {
@@ -124,6 +133,10 @@
     const std::optional<TokenCounts> tokens = tokenCountsOf(exchange, headers);
     order.promptTokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(tokens ? tokens->prompt : 0, MostPromptTokens));
 
+    if (tokens) {
+        order.expectedEvents = expectedEventsOf(exchange, headers, *tokens, routes->service(order.service.value));
+    }
+
     order.rank = WaitingRank{std::min(order.route->priority(), RoutePriorities - 1)};
     if (order.route->open_to_all() || !routes->needsKeys()) {
         return order;
--- a/src/proxy/placementhost.cpp
+++ b/src/proxy/placementhost.cpp
@@ -79,9 +79,15 @@
     stateChanged();
 }
 
-void PlacementHost::ended(PlacementId id, v1::PlacementOutcome outcome, double paceMs)
+void PlacementHost::firstEvents(PlacementId id, double paceMs)
 {
-    m_client.ended(id, outcome, paceMs);
+    m_client.firstEvents(id, paceMs);
+    stateChanged();
+}
+
+void PlacementHost::ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace)
+{
+    m_client.ended(id, outcome, pace);
     stateChanged();
 }
 
@@ -132,6 +138,7 @@
     const VmName server = m_client.server(now);
     if (server != m_lastServer) {
         logChange("placement", "server", {{"asks", server.value}, {"before", m_lastServer.value}});
+        sendFarewell(m_lastServer);
         m_lastServer = server;
     }
     if (server == m_options.vm) {
@@ -143,6 +150,17 @@
     send(server, std::move(datagram));
 }
 
+void PlacementHost::sendFarewell(const VmName &before)
+{
+    if (before == m_options.vm) {
+        m_server.takeState(before, m_client.farewell(), EventLoop::now());
+    } else if (!before.value.empty()) {
+        v1::PlacementDatagram datagram;
+        *datagram.mutable_state() = m_client.farewell();
+        send(before, std::move(datagram));
+    }
+}
+
 std::string PlacementHost::bytesOf(v1::PlacementDatagram &&datagram) const
 {
     datagram.set_from(m_options.vm.value);
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -2,9 +2,9 @@
 
 #include "common/eventloop.h"
 #include "peer/datagramsocket.h"
+#include "placement/placementclient.h"
+#include "placement/placementserver.h"
 #include "proxy/instancefeed.h"
-#include "proxy/placementclient.h"
-#include "proxy/placementserver.h"
 
 #include <memory>
 #include <optional>
@@ -38,7 +38,8 @@
     PlacementId ask(PlacementWish wish);
     /// See PlacementClient.
     void firstEvent(PlacementId id, Duration after);
-    void ended(PlacementId id, v1::PlacementOutcome outcome, double paceMs);
+    void firstEvents(PlacementId id, double paceMs);
+    void ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace);
     /// Emitted for what was asked for here.
     sigc::signal<void, const PlacementGranted &> &granted()
     {
@@ -68,6 +69,7 @@
     std::string bytesOf(v1::PlacementDatagram &&datagram) const;
     void stateChanged();
     void sendState();
+    void sendFarewell(const VmName &before);
     void advanceSoon();
     void advance();
     void sendNotices();
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -21,6 +21,8 @@
 /// A plain answer over this size is passed on as it comes, without waiting for its end.
 constexpr std::size_t MostGatheredBytes = 256 << 10;
 constexpr Duration RetryAfterRefusal = std::chrono::milliseconds(200);
+/// So many events show how fast an upstream works.
+constexpr std::uint32_t EventsToTellPace = 4;
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
 constexpr int FirstServerError = 500;
@@ -54,13 +56,14 @@
     return nullptr;
 }
 
-/// Between the events of a stream, or to a plain answer's end; 0 when a stream was too short to tell.
-double paceMsOf(const ProxyRequest &request, TimePoint now)
+/// Between the events of a stream so far, or to a plain answer's end; nothing when a stream was too short to tell.
+AnswerPace paceOf(const ProxyRequest &request, TimePoint now)
 {
     if (request.eventBatches > 1) {
-        return static_cast<double>(wholeMilliseconds(request.lastEventAt - request.firstEventAt)) / (request.eventBatches - 1);
+        return AnswerPace{.meanMs = static_cast<double>(wholeMilliseconds(request.lastEventAt - request.firstEventAt)) / (request.eventBatches - 1),
+                          .longestMs = static_cast<std::uint32_t>(wholeMilliseconds(request.longestPause))};
     }
-    return request.isStream() ? 0 : static_cast<double>(wholeMilliseconds(now - request.sentAt));
+    return AnswerPace{.meanMs = request.isStream() ? 0 : static_cast<double>(wholeMilliseconds(now - request.sentAt))};
 }
 
 }
@@ -142,10 +145,10 @@
 }
 
 /// Gives the place back, or stops waiting for one. The call's signals may be under way, so it is cancelled here and destroyed from the loop.
-void ProxyTask::endCall(ProxyRequest &request, v1::PlacementOutcome outcome, double paceMs)
+void ProxyTask::endCall(ProxyRequest &request, v1::PlacementOutcome outcome, const AnswerPace &pace)
 {
     if (m_places.erase(request.place) > 0) {
-        m_placement->ended(request.place, outcome, paceMs);
+        m_placement->ended(request.place, outcome, pace);
     }
     if (request.call) {
         request.call->cancel();
@@ -218,12 +221,7 @@
         }
         return;
     }
-    if (request->eventBatches == 0) {
-        request->firstEventAt = now;
-        m_placement->firstEvent(request->place, now - request->sentAt);
-    }
-    request->lastEventAt = now;
-    ++request->eventBatches;
+    noteEvents(*request, now);
     if (request->isResumable()) {
         request->exchange->streamData(request->events.feed(bytes));
     } else {
@@ -234,6 +232,21 @@
     }
 }
 
+void ProxyTask::noteEvents(ProxyRequest &request, TimePoint now)
+{
+    if (request.eventBatches == 0) {
+        request.firstEventAt = now;
+        m_placement->firstEvent(request.place, now - request.sentAt);
+    } else {
+        request.longestPause = std::max(request.longestPause, now - request.lastEventAt);
+    }
+    request.lastEventAt = now;
+    ++request.eventBatches;
+    if (request.eventBatches == EventsToTellPace && request.paceWanted) {
+        m_placement->firstEvents(request.place, paceOf(request, now).meanMs);
+    }
+}
+
 void ProxyTask::takeEnd(LocalRequest local)
 {
     ProxyRequest *request = find(local);
@@ -253,7 +266,7 @@
         return;
     }
     count(*request, true);
-    endCall(*request, v1::PLACEMENT_SERVED, paceMsOf(*request, now));
+    endCall(*request, v1::PLACEMENT_SERVED, paceOf(*request, now));
     if (request->headPassedOn) {
         request->exchange->endStream();
     } else {
@@ -280,6 +293,7 @@
 {
     endCall(request, outcome);
     request.eventBatches = 0;
+    request.longestPause = {};
     const NextStep next = request.attempts.ended(end);
     retryOrEnd(request, end, next);
 }
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -29,6 +29,7 @@
         .organisation = request.tried.empty() ? order.organisation : OrganisationName{},
         .cost = order.cost,
         .longestPauseMs = order.route->pause_objective_ms(),
+        .expectedEvents = order.expectedEvents,
     });
     m_places[request.place] = request.local;
 }
@@ -55,6 +56,7 @@
     const auto place = m_places.find(granted.id);
     ProxyRequest *request = place == m_places.end() ? nullptr : find(place->second);
     if (request) {
+        request->paceWanted = granted.paceWanted;
         send(*request, granted.upstream, granted.inputs, EventLoop::now());
     }
 }
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "entry/exchange.h"
+#include "placement/waitingline.h"
 #include "proxy/attempts.h"
 #include "proxy/eventsplitter.h"
 #include "proxy/proxytypes.h"
 #include "proxy/routeindex.h"
-#include "proxy/waitingline.h"
 #include "upstream/upstreamcall.h"
 
 #include <memory>
@@ -29,6 +29,8 @@
     WaitingRank rank;
     /// Prompt tokens to read; 0: a plain request.
     std::uint32_t promptTokens = 0;
+    /// Events that the answer of a model engine is likely to have; 0: not known.
+    std::uint32_t expectedEvents = 0;
     /// What it takes of its organisation's limit.
     std::uint64_t cost = 0;
     TimePoint arrived;
@@ -65,6 +67,8 @@
     std::set<InstanceName> tried;
     /// Of the try under way.
     PlacementId place{};
+    /// Who placed it wants to hear how fast the upstream makes the first events.
+    bool paceWanted = false;
 
     /// The sending under way; null while it waits.
     std::unique_ptr<UpstreamCall> call;
@@ -80,6 +84,7 @@
     TimePoint firstEventAt;
     TimePoint lastEventAt;
     std::uint32_t eventBatches = 0;
+    Duration longestPause{};
     /// Fires at answerBy.
     std::unique_ptr<Timer> timeout;
 };
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -90,6 +90,8 @@
 
 void ProxyTask::start()
 {
+    // At once, so that the first lease already names who places requests.
+    sendTally();
     m_tallyTimer.startEvery(TallyInterval);
     m_thread = std::thread([this] { m_loop.run(); });
 }
@@ -277,6 +279,7 @@
                {"upstream", request.at.name.value},
                {"attempts", std::to_string(request.attempts.sentCount())},
                {"first_ms", request.eventBatches > 0 ? milliseconds(request.firstEventAt - request.order.arrived) : ""},
+               {"longest_pause_ms", request.eventBatches > 1 ? milliseconds(request.longestPause) : ""},
                {"ms", milliseconds(now - request.order.arrived)}});
     endCall(request, v1::PLACEMENT_CANCELLED);
     request.timeout->stop();
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -127,7 +127,8 @@
     bool saysNotRun(const AnswerHead &head) const;
     void attemptEnded(ProxyRequest &request, AttemptEnd end, v1::PlacementOutcome outcome);
     void retryOrEnd(ProxyRequest &request, AttemptEnd end, NextStep step);
-    void endCall(ProxyRequest &request, v1::PlacementOutcome outcome, double paceMs = 0);
+    void endCall(ProxyRequest &request, v1::PlacementOutcome outcome, const AnswerPace &pace = {});
+    void noteEvents(ProxyRequest &request, TimePoint now);
 
     // Answers to callers.
     void passHeadOn(ProxyRequest &request);
--- a/src/proxy/proxytypes.h
+++ b/src/proxy/proxytypes.h
@@ -2,6 +2,7 @@
 
 #include "common/result.h"
 #include "common/types.h"
+#include "placement/placementtypes.h"
 
 #include <cstdint>
 #include <functional>
@@ -17,30 +18,6 @@
 /// Handle of a request of this VM.
 using LocalRequest = Strong<struct LocalRequestTag, std::uint64_t>;
 
-/// One try of a request, from the moment it waits for room until its sending ended. Unique in a process.
-using PlacementId = Strong<struct PlacementIdTag, std::uint64_t>;
-
-/// One process of an upstream. The platform names each start of it anew, or uses the name again: see "born".
-using InstanceName = Strong<struct InstanceNameTag, std::string>;
-
-/// An entry of the platform's list of upstreams.
-struct UpstreamInstance
-{
-    InstanceName name;
-    ServiceName service;
-    Address address;
-    DataCentreName dataCentre;
-    VersionName version;
-    /// Requests it runs at once.
-    std::uint32_t slots = 1;
-    /// It leaves: it gets no new work.
-    bool draining = false;
-    /// Milliseconds since 1970 of its start; 0: not told. With the name it tells one process from the next at the same name.
-    std::int64_t born = 0;
-
-    bool operator==(const UpstreamInstance &) const = default;
-};
-
 /// One page of the platform's list.
 struct InstancePage
 {
@@ -80,6 +57,8 @@
     std::string notRun;
     /// "PROMPT,MOST OUTPUT" in tokens.
     std::string tokenCounts;
+    /// Tokens that the caller expects in the answer.
+    std::string expectedTokens;
     /// Id of the last event that the caller has of a stream.
     std::string lastEventId;
     /// Headers that only this system may set towards upstreams; dropped when a caller sends them.
--- a/tests/proxy/upstreamboardtest.cpp
+++ b/tests/placement/upstreamboardtest.cpp
@@ -1,4 +1,4 @@
-#include "proxy/upstreamboard.h"
+#include "placement/upstreamboard.h"
 
 #include <catch2/catch.hpp>
 
@@ -143,7 +143,7 @@
 
 // Pattern: a burst on engines of which a third are 4.4 times slower (speeds 0.68 and 3). What callers see: streams on the slow ones stand
 // still for over 200 ms while a long prompt is read beside them, so all of them are late; the same prompts do no harm on the fast ones.
-// Figures: events 20 ms apart on a fast engine and 65 on a slow one, prompts read at 160 tokens a millisecond.
+// Figures: events 20 ms apart on a fast engine and 65 on a slow one, prompts read at 160 tokens a millisecond, longest pauses three times the mean ones.
 TEST_CASE("a prompt whose reading would make the streams beside it pause too long goes elsewhere")
 {
     UpstreamBoard board(Here);
@@ -152,6 +152,7 @@
     board.observedPace(InstanceName{"slow"}, 65);
     for (int i = 1; i <= 20; ++i) {
         board.observedFirstEvent(InstanceName{"fast"}, 1000.0 * i, 25 + 6.25 * i);
+        board.observedPauses(InstanceName{"fast"}, 20, 60);
     }
     board.sent(InstanceName{"fast"}, 0);
     board.sent(InstanceName{"fast"}, 0);
@@ -174,3 +175,64 @@
         CHECK(chosen(board, Start, query(1000)).empty());
     }
 }
+
+// Pattern: engines of three speeds under load, answers whose lengths differ a hundredfold. What the caller sees: nothing, after its whole time limit. Its long
+// answer was given to a slow engine, which would have needed twice the time, and held a place there all the while.
+TEST_CASE("a long answer goes where it ends before its deadline")
+{
+    UpstreamBoard board(Here);
+    board.takeList({instance("fast"), instance("slow")});
+    board.observedPace(InstanceName{"fast"}, 12);
+    board.observedPace(InstanceName{"slow"}, 60);
+    PlacementQuery query = AnyDraft;
+    query.expectedEvents = 300;
+    query.answerWithin = std::chrono::seconds(12);
+    board.sent(InstanceName{"fast"}, 0);
+    board.sent(InstanceName{"fast"}, 0);
+    CHECK(chosen(board, Start, query).empty());
+    SECTION("a short one takes the place on the slow engine")
+    {
+        query.expectedEvents = 50;
+        CHECK(chosen(board, Start, query) == "slow");
+    }
+    SECTION("one that no engine would end in time is tried, for the estimate may be wrong")
+    {
+        query.expectedEvents = 3000;
+        CHECK(chosen(board, Start, query) == "slow");
+    }
+    SECTION("it waits for no engine that is out of use")
+    {
+        board.failed(InstanceName{"fast"}, Start);
+        board.failed(InstanceName{"fast"}, Start);
+        CHECK(chosen(board, Start, query) == "slow");
+    }
+}
+
+// Pattern: all VMs restart at once and know no engine's speed. What callers see: first events and pauses five times as long as before, until the first answers
+// end. The slowest engines, taken for the fastest until then, had been filled.
+TEST_CASE("an engine of unknown speed gets a few requests until its first events tell")
+{
+    UpstreamBoard board(Here);
+    board.takeList({instance("known", "dc-a", 9), instance("new", "dc-a", 9)});
+    board.observedPace(InstanceName{"known"}, 20);
+    for (int i = 1; i <= 20; ++i) {
+        board.observedFirstEvent(InstanceName{"known"}, 1000.0 * i, 30 + 10.0 * i);
+    }
+    CHECK_FALSE(board.knowsPace(InstanceName{"new"}));
+    for (int i = 0; i < 3; ++i) {
+        board.sent(InstanceName{"new"}, 0);
+    }
+    for (int i = 0; i < 6; ++i) {
+        board.sent(InstanceName{"known"}, 0);
+    }
+    CHECK(chosen(board, Start) == "known");
+    board.observedEarlyPace(InstanceName{"new"}, 10);
+    CHECK(board.knowsPace(InstanceName{"new"}));
+    CHECK(chosen(board, Start) == "new");
+    SECTION("ended answers go before first events")
+    {
+        board.observedPace(InstanceName{"new"}, 10);
+        board.observedEarlyPace(InstanceName{"new"}, 500);
+        CHECK(chosen(board, Start) == "new");
+    }
+}
