--- a/src/placement/placementclient.cpp
+++ b/src/placement/placementclient.cpp
@@ -124,7 +124,7 @@
     return state;
 }
 
-v1::EntryState PlacementClient::farewell()
+v1::EntryState PlacementClient::departure()
 {
     v1::EntryState state;
     state.set_incarnation(m_incarnation);
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -104,7 +104,7 @@
     /// Everything, for the server; the ends since the last call.
     v1::EntryState state(TimePoint now);
     /// For a server that is asked no more.
-    v1::EntryState farewell();
+    v1::EntryState departure();
     /// Answers of the VM that is asked now; others are ignored, so that its count of what it gave out stays right.
     std::vector<PlacementAnswer> takeReply(const VmName &from, const v1::PlacementReply &reply, TimePoint now);
     /// True when the server has been silent for too long and another one is to be asked.
--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -10,8 +10,8 @@
 
 /// What an answer takes at least while nothing was learned.
 constexpr Duration LeastAnswerTime = std::chrono::milliseconds(50);
-/// Every request waits for a place for at least this part of its objective.
-constexpr int FairTryPart = 2;
+/// Every request may wait for a place for at least half of its objective.
+constexpr int LeastWaitDivisor = 2;
 constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration LongestRetryAfter = std::chrono::seconds(5);
 /// Without a refusal for this long an overload is over.
@@ -80,7 +80,7 @@
 void PlacementServer::takeState(const VmName &from, const v1::EntryState &state, TimePoint now)
 {
     if (state.leaves()) {
-        takeFarewell(from, state);
+        takeDeparture(from, state);
         updateCoverage(now);
         return;
     }
@@ -123,7 +123,7 @@
 
 /// The VM's requests are counted by the server that it asks now. Counted here as well until the VM counts as silent, they would take every place twice:
 /// for more than a second after each change of servers, requests waited and were refused beside engines with free places.
-void PlacementServer::takeFarewell(const VmName &from, const v1::EntryState &state)
+void PlacementServer::takeDeparture(const VmName &from, const v1::EntryState &state)
 {
     const auto held = m_entries.find(from);
     if (held == m_entries.end() || held->second.incarnation != state.incarnation() || state.sequence() <= held->second.sequence) {
@@ -199,9 +199,10 @@
     const Duration needed = std::max(m_board.soonestIdle(item.service, item.promptTokens), LeastAnswerTime);
     item.latestStart = item.objectiveAt - needed;
     // One that can't be on time any more takes a place that is free now, or is told when to come back: waiting, it would take the next place from those
-    // that can still be on time, and in an overload everybody would be late. A prompt that takes most of its objective to read has a fair try all the same.
-    const TimePoint fairTry = now + std::max<Duration>(item.objectiveAt - now, Duration::zero()) / FairTryPart;
-    item.giveUpAt = std::min(std::max(item.latestStart, fairTry), item.answerBy);
+    // that can still be on time, and in an overload everybody would be late. A prompt that takes most of its objective to read may wait all the same,
+    // or the longest ones would hardly ever be served.
+    const TimePoint leastWaitEnds = now + std::max<Duration>(item.objectiveAt - now, Duration::zero()) / LeastWaitDivisor;
+    item.giveUpAt = std::min(std::max(item.latestStart, leastWaitEnds), item.answerBy);
     return item;
 }
 
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -140,7 +140,7 @@
         TimePoint refusedLast{};
     };
 
-    void takeFarewell(const VmName &from, const v1::EntryState &state);
+    void takeDeparture(const VmName &from, const v1::EntryState &state);
     void takeAsk(const VmName &from, Entry &entry, const v1::PlacementAsk &ask, TimePoint now);
     Item itemOf(const v1::PlacementAsk &ask, TimePoint now) const;
     void tellAgain(Entry &entry, PlacementId id, TimePoint now);
--- a/src/proxy/placementhost.cpp
+++ b/src/proxy/placementhost.cpp
@@ -138,7 +138,7 @@
     const VmName server = m_client.server(now);
     if (server != m_lastServer) {
         logChange("placement", "server", {{"asks", server.value}, {"before", m_lastServer.value}});
-        sendFarewell(m_lastServer);
+        sendDeparture(m_lastServer);
         m_lastServer = server;
     }
     if (server == m_options.vm) {
@@ -150,13 +150,13 @@
     send(server, std::move(datagram));
 }
 
-void PlacementHost::sendFarewell(const VmName &before)
+void PlacementHost::sendDeparture(const VmName &before)
 {
     if (before == m_options.vm) {
-        m_server.takeState(before, m_client.farewell(), EventLoop::now());
+        m_server.takeState(before, m_client.departure(), EventLoop::now());
     } else if (!before.value.empty()) {
         v1::PlacementDatagram datagram;
-        *datagram.mutable_state() = m_client.farewell();
+        *datagram.mutable_state() = m_client.departure();
         send(before, std::move(datagram));
     }
 }
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -69,7 +69,7 @@
     std::string bytesOf(v1::PlacementDatagram &&datagram) const;
     void stateChanged();
     void sendState();
-    void sendFarewell(const VmName &before);
+    void sendDeparture(const VmName &before);
     void advanceSoon();
     void advance();
     void sendNotices();
--- a/tests/placement/placementclienttest.cpp
+++ b/tests/placement/placementclienttest.cpp
@@ -187,12 +187,12 @@
     CHECK(state.placed(0).early_pace_ms() == 19.5);
 }
 
-TEST_CASE("a farewell is newer than every state before it")
+TEST_CASE("a departure is newer than every state before it")
 {
     PlacementClient client(Self, Here, 7);
     const v1::EntryState before = client.state(Start);
-    const v1::EntryState farewell = client.farewell();
-    CHECK(farewell.leaves());
-    CHECK(farewell.incarnation() == before.incarnation());
-    CHECK(farewell.sequence() > before.sequence());
+    const v1::EntryState departure = client.departure();
+    CHECK(departure.leaves());
+    CHECK(departure.incarnation() == before.incarnation());
+    CHECK(departure.sequence() > before.sequence());
 }
--- a/tests/placement/placementservertest.cpp
+++ b/tests/placement/placementservertest.cpp
@@ -440,30 +440,30 @@
     entry.asks(2);
     server.takeState(Vm1, entry.next(), Start);
     REQUIRE(grantedTo(Vm1, server.advance(Start)).size() == 2);
-    v1::EntryState farewell;
-    farewell.set_incarnation(7);
-    farewell.set_leaves(true);
+    v1::EntryState departure;
+    departure.set_incarnation(7);
+    departure.set_leaves(true);
     SECTION("at once")
     {
-        farewell.set_sequence(2);
-        server.takeState(Vm1, farewell, after(1));
+        departure.set_sequence(2);
+        server.takeState(Vm1, departure, after(1));
         CHECK_FALSE(server.isUsed());
         Entry other;
         other.asks(5);
         server.takeState(Vm2, other.next(), after(2));
         CHECK(grantedTo(Vm2, server.advance(after(2))) == Ids{5});
     }
-    SECTION("but not by a farewell from before it came back")
+    SECTION("but not by one that was sent before it came back")
     {
-        farewell.set_sequence(1);
-        server.takeState(Vm1, farewell, after(1));
+        departure.set_sequence(1);
+        server.takeState(Vm1, departure, after(1));
         CHECK(server.isUsed());
     }
     SECTION("nor by one of the process before")
     {
-        farewell.set_sequence(9);
-        farewell.set_incarnation(6);
-        server.takeState(Vm1, farewell, after(1));
+        departure.set_sequence(9);
+        departure.set_incarnation(6);
+        server.takeState(Vm1, departure, after(1));
         CHECK(server.isUsed());
     }
 }
@@ -497,7 +497,7 @@
 
 // What operators see: the longest prompts are refused several times as often as others, since reading them takes most of their objective even on an idle
 // engine.
-TEST_CASE("a prompt that takes long to read has a fair try")
+TEST_CASE("a prompt that takes most of its objective to read may wait for a place all the same")
 {
     PlacementServer server(DataCentreName{"dc-a"}, 0);
     server.takeList({engine("a", 1)}, Start);
