--- a/tests/platform/wholepathtest.cpp
+++ b/tests/platform/wholepathtest.cpp
@@ -229,3 +229,28 @@
     }
     CHECK(system.platform.seen().size() == 4);
 }
+
+// Pattern: all entry VMs are restarted one after the other while callers keep connections open. What the caller sees: an answer half a second late. Its
+// connection leads to a VM that shuts down and takes nothing any more; the refusal made it wait, although every other VM would have served it at once.
+TEST_CASE("process: a VM that shuts down sends callers to the others without a wait")
+{
+    constexpr int MostAttempts = 3;
+    System system;
+    REQUIRE(system.publish(documentOf(3)));
+    REQUIRE(system.allReady());
+    const int vm = ControlVms + 1;
+    HttpAnswer refusal;
+    // It refuses for some tenths of a second before it ends; a test process that stood still just then looks again.
+    for (int attempt = 0; attempt < MostAttempts && refusal.status != 503; ++attempt) {
+        system.daemons[vm]->signal(SIGTERM);
+        while (refusal.status != 503 && system.daemons[vm]->running()) {
+            refusal = http(system.front(vm), "GET", "/deposits/a", callerHeaders("id-1"));
+        }
+        system.daemons[vm]->wait();
+        system.start(vm);
+        REQUIRE(system.allReady());
+    }
+    REQUIRE(refusal.status == 503);
+    CHECK(std::stod(refusal.header("Retry-After")) == 0);
+    CHECK(refusal.header("Connection") == "close");
+}
