The leader's log tells how versions spread: what was published, when it is in force, what was repaired

On-call could not see from the lines how large an update was, how many VMs it went to, how often the leader sent it again, or when it was in force everywhere; the hypotheses of docs/incidents/configuration-not-in-force.md could not be told apart. Three lines, bounded: one a published version, one when it is in force, one a second for all repairs. No decision changes.

--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -42,6 +42,7 @@
     m_leads = false;
     // Their commands were accepted; whether they are in force everywhere, the next leader knows when the client asks it.
     m_waits.clear();
+    m_spreadLog.stop();
 }
 
 void Leadership::applied(TimePoint now)
@@ -50,9 +51,13 @@
         return;
     }
     m_distribution.published(m_state.version(), now);
-    const std::vector<Branch> tree = branches(m_distribution.reachable(now));
+    const std::vector<std::string> reachable = m_distribution.reachable(now);
+    const std::vector<Branch> tree = branches(reachable);
     v1::Envelope envelope;
     *envelope.mutable_config_update() = makeConfigUpdate(m_state, m_pushedRevision, m_pushedRoutes);
+    m_spreadLog.published(
+        {.version = m_state.version(), .routesVersion = m_state.routes().table().version(), .updateBytes = envelope.ByteSizeLong(), .vms = reachable.size()},
+        now);
     for (const Branch &branch : tree) {
         envelope.mutable_config_update()->mutable_relay()->Assign(branch.relay.begin(), branch.relay.end());
         m_options.send(branch.child, envelope);
@@ -86,6 +91,7 @@
         v1::Envelope repair;
         *repair.mutable_config_update()
             = beat.whole() ? makeWholeConfigUpdate(m_state) : makeConfigUpdate(m_state, Revision{beat.revision()}, beat.routes_version());
+        m_spreadLog.repaired(repair.ByteSizeLong());
         m_options.send(from, std::move(repair));
     }
     answerWaits(now);
@@ -113,12 +119,22 @@
     m_waits.insert(m_waits.end(), std::make_move_iterator(open.begin()), std::make_move_iterator(open.end()));
 }
 
+void Leadership::logSpread(TimePoint now)
+{
+    if (!m_spreadLog.hasNews()) {
+        return;
+    }
+    const Distribution::Spread spread = m_distribution.spread(m_spreadLog.spreading().value_or(0), now);
+    m_spreadLog.look(spread.pending.size(), spread.lapsed.size(), now);
+}
+
 std::vector<v1::CellAssignment> Leadership::tick(TimePoint now)
 {
     if (!m_leads) {
         return {};
     }
     answerWaits(now);
+    logSpread(now);
     return m_options.hasQuorum(now) ? nextCellAssignments(m_state, m_distribution, now) : std::vector<v1::CellAssignment>();
 }
 
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -3,6 +3,7 @@
 #include "control/distribution.h"
 #include "control/fleettally.h"
 #include "control/forwarder.h"
+#include "control/spreadlog.h"
 #include "control/statemachine.h"
 
 #include <functional>
@@ -62,6 +63,7 @@
     };
 
     void answerWaits(TimePoint now);
+    void logSpread(TimePoint now);
 
     const LeadershipOptions m_options;
     const StateMachine &m_state;
@@ -72,6 +74,7 @@
     std::uint64_t m_pushedRoutes = 0;
     Revision m_pushedRevision;
     std::vector<Wait> m_waits;
+    SpreadLog m_spreadLog;
 };
 
 }
