What waits for a peer is a class of its own, and lost messages are logged

The decisions of the transport (what goes in the next call, until when, what is dropped) move to OutgoingQueue, which needs no network, so that a test in virtual time can use them. A failed delivery or a full queue is a line now, one a second and peer at most.

--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -1,7 +1,9 @@
 #include "peer/peertransport.h"
 
 #include "common/address.h"
+#include "common/log.h"
 #include "peer.grpc.pb.h"
+#include "peer/outgoingqueue.h"
 
 #include <grpcpp/grpcpp.h>
 
@@ -13,16 +15,13 @@
 namespace
 {
 
-/// Longer than any healthy round trip between data centres; shorter than a lease.
-constexpr std::chrono::milliseconds CallDeadline{1000};
 /// A connection with this many passed deadlines in a row is taken for silent.
 constexpr int DeadlinesBeforeReconnect = 2;
 /// Against names made up by somebody who speaks the protocol: several times the VMs of the largest system.
 constexpr std::size_t MaxNamedPeers = 2000;
-/// What waits for an unreachable peer is bounded; the oldest goes first, since every sender resends.
-constexpr std::size_t MaxWaiting = 4096;
-constexpr std::size_t MaxBatch = 256;
 constexpr int MaxMessageBytes = 64 << 20;
+/// At most one line a link and interval.
+constexpr std::chrono::seconds LossLineInterval{1};
 
 std::shared_ptr<grpc::Channel> connectTo(const Address &address, const std::optional<TlsFiles> &tls, int attempt)
 {
@@ -63,10 +62,9 @@
     void send(v1::Envelope envelope)
     {
         const std::lock_guard lock(m_mutex);
-        if (m_waiting.size() >= MaxWaiting) {
-            m_waiting.erase(m_waiting.begin());
+        if (m_queue.push(std::move(envelope)) > 0) {
+            logLoss("queue-full", 0);
         }
-        m_waiting.push_back(std::move(envelope));
         startCall();
     }
 
@@ -80,30 +78,31 @@
 
     void startCall()
     {
-        if (m_underWay || m_waiting.empty()) {
+        std::optional<OutgoingBatch> batch = m_queue.next();
+        if (!batch) {
             return;
         }
         if (!m_stub) {
             m_stub = v1::Peer::NewStub(connectTo(m_address, m_tls, m_attempt++));
         }
-        m_underWay = true;
         auto call = std::make_shared<Call>();
         call->batch.set_from(m_self.value);
         call->batch.set_to(m_peer.value);
-        const std::size_t count = std::min(m_waiting.size(), MaxBatch);
-        for (std::size_t i = 0; i < count; ++i) {
-            *call->batch.add_envelopes() = std::move(m_waiting[i]);
+        for (v1::Envelope &envelope : batch->envelopes) {
+            *call->batch.add_envelopes() = std::move(envelope);
         }
-        m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(count));
-        call->context.set_deadline(std::chrono::system_clock::now() + CallDeadline);
+        call->context.set_deadline(std::chrono::system_clock::now() + batch->deadline);
         m_stub->async()->Deliver(
-            &call->context, &call->batch, &call->ack, [self = shared_from_this(), call](const grpc::Status &status) { self->callEnded(status); });
+            &call->context, &call->batch, &call->ack, [self = shared_from_this(), call](const grpc::Status &status) { self->callEnded(status, call->batch); });
     }
 
-    void callEnded(const grpc::Status &status)
+    void callEnded(const grpc::Status &status, const v1::PeerBatch &batch)
     {
         const std::lock_guard lock(m_mutex);
-        m_underWay = false;
+        m_queue.ended();
+        if (!status.ok()) {
+            logLoss(status.error_message(), batch.ByteSizeLong());
+        }
         m_passedDeadlines = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ? m_passedDeadlines + 1 : 0;
         if (m_passedDeadlines >= DeadlinesBeforeReconnect) {
             m_passedDeadlines = 0;
@@ -112,16 +111,36 @@
         startCall();
     }
 
+    /// Messages were lost. The lines are bounded, and count what came between them.
+    void logLoss(const std::string &why, std::size_t batchBytes)
+    {
+        m_losses += 1;
+        const auto now = std::chrono::steady_clock::now();
+        if (now < m_nextLossLine) {
+            return;
+        }
+        m_nextLossLine = now + LossLineInterval;
+        logChange("peer",
+                  "messages-lost",
+                  {{"peer", m_peer.value},
+                   {"why", why},
+                   {"losses", std::to_string(m_losses)},
+                   {"batch_bytes", std::to_string(batchBytes)},
+                   {"waiting", std::to_string(m_queue.waiting())}});
+        m_losses = 0;
+    }
+
     const VmName m_self;
     const VmName m_peer;
     const Address m_address;
     const std::optional<TlsFiles> m_tls;
     std::mutex m_mutex;
     std::unique_ptr<v1::Peer::Stub> m_stub;
-    std::vector<v1::Envelope> m_waiting;
-    bool m_underWay = false;
+    OutgoingQueue m_queue;
     int m_passedDeadlines = 0;
     int m_attempt = 0;
+    int m_losses = 0;
+    std::chrono::steady_clock::time_point m_nextLossLine{};
 };
 
 struct PeerTransport::Private
