A failing test: a change of many routes does not reach every VM in time, and takes the leader's memory

The incident in virtual time: the real leader's part, followers and send queues of 9 core and 78 entry VMs, links of 10 Mbit/s, three changes of 1,400 routes each, each followed by a change of nothing.

--- /dev/null
+++ b/tests/control/spreadrig.cpp
@@ -0,0 +1,264 @@
+#include "control/spreadrig.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace cumindyke::test
+{
+
+namespace
+{
+
+constexpr Duration BeatInterval = std::chrono::milliseconds(500);
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
+
+Duration timeFor(std::size_t bytes, double bytesPerSecond)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(bytes) * 1e6 / bytesPerSecond));
+}
+
+std::string randomName(std::mt19937_64 &random, std::size_t length)
+{
+    constexpr std::string_view Letters = "abcdefghijklmnopqrstuvwxyz0123456789";
+    std::string name;
+    for (std::size_t i = 0; i < length; ++i) {
+        name += Letters[random() % Letters.size()];
+    }
+    return name;
+}
+
+}
+
+SpreadRig::SpreadRig(SpreadRigOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_vms(static_cast<std::size_t>(options.coreVms + options.entryVms))
+{
+    for (int i = 0; i < size(); ++i) {
+        vm(i).bytesPerSecond = i < m_options.coreVms ? m_options.coreBytesPerSecond : m_options.entryBytesPerSecond;
+        vm(i).nextBeat = m_now + Duration(static_cast<Duration::rep>(m_random() % static_cast<std::uint64_t>(BeatInterval.count())));
+        vm(i).follower = std::make_unique<Follower>(FollowerOptions{
+            .vm = nameOf(i),
+            .dataCentre = DataCentreName{"dc"},
+            .incarnation = m_random() >> 1,
+            .keepAdmitting = Duration::zero(),
+        });
+    }
+    elect(0);
+}
+
+VmName SpreadRig::nameOf(int vm)
+{
+    return VmName{std::to_string(vm)};
+}
+
+int SpreadRig::numberOf(const VmName &name)
+{
+    return std::stoi(name.value);
+}
+
+void SpreadRig::elect(int number)
+{
+    m_leader = number;
+    m_leadership = std::make_unique<Leadership>(LeadershipOptions{
+                                                    .vm = nameOf(number),
+                                                    .vms = {},
+                                                    .lease = {},
+                                                    .send = [this, number](const VmName &to, v1::Envelope envelope) { send(number, to, std::move(envelope)); },
+                                                    .hasQuorum = [](TimePoint) { return true; },
+                                                },
+                                                m_state);
+    m_leadership->lead(m_now);
+}
+
+void SpreadRig::silence(int number)
+{
+    vm(number).silent = true;
+}
+
+void SpreadRig::publish(const v1::RouteTable &table)
+{
+    v1::Command command;
+    command.set_command_id("publish-" + std::to_string(table.version()));
+    *command.mutable_publish_routes()->mutable_table() = table;
+    REQUIRE(m_state.apply(command).reply().outcome() == v1::CommandReply::ACCEPTED);
+    m_publishedAt = m_now;
+    m_published = table.version();
+    for (Vm &vm : m_vms) {
+        vm.bytesSent = 0;
+        vm.peakHeld = vm.held;
+        vm.inForceAfter = Duration::max();
+    }
+    m_leadership->applied(m_now);
+}
+
+std::uint64_t SpreadRig::routesOn(int vm) const
+{
+    const auto &routes = follower(vm).routes();
+    return routes ? routes->version() : 0;
+}
+
+std::vector<Duration> SpreadRig::timesInForce() const
+{
+    std::vector<Duration> times;
+    for (const Vm &vm : m_vms) {
+        if (!vm.silent) {
+            times.push_back(std::min(vm.inForceAfter, m_now - m_publishedAt));
+        }
+    }
+    std::ranges::sort(times);
+    return times;
+}
+
+std::size_t SpreadRig::mostBytesFromEntryVm() const
+{
+    std::size_t most = 0;
+    for (std::size_t i = static_cast<std::size_t>(m_options.coreVms); i < m_vms.size(); ++i) {
+        most = std::max(most, m_vms[i].bytesSent);
+    }
+    return most;
+}
+
+void SpreadRig::at(TimePoint time, std::function<void()> happen)
+{
+    m_events.push(Event{.at = time, .number = ++m_eventCount, .happen = std::move(happen)});
+}
+
+void SpreadRig::send(int from, const VmName &to, v1::Envelope envelope)
+{
+    const int target = numberOf(to);
+    if (from == target) {
+        at(m_now, [this, from, envelope = std::move(envelope)] { deliver(from, from, envelope); });
+        return;
+    }
+    Vm &sender = vm(from);
+    sender.held += envelope.ByteSizeLong();
+    sender.peakHeld = std::max(sender.peakHeld, sender.held);
+    sender.queues[target].push(std::move(envelope));
+    startCall(from, target);
+}
+
+void SpreadRig::startCall(int from, int to)
+{
+    Vm &sender = vm(from);
+    Vm &receiver = vm(to);
+    std::optional<OutgoingBatch> batch = sender.queues[to].next();
+    if (!batch) {
+        return;
+    }
+    std::size_t bytes = 0;
+    for (const v1::Envelope &envelope : batch->envelopes) {
+        bytes += envelope.ByteSizeLong();
+    }
+    sender.bytesSent += bytes;
+    sender.uplinkFree = std::max(m_now, sender.uplinkFree) + timeFor(bytes, sender.bytesPerSecond);
+    const TimePoint arrival = std::max(sender.uplinkFree + m_options.oneWay, receiver.downlinkFree) + timeFor(bytes, receiver.bytesPerSecond);
+    const bool arrives = !sender.silent && !receiver.silent && arrival - m_now <= batch->deadline;
+    if (!receiver.silent) {
+        receiver.downlinkFree = arrival;
+    }
+    const TimePoint end = arrives ? arrival + m_options.oneWay : m_now + batch->deadline;
+    if (arrives) {
+        at(arrival, [this, from, to, envelopes = std::move(batch->envelopes)] {
+            for (const v1::Envelope &envelope : envelopes) {
+                deliver(from, to, envelope);
+            }
+        });
+    }
+    at(end, [this, from, to, bytes] {
+        vm(from).held -= bytes;
+        vm(from).queues[to].ended();
+        startCall(from, to);
+    });
+}
+
+void SpreadRig::deliver(int from, int to, const v1::Envelope &envelope)
+{
+    if (envelope.has_config_heartbeat() && to == m_leader) {
+        m_leadership->heartbeat(nameOf(from), envelope.config_heartbeat(), m_now);
+    } else if (envelope.has_config_lease()) {
+        vm(to).follower->granted(envelope.config_lease());
+    } else if (envelope.has_config_update()) {
+        takeUpdate(to, envelope.config_update());
+    }
+}
+
+void SpreadRig::takeUpdate(int number, const v1::ConfigUpdate &update)
+{
+    v1::Envelope relayed;
+    *relayed.mutable_config_update() = update;
+    for (const Branch &branch : branches({update.relay().begin(), update.relay().end()})) {
+        relayed.mutable_config_update()->mutable_relay()->Assign(branch.relay.begin(), branch.relay.end());
+        send(number, branch.child, relayed);
+    }
+    Vm &held = vm(number);
+    if (held.follower->update(update) == Follower::Taken::Old) {
+        return;
+    }
+    if (routesOn(number) >= m_published && held.inForceAfter == Duration::max()) {
+        held.inForceAfter = m_now - m_publishedAt;
+    }
+    beat(number);
+}
+
+void SpreadRig::beat(int number)
+{
+    Vm &held = vm(number);
+    held.nextBeat = m_now + BeatInterval;
+    v1::Envelope envelope;
+    *envelope.mutable_config_heartbeat() = held.follower->beat(m_now);
+    send(number, nameOf(m_leader), std::move(envelope));
+}
+
+void SpreadRig::run(Duration time)
+{
+    const TimePoint end = m_now + time;
+    for (; m_now < end; m_now += TickInterval) {
+        const TimePoint next = m_now + TickInterval;
+        for (int i = 0; i < size(); ++i) {
+            if (vm(i).nextBeat <= m_now) {
+                beat(i);
+            }
+        }
+        m_leadership->tick(m_now);
+        const TimePoint tick = m_now;
+        while (!m_events.empty() && m_events.top().at < next) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = std::max(m_now, event.at);
+            event.happen();
+        }
+        m_now = tick;
+    }
+}
+
+v1::RouteTable routeTable(std::uint64_t version, int routes)
+{
+    constexpr int RoutesOnHost = 8;
+    std::mt19937_64 random(1);
+    v1::RouteTable table;
+    table.set_version(version);
+    table.add_services()->set_name("drafting");
+    std::string host;
+    for (int i = 0; i < routes; ++i) {
+        if (i % RoutesOnHost == 0) {
+            host = randomName(random, 6) + ".example";
+        }
+        v1::Route &route = *table.add_routes();
+        route.set_name("r-" + randomName(random, 7));
+        route.set_host(host);
+        route.set_path_prefix("/" + randomName(random, 7) + "/");
+        route.set_kind(v1::IDEMPOTENT);
+        route.set_timeout_ms(4'000);
+        route.set_objective_ms(300);
+        route.set_priority(2);
+        route.set_max_attempts(2);
+        v1::WeightedService &weighted = *route.add_services();
+        weighted.set_service("drafting");
+        weighted.set_weight(1);
+    }
+    return table;
+}
+
+}
