Small messages go beside large ones, and what waits for peers is bounded in bytes

Callers saw leases lapse and requests refused while a large configuration spread: a call to a peer had one second whatever its size and took up to 256 messages of any size, so several tables in one batch never got through a link of 10 Mbit/s, and the leases behind them were lost with the batch. What waits was bounded by 4,096 messages a peer, not by bytes.

Messages of the log stay in order among themselves: a heartbeat before its entries would look like lost entries.

--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -46,11 +46,12 @@
 class PeerTransport::Link : public std::enable_shared_from_this<PeerTransport::Link>
 {
 public:
-    Link(VmName self, VmName peer, Address address, std::optional<TlsFiles> tls)
+    Link(VmName self, VmName peer, Address address, std::optional<TlsFiles> tls, std::shared_ptr<SendBudget> budget)
         : m_self(std::move(self))
         , m_peer(std::move(peer))
         , m_address(std::move(address))
         , m_tls(std::move(tls))
+        , m_queue(std::move(budget))
     {
     }
 
@@ -65,7 +66,7 @@
         if (m_queue.push(std::move(envelope)) > 0) {
             logLoss("queue-full", 0);
         }
-        startCall();
+        startCalls();
     }
 
 private:
@@ -76,30 +77,34 @@
         v1::PeerAck ack;
     };
 
-    void startCall()
+    void startCalls()
     {
-        std::optional<OutgoingBatch> batch = m_queue.next();
-        if (!batch) {
-            return;
+        while (std::optional<OutgoingBatch> batch = m_queue.next()) {
+            startCall(std::move(*batch));
         }
+    }
+
+    void startCall(OutgoingBatch batch)
+    {
         if (!m_stub) {
             m_stub = v1::Peer::NewStub(connectTo(m_address, m_tls, m_attempt++));
         }
         auto call = std::make_shared<Call>();
         call->batch.set_from(m_self.value);
         call->batch.set_to(m_peer.value);
-        for (v1::Envelope &envelope : batch->envelopes) {
+        for (v1::Envelope &envelope : batch.envelopes) {
             *call->batch.add_envelopes() = std::move(envelope);
         }
-        call->context.set_deadline(std::chrono::system_clock::now() + batch->deadline);
-        m_stub->async()->Deliver(
-            &call->context, &call->batch, &call->ack, [self = shared_from_this(), call](const grpc::Status &status) { self->callEnded(status, call->batch); });
+        call->context.set_deadline(std::chrono::system_clock::now() + batch.deadline);
+        m_stub->async()->Deliver(&call->context, &call->batch, &call->ack, [self = shared_from_this(), call, lane = batch.lane](const grpc::Status &status) {
+            self->callEnded(lane, status, call->batch);
+        });
     }
 
-    void callEnded(const grpc::Status &status, const v1::PeerBatch &batch)
+    void callEnded(Lane lane, const grpc::Status &status, const v1::PeerBatch &batch)
     {
         const std::lock_guard lock(m_mutex);
-        m_queue.ended();
+        m_queue.ended(lane);
         if (!status.ok()) {
             logLoss(status.error_message(), batch.ByteSizeLong());
         }
@@ -108,7 +113,7 @@
             m_passedDeadlines = 0;
             m_stub.reset();
         }
-        startCall();
+        startCalls();
     }
 
     /// Messages were lost. The lines are bounded, and count what came between them.
@@ -146,6 +151,7 @@
 struct PeerTransport::Private
 {
     std::mutex mutex;
+    std::shared_ptr<SendBudget> budget = std::make_shared<SendBudget>();
     std::map<VmName, std::shared_ptr<Link>> links;
     /// 0: peers are known by setPeers() only.
     std::uint16_t portOfNamed = 0;
@@ -167,7 +173,7 @@
     for (const auto &[peer, address] : peers) {
         const auto known = d->links.find(peer);
         const bool same = known != d->links.end() && known->second->address() == address;
-        links.emplace(peer, same ? known->second : std::make_shared<Link>(m_self, peer, address, m_tls));
+        links.emplace(peer, same ? known->second : std::make_shared<Link>(m_self, peer, address, m_tls, d->budget));
     }
     d->links.swap(links);
 }
@@ -189,7 +195,7 @@
             if (d->portOfNamed == 0 || !ok(named) || d->links.size() >= MaxNamedPeers) {
                 return;
             }
-            known = d->links.emplace(to, std::make_shared<Link>(m_self, to, valueOf(named), m_tls)).first;
+            known = d->links.emplace(to, std::make_shared<Link>(m_self, to, valueOf(named), m_tls, d->budget)).first;
         }
         link = known->second;
     }
--- a/src/peer/peertransport.h
+++ b/src/peer/peertransport.h
@@ -14,9 +14,9 @@
 
 /// Sends envelopes to other VMs. Messages may be lost, repeated or late, never damaged: every sender resends what it needs.
 ///
-/// One call to a peer is under way at a time; what is sent meanwhile waits and goes as one batch, so the number of calls grows
-/// with round trips, not with messages. Each call has a deadline. A connection that went silent for good shows as passed deadlines,
-/// and is replaced by a new one after two in a row.
+/// One call of a lane is under way to a peer at a time; what is sent meanwhile waits and goes as one batch, so the number of calls grows
+/// with round trips, not with messages, and large messages don't keep small ones waiting. Each call has a deadline, and what waits is bounded
+/// in bytes. A connection that went silent for good shows as passed deadlines, and is replaced by a new one after two in a row.
 class PeerTransport
 {
 public:
--- a/tests/control/spreadrig.cpp
+++ b/tests/control/spreadrig.cpp
@@ -87,7 +87,7 @@
     m_published = table.version();
     for (Vm &vm : m_vms) {
         vm.bytesSent = 0;
-        vm.peakHeld = vm.held;
+        vm.peakHeld = vm.budget->held();
         vm.inForceAfter = Duration::max();
     }
     m_leadership->applied(m_now);
@@ -133,43 +133,41 @@
         return;
     }
     Vm &sender = vm(from);
-    sender.held += envelope.ByteSizeLong();
-    sender.peakHeld = std::max(sender.peakHeld, sender.held);
-    sender.queues[target].push(std::move(envelope));
-    startCall(from, target);
+    sender.queues.try_emplace(target, sender.budget).first->second.push(std::move(envelope));
+    sender.peakHeld = std::max(sender.peakHeld, sender.budget->held());
+    startCalls(from, target);
 }
 
-void SpreadRig::startCall(int from, int to)
+void SpreadRig::startCalls(int from, int to)
+{
+    while (std::optional<OutgoingBatch> batch = vm(from).queues.at(to).next()) {
+        startCall(from, to, std::move(*batch));
+    }
+}
+
+void SpreadRig::startCall(int from, int to, OutgoingBatch batch)
 {
     Vm &sender = vm(from);
     Vm &receiver = vm(to);
-    std::optional<OutgoingBatch> batch = sender.queues[to].next();
-    if (!batch) {
-        return;
-    }
-    std::size_t bytes = 0;
-    for (const v1::Envelope &envelope : batch->envelopes) {
-        bytes += envelope.ByteSizeLong();
-    }
+    const std::size_t bytes = batch.bytes;
     sender.bytesSent += bytes;
     sender.uplinkFree = std::max(m_now, sender.uplinkFree) + timeFor(bytes, sender.bytesPerSecond);
     const TimePoint arrival = std::max(sender.uplinkFree + m_options.oneWay, receiver.downlinkFree) + timeFor(bytes, receiver.bytesPerSecond);
-    const bool arrives = !sender.silent && !receiver.silent && arrival - m_now <= batch->deadline;
+    const bool arrives = !sender.silent && !receiver.silent && arrival - m_now <= batch.deadline;
     if (!receiver.silent) {
         receiver.downlinkFree = arrival;
     }
-    const TimePoint end = arrives ? arrival + m_options.oneWay : m_now + batch->deadline;
+    const TimePoint end = arrives ? arrival + m_options.oneWay : m_now + batch.deadline;
     if (arrives) {
-        at(arrival, [this, from, to, envelopes = std::move(batch->envelopes)] {
+        at(arrival, [this, from, to, envelopes = std::move(batch.envelopes)] {
             for (const v1::Envelope &envelope : envelopes) {
                 deliver(from, to, envelope);
             }
         });
     }
-    at(end, [this, from, to, bytes] {
-        vm(from).held -= bytes;
-        vm(from).queues[to].ended();
-        startCall(from, to);
+    at(end, [this, from, to, lane = batch.lane] {
+        vm(from).queues.at(to).ended(lane);
+        startCalls(from, to);
     });
 }
 
--- a/tests/control/spreadrig.h
+++ b/tests/control/spreadrig.h
@@ -81,6 +81,7 @@
     struct Vm
     {
         std::unique_ptr<Follower> follower;
+        std::shared_ptr<SendBudget> budget = std::make_shared<SendBudget>();
         std::map<int, OutgoingQueue> queues;
         double bytesPerSecond = 0;
         TimePoint nextBeat{};
@@ -88,7 +89,6 @@
         TimePoint downlinkFree{};
         bool silent = false;
         std::size_t bytesSent = 0;
-        std::size_t held = 0;
         std::size_t peakHeld = 0;
         Duration inForceAfter = Duration::max();
     };
@@ -112,7 +112,8 @@
     static int numberOf(const VmName &name);
     void at(TimePoint time, std::function<void()> happen);
     void send(int from, const VmName &to, v1::Envelope envelope);
-    void startCall(int from, int to);
+    void startCalls(int from, int to);
+    void startCall(int from, int to, OutgoingBatch batch);
     void deliver(int from, int to, const v1::Envelope &envelope);
     void beat(int vm);
     void takeUpdate(int vm, const v1::ConfigUpdate &update);
