The log is cut by bytes too, not only every 4,096 entries

Found while looking for the incident's cause elsewhere: a configuration of 4,200 routes is an entry of over 1 MB (table and document), and neither memory (256 MB) nor disk (128 MB) of a core VM bears 4,096 of them; a disk that is full stops the process.

--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -2,6 +2,8 @@
 
 #include "raft/core.h"
 
+#include <algorithm>
+
 namespace cumindyke::raft
 {
 
@@ -23,6 +25,11 @@
     Index every = 4096;
     /// Entries kept before the snapshot, so that a follower a little behind needs no snapshot.
     Index keep = 1024;
+    /// Bytes of commands applied between two snapshots, if that is sooner; no fewer than the last snapshot has, so that snapshots cost no more than
+    /// what they replace.
+    std::size_t everyBytes = 8 << 20;
+    /// Bytes of commands kept before the snapshot at most.
+    std::size_t keepBytes = 4 << 20;
 };
 
 /// Promises leave only after what they promise is synced.
@@ -85,7 +92,7 @@
             m_core.synced(now);
             sendAll(effects.promises);
             applyAll(effects);
-            if (m_applied >= m_core.snapshot()->index + m_policy.every) {
+            if (snapshotDue()) {
                 if (Result<Done> saved = takeSnapshot(); !ok(saved)) {
                     return saved;
                 }
@@ -108,13 +115,33 @@
         if (effects.installed) {
             m_state.install(*effects.installed);
             m_applied = effects.installed->index;
+            m_bytesSinceSnapshot = 0;
         }
         for (const EntryPointer &entry : effects.committed) {
             m_state.apply(*entry);
+            m_bytesSinceSnapshot += entry->command().size();
             m_applied = entry->index();
         }
     }
 
+    bool snapshotDue() const
+    {
+        const Snapshot &last = *m_core.snapshot();
+        return m_applied >= last.index + m_policy.every || (m_applied > last.index && m_bytesSinceSnapshot >= std::max(m_policy.everyBytes, last.state.size()));
+    }
+
+    /// The last entry that need not be kept.
+    Index keepAfter() const
+    {
+        const Index oldest = std::max(m_core.log().base(), m_applied > m_policy.keep ? m_applied - m_policy.keep : 0);
+        std::size_t bytes = 0;
+        Index index = m_applied;
+        for (; index > oldest && bytes < m_policy.keepBytes; --index) {
+            bytes += m_core.log().at(index)->command().size();
+        }
+        return index;
+    }
+
     Result<Done> takeSnapshot()
     {
         auto snapshot = std::make_shared<Snapshot>();
@@ -122,11 +149,12 @@
         snapshot->term = *m_core.log().term(m_applied);
         snapshot->membership = m_core.membershipAt(m_applied);
         snapshot->state = m_state.snapshot();
-        const Index keepAfter = m_applied > m_policy.keep ? m_applied - m_policy.keep : 0;
-        if (Result<Done> saved = m_storage.saveSnapshot(snapshot, keepAfter); !ok(saved)) {
+        const Index dropped = keepAfter();
+        if (Result<Done> saved = m_storage.saveSnapshot(snapshot, dropped); !ok(saved)) {
             return saved;
         }
-        m_core.compact(snapshot, keepAfter);
+        m_core.compact(snapshot, dropped);
+        m_bytesSinceSnapshot = 0;
         return Done{};
     }
 
@@ -136,6 +164,8 @@
     T &m_transport;
     A &m_state;
     Index m_applied;
+    /// Of commands that were applied.
+    std::size_t m_bytesSinceSnapshot = 0;
 };
 
 }
--- a/tests/raft/storagetest.cpp
+++ b/tests/raft/storagetest.cpp
@@ -256,3 +256,36 @@
         CHECK(ok(storage.persist(Writes{.vote = Vote{.term = run}, .snapshot = snapshot, .entries = {entry(run, run, "command")}})));
     }
 }
+
+// Guards against a log of large commands that fills the memory and the disk long before so many entries have come that a snapshot is due.
+TEST_CASE("large commands bring a snapshot by their bytes, and few of them stay in memory and on the disk")
+{
+    constexpr std::size_t CommandBytes = 300 << 10;
+    FakeFileSystem files(1);
+    FileStorage<FakeFileSystem> storage(files, Folder);
+    auto recovered = storage.open(7);
+    REQUIRE(ok(recovered));
+    auto first = std::make_shared<Snapshot>();
+    first->membership.add_voters("vm-1");
+    valueOf(recovered).snapshot = first;
+    valueOf(recovered).identity.admitted = true;
+    SimulatedTransport transport{[](v1::RaftMessage &&) {}};
+    SimulatedState state{.applied = [](const v1::LogEntry &, std::uint64_t) {}, .installed = [](Index, std::uint64_t) {}};
+    Replica<FileStorage<FakeFileSystem>, SimulatedTransport, SimulatedState> replica(
+        CoreOptions{.self = VmName{"vm-1"}}, valueOf(recovered), 1, TimePoint(), SnapshotPolicy{}, storage, transport, state);
+    replica.core().tick(TimePoint());
+    for (int change = 0; change < 400; ++change) {
+        REQUIRE(ok(replica.flush(TimePoint())));
+        REQUIRE(replica.core().propose(std::string(CommandBytes, 'x')));
+        std::size_t held = 0;
+        for (Index index = replica.core().log().base() + 1; index <= replica.core().log().last(); ++index) {
+            held += replica.core().log().at(index)->command().size();
+        }
+        REQUIRE(held <= std::size_t{16} << 20);
+    }
+    std::size_t onDisk = 0;
+    for (const auto &[path, bytes] : files.files) {
+        onDisk += bytes.size();
+    }
+    CHECK(onDisk <= std::size_t{32} << 20);
+}
