A change of routes costs its own size: differences, packed once, and repairs that wait for what is under way

Callers saw: requests served by an older configuration 2.6 s and more after its confirmation; refusals for seconds after each change of many routes; a leader that ended for its memory (docs/incidents/configuration-not-in-force.md).

What a VM lacks of the routes was sent as the whole table, however small the change, object by object, and again at each beat (two a second) of each VM that did not have it yet, whatever was under way. The slower a VM's link, the more it got. The leader's processor went into copies, its heartbeats stopped, another was elected, and began anew with all VMs. Class: work in proportion to configuration x VMs, repeated without regard to what is under way, bounded by counts instead of bytes.

Ruled out: disks and links of core VMs (idle), a disturbance (none on the core), the log's own resends (they explain a second entry, not the bytes to entry VMs).

Updates carry the differences since the version that the receiver holds, with a checksum of the content that must result; who can't apply them asks for the whole table, packed. A VM says when changes are missing. A repair goes again after a second and the time its bytes take, and half as often each time in vain. Control replicas come first in the tree, so that entry VMs' links carry the last level only.

A rebuilt index of routes on each VM still costs in proportion to the table.

--- a/src/control/distribution.cpp
+++ b/src/control/distribution.cpp
@@ -1,10 +1,22 @@
 #include "control/distribution.h"
 
+#include "peer/transfertime.h"
+
 #include <algorithm>
 
 namespace cumindyke
 {
 
+namespace
+{
+
+/// Two beats: the first after a repair may have been sent before it came.
+constexpr Duration RepairInterval = std::chrono::seconds(1);
+/// The interval doubles with each repair without effect, so many times at most.
+constexpr int MostDoublings = 3;
+
+}
+
 Distribution::Distribution(LeaseOptions options, const std::vector<VmName> &vms)
     : m_options(options)
 {
@@ -17,17 +29,19 @@
 {
     m_leadSince = now;
     // When the versions were accepted is unknown, so no grace: each VM needs the newest for its first lease.
-    m_published = {Published{.version = version, .at = now - m_options.grace}};
+    m_published = {Published{.version = version, .at = now - m_options.grace, .spreadBy = now}};
     for (auto &[name, vm] : m_vms) {
         vm.granted.reset();
         vm.heard.reset();
         vm.version = 0;
+        vm.repairAgainAt.reset();
+        vm.vainRepairs = 0;
     }
 }
 
-void Distribution::published(std::uint64_t version, TimePoint now)
+void Distribution::published(std::uint64_t version, TimePoint now, std::size_t updateBytes)
 {
-    m_published.push_back(Published{.version = version, .at = now});
+    m_published.push_back(Published{.version = version, .at = now, .spreadBy = now + m_options.repairAfter + transferTime(updateBytes)});
     forgetOldVersions(now);
 }
 
@@ -54,7 +68,7 @@
     std::uint64_t required = 0;
     for (const Published &published : m_published) {
         if (published.at + m_options.grace <= now) {
-            required = published.version;
+            required = std::max(required, published.version);
         }
     }
     return required;
@@ -66,7 +80,12 @@
     if (vm.incarnation == beat.incarnation() && beat.beat() <= vm.lastBeat) {
         return {};
     }
+    if (vm.incarnation != beat.incarnation() || beat.version() >= vm.repairedTo) {
+        vm.repairAgainAt.reset();
+        vm.vainRepairs = 0;
+    }
     vm.incarnation = beat.incarnation();
+    vm.gap = beat.gap();
     vm.lastBeat = beat.beat();
     vm.version = beat.version();
     vm.revision = Revision{beat.revision()};
@@ -93,8 +112,20 @@
     if (found == m_vms.end() || found->second.version >= m_published.back().version) {
         return false;
     }
-    const bool treeHadTime = m_published.back().at + m_options.repairAfter <= now;
-    return treeHadTime || found->second.version < m_published.front().version;
+    const Vm &vm = found->second;
+    if (vm.repairAgainAt && now < *vm.repairAgainAt) {
+        return false;
+    }
+    return vm.gap || m_published.back().spreadBy <= now || vm.version < m_published.front().version;
+}
+
+void Distribution::repairSent(const VmName &name, std::size_t updateBytes, TimePoint now)
+{
+    Vm &vm = m_vms[name];
+    const int doublings = std::min(vm.vainRepairs, MostDoublings);
+    vm.repairedTo = m_published.back().version;
+    vm.repairAgainAt = now + (RepairInterval + transferTime(updateBytes)) * (1 << doublings);
+    vm.vainRepairs += 1;
 }
 
 std::vector<std::string> Distribution::reachable(TimePoint now) const
--- a/src/control/distribution.h
+++ b/src/control/distribution.h
@@ -64,14 +64,16 @@
     /// This VM begins to lead, with a version applied. What leaders before it granted is unknown, so every VM counts as one that may
     /// hold a lease until the longest has ended.
     void lead(std::uint64_t version, TimePoint now);
-    /// A newer version was accepted.
-    void published(std::uint64_t version, TimePoint now);
+    /// A newer version was accepted; its update has so many bytes.
+    void published(std::uint64_t version, TimePoint now, std::size_t updateBytes = 0);
 
     /// Takes a beat and grants a lease, or not. Without proof of a quorum none is granted: another leader may have been elected, and
     /// may have accepted what this one has never heard of.
     std::optional<v1::ConfigLease> heartbeat(const v1::ConfigHeartbeat &beat, bool hasQuorum, TimePoint now);
-    /// Whether the leader should now send the newest configuration to the VM itself, after a beat of it.
+    /// Whether the leader should now send the newest configuration to the VM itself, after a beat of it: it lacks it, and what was sent to it
+    /// before has had its time. Without the last, the slower a VM's link is, the more copies it would have to carry.
     bool needsRepair(const VmName &vm, TimePoint now) const;
+    void repairSent(const VmName &vm, std::size_t updateBytes, TimePoint now);
     /// The VMs that were heard of lately, for the fan-out tree.
     std::vector<std::string> reachable(TimePoint now) const;
 
@@ -102,6 +104,12 @@
         std::optional<TimePoint> heard;
         std::optional<TimePoint> granted;
         std::uint64_t grantedIncarnation = 0;
+        /// Its last beat said that an update came that starts after what it has.
+        bool gap = false;
+        /// What the last repair brought, when the next may go, and how many went without effect.
+        std::uint64_t repairedTo = 0;
+        std::optional<TimePoint> repairAgainAt;
+        int vainRepairs = 0;
     };
 
     TimePoint leaseEnd(const Vm &vm) const;
@@ -112,6 +120,8 @@
     {
         std::uint64_t version;
         TimePoint at;
+        /// When the fan-out tree has had time for it.
+        TimePoint spreadBy;
     };
 
     const LeaseOptions m_options;
--- a/src/control/follower.cpp
+++ b/src/control/follower.cpp
@@ -66,7 +66,8 @@
     beat.set_beat(++m_nextBeat);
     beat.set_draining(m_draining);
     beat.set_whole(m_needsWhole);
-    beat.set_routes_version(m_routes ? m_routes->version() : 0);
+    beat.set_gap(m_gap);
+    beat.set_routes_version(m_routes && !m_needsWholeRoutes ? m_routes->version() : 0);
     beat.set_keep_admitting_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.keepAdmitting).count()));
     m_sent.emplace(m_nextBeat, now);
     if (m_sent.size() > MaxBeatsRemembered) {
@@ -94,20 +95,32 @@
     return m_leaseUntil == TimePoint{} ? TimePoint{} : m_leaseUntil + m_options.keepAdmitting;
 }
 
+Follower::Taken Follower::missing()
+{
+    m_gap = true;
+    return Taken::Gap;
+}
+
 Follower::Taken Follower::update(const v1::ConfigUpdate &update)
 {
     // Messages come late, twice and in any order: only a higher version may change what is in force.
     if (update.version() <= m_version) {
         return Taken::Old;
     }
-    const std::uint64_t routesHeld = m_routes ? m_routes->version() : 0;
-    if (!update.has_routes() && update.routes_version() != routesHeld) {
-        return Taken::Gap;
+    RouteTablePointer routes = m_routes;
+    if (update.routes_version() != (m_routes ? m_routes->version() : 0)) {
+        Result<RouteTablePointer> updated = applyRoutesUpdate(m_routes, update.routes());
+        if (!ok(updated)) {
+            const bool startsHere = !update.routes().changes().empty() && m_routes && update.routes().changes(0).from_version() <= m_routes->version();
+            m_needsWholeRoutes = m_needsWholeRoutes || startsHere;
+            return missing();
+        }
+        routes = std::move(valueOf(updated));
     }
     if (update.has_whole()) {
         const Result<Declarations> whole = fromWire(update.whole());
         if (!ok(whole)) {
-            return Taken::Gap;
+            return missing();
         }
         m_declarations = std::make_shared<const Declarations>(valueOf(whole));
     } else if (update.revision() != m_declarations->revision().value) {
@@ -115,15 +128,15 @@
         if (!next) {
             // Changes that start where this VM is and still do not fit would not fit the next time either.
             m_needsWhole = m_needsWhole || update.from_revision() <= m_declarations->revision().value;
-            return Taken::Gap;
+            return missing();
         }
         m_declarations = std::make_shared<const Declarations>(std::move(*next));
     }
     m_version = update.version();
     m_needsWhole = false;
-    if (update.has_routes()) {
-        m_routes = std::make_shared<const v1::RouteTable>(update.routes());
-    }
+    m_needsWholeRoutes = false;
+    m_gap = false;
+    m_routes = std::move(routes);
     m_rollouts.assign(update.rollouts().begin(), update.rollouts().end());
     m_moves.assign(update.moves().begin(), update.moves().end());
     m_cells.clear();
@@ -153,9 +166,9 @@
     for (const auto &[name, cell] : state.cells()) {
         *update.add_cells() = cell;
     }
-    update.set_routes_version(state.routes().table().version());
+    update.set_routes_version(state.routeHistory().newest().version());
     if (routesVersion != update.routes_version()) {
-        *update.mutable_routes() = state.routes().table();
+        *update.mutable_routes() = state.routeHistory().since(routesVersion);
     }
     for (const auto &[service, rollout] : state.rollouts()) {
         *update.add_rollouts() = rollout;
--- a/src/control/follower.h
+++ b/src/control/follower.h
@@ -78,6 +78,8 @@
     TimePoint admitUntil() const;
 
 private:
+    Taken missing();
+
     const FollowerOptions m_options;
     std::uint64_t m_nextBeat;
     /// When each of the last beats was sent.
@@ -85,6 +87,10 @@
     TimePoint m_leaseUntil{};
     bool m_draining = false;
     bool m_needsWhole = false;
+    /// The routes held don't add up with the changes that came for them.
+    bool m_needsWholeRoutes = false;
+    /// What came last starts after what is held.
+    bool m_gap = false;
 
     std::uint64_t m_version = 0;
     std::shared_ptr<const Declarations> m_declarations;
@@ -94,8 +100,8 @@
     std::map<std::string, v1::CellAssignment> m_cells;
 };
 
-/// The state as one update: the changes after a revision when they are kept and few, else the whole declarations. The route table
-/// goes with it when the receiver has another version of it.
+/// The state as one update: the changes after a revision when they are kept and few, else the whole declarations. What the receiver lacks
+/// of the route table goes with it.
 v1::ConfigUpdate makeConfigUpdate(const StateMachine &state, Revision from, std::uint64_t routesVersion = 0);
 v1::ConfigUpdate makeWholeConfigUpdate(const StateMachine &state);
 
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -3,6 +3,10 @@
 #include "control/cellassigner.h"
 #include "control/follower.h"
 
+#include "common/log.h"
+
+#include <algorithm>
+
 namespace cumindyke
 {
 
@@ -32,7 +36,7 @@
     m_leads = true;
     m_pushedVersion = m_state.version();
     m_pushedRevision = m_state.declarations().revision();
-    m_pushedRoutes = m_state.routes().table().version();
+    m_pushedRoutes = m_state.routeHistory().newest().version();
     m_tallies.reset();
     m_distribution.lead(m_pushedVersion, now);
 }
@@ -50,21 +54,23 @@
     if (!m_leads || m_state.version() == m_pushedVersion) {
         return;
     }
-    m_distribution.published(m_state.version(), now);
-    const std::vector<std::string> reachable = m_distribution.reachable(now);
-    const std::vector<Branch> tree = branches(reachable);
     v1::Envelope envelope;
     *envelope.mutable_config_update() = makeConfigUpdate(m_state, m_pushedRevision, m_pushedRoutes);
-    m_spreadLog.published(
-        {.version = m_state.version(), .routesVersion = m_state.routes().table().version(), .updateBytes = envelope.ByteSizeLong(), .vms = reachable.size()},
-        now);
+    m_distribution.published(m_state.version(), now, envelope.ByteSizeLong());
+    const std::vector<std::string> reachable = spreadOrder(now);
+    const std::vector<Branch> tree = branches(reachable);
+    m_spreadLog.published({.version = m_state.version(),
+                           .routesVersion = m_state.routeHistory().newest().version(),
+                           .updateBytes = envelope.ByteSizeLong(),
+                           .vms = reachable.size()},
+                          now);
     for (const Branch &branch : tree) {
         envelope.mutable_config_update()->mutable_relay()->Assign(branch.relay.begin(), branch.relay.end());
         m_options.send(branch.child, envelope);
     }
     m_pushedVersion = m_state.version();
     m_pushedRevision = m_state.declarations().revision();
-    m_pushedRoutes = m_state.routes().table().version();
+    m_pushedRoutes = m_state.routeHistory().newest().version();
 }
 
 void Leadership::heartbeat(const VmName &from, const v1::ConfigHeartbeat &beat, TimePoint now)
@@ -91,12 +97,24 @@
         v1::Envelope repair;
         *repair.mutable_config_update()
             = beat.whole() ? makeWholeConfigUpdate(m_state) : makeConfigUpdate(m_state, Revision{beat.revision()}, beat.routes_version());
+        m_distribution.repairSent(from, repair.ByteSizeLong(), now);
         m_spreadLog.repaired(repair.ByteSizeLong());
         m_options.send(from, std::move(repair));
     }
     answerWaits(now);
 }
 
+/// The control replicas first: they pass on to the others, and their links are wide.
+std::vector<std::string> Leadership::spreadOrder(TimePoint now) const
+{
+    std::vector<std::string> vms = m_distribution.reachable(now);
+    if (m_options.replicas) {
+        const google::protobuf::RepeatedPtrField<std::string> replicas = m_options.replicas();
+        std::ranges::stable_partition(vms, [&replicas](const std::string &vm) { return std::ranges::find(replicas, vm) != replicas.end(); });
+    }
+    return vms;
+}
+
 void Leadership::waitUntilInForce(WaitAnswer answer, TimePoint now)
 {
     m_waits.push_back(Wait{.version = m_state.version(), .answer = std::move(answer)});
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -63,6 +63,7 @@
     };
 
     void answerWaits(TimePoint now);
+    std::vector<std::string> spreadOrder(TimePoint now) const;
     void logSpread(TimePoint now);
 
     const LeadershipOptions m_options;
--- a/src/control/statemachine.cpp
+++ b/src/control/statemachine.cpp
@@ -130,8 +130,13 @@
 /// The highest version is in force. A lower or equal one is accepted without effect: it is a resend, or came second in a race.
 v1::CommandReply StateMachine::publishRoutes(const v1::PublishRoutes &publication)
 {
-    if (publication.table().version() > m_routes.table().version()) {
+    Result<RouteTablePointer> table = tableOf(publication);
+    if (!ok(table)) {
+        return invalid(m_declarations.revision(), errorOf(table).message);
+    }
+    if (valueOf(table)->version() > m_routeHistory.newest().version()) {
         m_routes = publication;
+        m_routeHistory.publish(std::move(valueOf(table)), publication.packed_table());
     }
     return accepted();
 }
@@ -139,7 +144,7 @@
 v1::CommandReply StateMachine::orderRollout(const v1::Command &command)
 {
     const std::string &service = command.start_rollout().service();
-    const auto &services = m_routes.table().services();
+    const auto &services = m_routeHistory.newest().services();
     if (std::ranges::none_of(services, [&service](const v1::RoutedService &known) { return known.name() == service; })) {
         return invalid(m_declarations.revision(), "there is no service '" + service + "': publish it first, or mend the name");
     }
@@ -319,7 +324,9 @@
         m_cells.emplace(cell.cell(), cell);
     }
     m_version = snapshot.version();
-    m_routes = snapshot.routes();
+    if (snapshot.has_routes()) {
+        publishRoutes(snapshot.routes());
+    }
     for (const v1::Rollout &rollout : snapshot.rollouts()) {
         m_rollouts.emplace(rollout.service(), rollout);
     }
--- a/src/control/statemachine.h
+++ b/src/control/statemachine.h
@@ -2,6 +2,7 @@
 
 #include "control/claims.h"
 #include "control/rollouts.h"
+#include "control/routehistory.h"
 #include "domain/declarations.h"
 #include "report/burnseries.h"
 
@@ -41,11 +42,16 @@
     {
         return m_version;
     }
-    /// The routes in force and the document they came in; version 0: none yet.
+    /// The last publication that took effect, as it went through the log.
     const v1::PublishRoutes &routes() const
     {
         return m_routes;
     }
+    /// The routes in force, and what other VMs need to have them; version 0: none yet.
+    const RouteHistory &routeHistory() const
+    {
+        return m_routeHistory;
+    }
     const RolloutMap &rollouts() const
     {
         return m_rollouts;
@@ -84,6 +90,7 @@
     std::map<std::string, v1::Move> m_moves;
     std::map<std::string, v1::CellAssignment> m_cells;
     v1::PublishRoutes m_routes;
+    RouteHistory m_routeHistory;
     RolloutMap m_rollouts;
     std::uint64_t m_version = 0;
     BurnSeries m_burn;
--- a/tests/control/distributiontest.cpp
+++ b/tests/control/distributiontest.cpp
@@ -51,3 +51,41 @@
     CHECK(distribution.spread(8, after(2'119)).pending.size() == 1);
     CHECK(distribution.spread(8, after(2'120)).lapsed.size() == 1);
 }
+
+// Guards against a slow link that gets the more copies to carry the slower it is.
+TEST_CASE("a VM is not sent the newest version again before the last copy has had its time, and less often each time in vain")
+{
+    constexpr std::size_t Megabyte = std::size_t{1} << 20;
+    Distribution distribution({}, {VmName{"a"}});
+    distribution.lead(7, Start);
+    distribution.heartbeat(beatOf("a", 1, 7), true, after(100));
+    distribution.published(8, after(200));
+    CHECK_FALSE(distribution.needsRepair(VmName{"a"}, after(400)));
+    REQUIRE(distribution.needsRepair(VmName{"a"}, after(700)));
+    distribution.repairSent(VmName{"a"}, Megabyte, after(700));
+    distribution.heartbeat(beatOf("a", 2, 7), true, after(1'200));
+    CHECK_FALSE(distribution.needsRepair(VmName{"a"}, after(9'000)));
+    REQUIRE(distribution.needsRepair(VmName{"a"}, after(10'000)));
+    distribution.repairSent(VmName{"a"}, Megabyte, after(10'000));
+    CHECK_FALSE(distribution.needsRepair(VmName{"a"}, after(27'000)));
+    CHECK(distribution.needsRepair(VmName{"a"}, after(29'000)));
+}
+
+// Guards against a VM that lost one of several changes and is left without all that follow until the first of them is old.
+TEST_CASE("a VM that says that changes are missing gets them at once, and a restarted one does not wait for what its predecessor was sent")
+{
+    Distribution distribution({}, {VmName{"a"}});
+    distribution.lead(7, Start);
+    distribution.heartbeat(beatOf("a", 1, 7), true, after(100));
+    distribution.published(8, after(200));
+    v1::ConfigHeartbeat gap = beatOf("a", 2, 7);
+    gap.set_gap(true);
+    distribution.heartbeat(gap, true, after(210));
+    REQUIRE(distribution.needsRepair(VmName{"a"}, after(210)));
+    distribution.repairSent(VmName{"a"}, 100, after(210));
+    CHECK_FALSE(distribution.needsRepair(VmName{"a"}, after(220)));
+    v1::ConfigHeartbeat restarted = beatOf("a", 1, 0);
+    restarted.set_incarnation(2);
+    distribution.heartbeat(restarted, true, after(300));
+    CHECK(distribution.needsRepair(VmName{"a"}, after(300)));
+}
--- a/tests/control/spreadrig.cpp
+++ b/tests/control/spreadrig.cpp
@@ -81,7 +81,7 @@
 {
     v1::Command command;
     command.set_command_id("publish-" + std::to_string(table.version()));
-    *command.mutable_publish_routes()->mutable_table() = table;
+    *command.mutable_publish_routes() = packPublication(table, {});
     REQUIRE(m_state.apply(command).reply().outcome() == v1::CommandReply::ACCEPTED);
     m_publishedAt = m_now;
     m_published = table.version();
