A resend no longer makes the log longer

A command that was applied is answered from the state; one that waits for its commit gets another answer.

--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -171,6 +171,8 @@
     bool hasQuorum(TimePoint now) const;
     void propose(v1::Command command, const std::function<void(const Result<v1::ProposeReply> &)> &answer);
     void proposeHere(const VmName &from, const v1::ProposeRequest &request);
+    void answerQuestion(const VmName &from, const v1::ProposeRequest &request, TimePoint now);
+    void answerDecided(const VmName &from, std::uint64_t call, const v1::Command &command, const v1::ProposeReply &reply);
     void replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply);
     void sendReply(const VmName &to, std::uint64_t call, v1::ProposeReply reply);
     std::optional<v1::LeaderAnswer> answerHere(const v1::LeaderQuestion &question, TimePoint now) const;
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -134,7 +134,7 @@
         answer(Error{ErrorKind::Unavailable, "this VM doesn't lead the control replicas: send the command again"});
         return;
     }
-    m_pending.add(*index, m_log->term(), answer);
+    m_pending.add(*index, m_log->term(), command.command_id(), answer);
 }
 
 void ControlTask::proposeHere(const VmName &from, const v1::ProposeRequest &request)
@@ -148,29 +148,48 @@
         return;
     }
     if (request.has_question()) {
-        if (std::optional<v1::LeaderAnswer> answer = answerHere(request.question(), now)) {
-            v1::ProposeReply reply;
-            *reply.mutable_answer() = std::move(*answer);
-            sendReply(from, call, std::move(reply));
-        }
+        answerQuestion(from, request, now);
         return;
     }
     v1::Command command;
     if (!command.ParseFromString(request.command())) {
         return;
     }
-    const bool wait = command.apply().wait();
-    propose(std::move(command), [this, from, call, wait](const Result<v1::ProposeReply> &result) {
+    // A resend of a large configuration would make the log longer by all of it.
+    if (const v1::ProposeReply *known = m_state.answerTo(command.command_id())) {
+        answerDecided(from, call, command, *known);
+        return;
+    }
+    v1::Command asked;
+    asked.mutable_apply()->set_wait(command.apply().wait());
+    const auto answer = [this, from, call, asked](const Result<v1::ProposeReply> &result) {
         // Nothing is sent on a failure: whether the command is in the log is unknown, and the resend finds out.
-        if (!ok(result)) {
-            return;
-        }
-        if (wait && valueOf(result).reply().outcome() == v1::CommandReply::ACCEPTED) {
-            replyWhenInForce(from, call, valueOf(result));
-            return;
+        if (ok(result)) {
+            answerDecided(from, call, asked, valueOf(result));
         }
-        sendReply(from, call, valueOf(result));
-    });
+    };
+    if (!m_pending.join(command.command_id(), answer)) {
+        propose(std::move(command), answer);
+    }
+}
+
+void ControlTask::answerQuestion(const VmName &from, const v1::ProposeRequest &request, TimePoint now)
+{
+    if (std::optional<v1::LeaderAnswer> answer = answerHere(request.question(), now)) {
+        v1::ProposeReply reply;
+        *reply.mutable_answer() = std::move(*answer);
+        sendReply(from, request.call(), std::move(reply));
+    }
+}
+
+void ControlTask::answerDecided(const VmName &from, std::uint64_t call, const v1::Command &command, const v1::ProposeReply &reply)
+{
+    const bool accepted = reply.reply().outcome() == v1::CommandReply::ACCEPTED;
+    if (accepted && command.apply().wait()) {
+        replyWhenInForce(from, call, reply);
+    } else {
+        sendReply(from, call, reply);
+    }
 }
 
 void ControlTask::replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply)
--- a/src/control/forwarder.cpp
+++ b/src/control/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "control/forwarder.h"
 
+#include "peer/transfertime.h"
+
 namespace cumindyke
 {
 
@@ -34,7 +36,7 @@
         }
         search.gaveNoAnswer(call.asked);
         call.asked = search.leader();
-        call.nextTry = now + m_options.resendAfter;
+        call.nextTry = now + m_options.resendAfter + transferTime(call.request.command().size());
         Outgoing &sent = outgoing.emplace_back(Outgoing{.to = call.asked, .envelope = {}});
         *sent.envelope.mutable_propose() = call.request;
     }
--- a/src/control/pendingproposals.cpp
+++ b/src/control/pendingproposals.cpp
@@ -1,13 +1,24 @@
 #include "control/pendingproposals.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cumindyke
 {
 
-void PendingProposals::add(std::uint64_t index, std::uint64_t term, Answer answer)
+void PendingProposals::add(std::uint64_t index, std::uint64_t term, const std::string &commandId, Answer answer)
 {
-    m_waiting[index] = Waiting{.term = term, .answer = std::move(answer)};
+    m_waiting[index] = Waiting{.term = term, .commandId = commandId, .answers = {std::move(answer)}};
+}
+
+bool PendingProposals::join(const std::string &commandId, const Answer &answer)
+{
+    const auto found = std::ranges::find_if(m_waiting, [&commandId](const auto &item) { return item.second.commandId == commandId; });
+    if (commandId.empty() || found == m_waiting.end()) {
+        return false;
+    }
+    found->second.answers.push_back(answer);
+    return true;
 }
 
 void PendingProposals::applied(std::uint64_t index, std::uint64_t term, const v1::ProposeReply &reply)
@@ -20,7 +31,9 @@
     if (found->second.term != term) {
         result = Error{ErrorKind::Unavailable, "the leader changed before the command was committed: send it again with the same id"};
     }
-    m_decided.push_back(Decided{.answer = std::move(found->second.answer), .result = std::move(result)});
+    for (Answer &answer : found->second.answers) {
+        m_decided.push_back(Decided{.answer = std::move(answer), .result = result});
+    }
     m_waiting.erase(found);
 }
 
--- a/src/control/pendingproposals.h
+++ b/src/control/pendingproposals.h
@@ -17,7 +17,9 @@
 public:
     using Answer = std::function<void(const Result<v1::ProposeReply> &)>;
 
-    void add(std::uint64_t index, std::uint64_t term, Answer answer);
+    void add(std::uint64_t index, std::uint64_t term, const std::string &commandId, Answer answer);
+    /// Another answer for a command that is in the log already, so that a resend does not make the log longer. False when it is not.
+    bool join(const std::string &commandId, const Answer &answer);
     /// An entry was applied. An answer that waits at its index gets the reply if the entry is the one proposed; if another leader put something
     /// else there, the command is certainly not in the log, and the client's resend proposes it anew.
     void applied(std::uint64_t index, std::uint64_t term, const v1::ProposeReply &reply);
@@ -30,7 +32,8 @@
     struct Waiting
     {
         std::uint64_t term;
-        Answer answer;
+        std::string commandId;
+        std::vector<Answer> answers;
     };
     struct Decided
     {
--- a/src/control/statemachine.cpp
+++ b/src/control/statemachine.cpp
@@ -276,6 +276,12 @@
     return {std::upper_bound(m_history.begin(), m_history.end(), revision.value, isLater), m_history.end()};
 }
 
+const v1::ProposeReply *StateMachine::answerTo(const std::string &commandId) const
+{
+    const auto known = m_answers.find(commandId);
+    return known == m_answers.end() ? nullptr : &known->second;
+}
+
 std::string StateMachine::snapshot() const
 {
     v1::StateSnapshot snapshot;
--- a/src/control/statemachine.h
+++ b/src/control/statemachine.h
@@ -63,6 +63,8 @@
     }
     /// Accepted changes after a revision, oldest first; empty when they are older than what is kept.
     std::vector<v1::HistoryEntry> historyAfter(Revision revision) const;
+    /// What a command was answered when it was applied; null when it was not, or long ago.
+    const v1::ProposeReply *answerTo(const std::string &commandId) const;
 
     const Claims &claims() const
     {
