A configuration is confirmed when it is certain to be in force everywhere in time

Callers could be served under the old configuration for up to 4.8 s after its confirmation with nothing wrong on their VM: it was given at the commit, and a VM that lacks the version keeps its lease for the grace (1 s) and its length (2.02 s) and goes on for keep_admitting_ms (1.8 s). The users count 2 or 2.5 s.

A publication is now answered when each VM has the version, or its lease and what it admits after it will have ended, confirm_within_ms later (a setting; the platform's configApplyMs). After a confirmation no lease is granted without the version. A new leader waits for leases it knows nothing of: at most 1.8 s after it began to lead.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -86,7 +86,8 @@
     , m_leadership(LeadershipOptions{
                        .vm = m_options.vm,
                        .vms = allVms(m_options),
-                       .lease = {},
+                       .lease = {.keepAdmitting = m_options.keepAdmitting},
+                       .confirmWithin = m_options.confirmWithin,
                        .send = m_options.send,
                        .hasQuorum = [this](TimePoint now) { return hasQuorum(now); },
                        .replicas = [this] { return m_log->membership().voters(); },
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -124,6 +124,8 @@
     std::size_t wantedVoters = 0;
     /// How long work is admitted under the last configuration after the lease; docs/notes/quorum-loss.md.
     Duration keepAdmitting = Duration::zero();
+    /// A published configuration is confirmed when it is certain to be in force everywhere this much later.
+    Duration confirmWithin = std::chrono::seconds(2);
     /// A replica of the log that was silent for so long is replaced by another VM with a disk.
     Duration replaceReplicaAfter = std::chrono::seconds(30);
     PeerSender send;
@@ -173,6 +175,7 @@
     void proposeHere(const VmName &from, const v1::ProposeRequest &request);
     void answerQuestion(const VmName &from, const v1::ProposeRequest &request, TimePoint now);
     void answerDecided(const VmName &from, std::uint64_t call, const v1::Command &command, const v1::ProposeReply &reply);
+    void replyWhenConfirmed(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply);
     void replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply);
     void sendReply(const VmName &to, std::uint64_t call, v1::ProposeReply reply);
     std::optional<v1::LeaderAnswer> answerHere(const v1::LeaderQuestion &question, TimePoint now) const;
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -162,6 +162,9 @@
     }
     v1::Command asked;
     asked.mutable_apply()->set_wait(command.apply().wait());
+    if (command.has_publish_routes()) {
+        asked.mutable_publish_routes();
+    }
     const auto answer = [this, from, call, asked](const Result<v1::ProposeReply> &result) {
         // Nothing is sent on a failure: whether the command is in the log is unknown, and the resend finds out.
         if (ok(result)) {
@@ -185,13 +188,22 @@
 void ControlTask::answerDecided(const VmName &from, std::uint64_t call, const v1::Command &command, const v1::ProposeReply &reply)
 {
     const bool accepted = reply.reply().outcome() == v1::CommandReply::ACCEPTED;
-    if (accepted && command.apply().wait()) {
+    if (accepted && command.has_publish_routes()) {
+        replyWhenConfirmed(from, call, reply);
+    } else if (accepted && command.apply().wait()) {
         replyWhenInForce(from, call, reply);
     } else {
         sendReply(from, call, reply);
     }
 }
 
+/// A confirmation at once would leave a VM that lacks the version the grace, its lease and what it goes on admitting after it: callers would be served
+/// under the old configuration for longer than operators may count on.
+void ControlTask::replyWhenConfirmed(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply)
+{
+    m_leadership.waitUntilConfirmed([this, from, call, reply] { sendReply(from, call, reply); }, EventLoop::now());
+}
+
 void ControlTask::replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply)
 {
     const auto inForce = [this, from, call, reply](const std::vector<std::string> &lapsed) {
--- a/src/control/distribution.cpp
+++ b/src/control/distribution.cpp
@@ -30,6 +30,7 @@
     m_leadSince = now;
     // When the versions were accepted is unknown, so no grace: each VM needs the newest for its first lease.
     m_published = {Published{.version = version, .at = now - m_options.grace, .spreadBy = now}};
+    m_confirmed = 0;
     for (auto &[name, vm] : m_vms) {
         vm.granted.reset();
         vm.heard.reset();
@@ -65,7 +66,7 @@
     if (!goesOn) {
         return m_published.back().version;
     }
-    std::uint64_t required = 0;
+    std::uint64_t required = m_confirmed;
     for (const Published &published : m_published) {
         if (published.at + m_options.grace <= now) {
             required = std::max(required, published.version);
@@ -151,6 +152,25 @@
     return found != m_vms.end() && found->second.version >= version;
 }
 
+bool Distribution::inForceWithin(std::uint64_t version, Duration within, TimePoint now) const
+{
+    const TimePoint end = now + within;
+    // VMs that this leader has not heard of may hold leases of the one before.
+    if (end < m_leadSince + m_options.longest() + m_options.keepAdmitting) {
+        return false;
+    }
+    return std::ranges::all_of(m_vms, [this, version, end](const auto &item) {
+        const Vm &vm = item.second;
+        const Duration keepAdmitting = vm.heard ? vm.keepAdmitting : m_options.keepAdmitting;
+        return vm.version >= version || end >= leaseEnd(vm) + keepAdmitting;
+    });
+}
+
+void Distribution::confirmed(std::uint64_t version)
+{
+    m_confirmed = std::max(m_confirmed, version);
+}
+
 Distribution::Spread Distribution::spread(std::uint64_t version, TimePoint now) const
 {
     Spread spread;
--- a/src/control/distribution.h
+++ b/src/control/distribution.h
@@ -25,6 +25,8 @@
     Duration findLeader = std::chrono::seconds(3);
     /// Two VMs' monotonic clocks differ by less than this over a lease. Quartz is within 0.1 in a thousand.
     std::uint32_t clockMarginPermille = 10;
+    /// What the VMs of this fleet go on admitting after their leases; for those that the leader has not heard of.
+    Duration keepAdmitting = Duration::zero();
 
     /// The leader's own time in which a lease that a VM measures by its clock has certainly ended.
     Duration longest() const
@@ -81,6 +83,11 @@
     bool mayHoldLease(const VmName &vm, TimePoint now) const;
     bool hasInForce(const VmName &vm, std::uint64_t version) const;
 
+    /// Whether no VM will admit work under an older version once "within" is over: each has this one in force, or its lease will have ended.
+    bool inForceWithin(std::uint64_t version, Duration within, TimePoint now) const;
+    /// Somebody was told that the version is in force: from now on no lease is granted without it.
+    void confirmed(std::uint64_t version);
+
     struct Spread
     {
         /// VMs that may admit work under an older version.
@@ -129,6 +136,7 @@
     TimePoint m_leadSince{};
     /// Newest last; the first is older than the grace, unless it is the only one.
     std::deque<Published> m_published;
+    std::uint64_t m_confirmed = 0;
 };
 
 /// One child of the fan-out tree and the VMs it passes the message on to.
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -46,6 +46,7 @@
     m_leads = false;
     // Their commands were accepted; whether they are in force everywhere, the next leader knows when the client asks it.
     m_waits.clear();
+    m_confirmations.clear();
     m_spreadLog.stop();
 }
 
@@ -102,6 +103,7 @@
         m_options.send(from, std::move(repair));
     }
     answerWaits(now);
+    confirmDue(now);
 }
 
 /// The control replicas first: they pass on to the others, and their links are wide.
@@ -121,6 +123,29 @@
     answerWaits(now);
 }
 
+void Leadership::waitUntilConfirmed(std::function<void()> answer, TimePoint now)
+{
+    m_confirmations.push_back(Confirmation{.version = m_state.version(), .since = now, .answer = std::move(answer)});
+    confirmDue(now);
+}
+
+void Leadership::confirmDue(TimePoint now)
+{
+    std::vector<Confirmation> open;
+    for (Confirmation &confirmation : std::exchange(m_confirmations, {})) {
+        if (!m_distribution.inForceWithin(confirmation.version, m_options.confirmWithin, now)) {
+            open.push_back(std::move(confirmation));
+            continue;
+        }
+        m_distribution.confirmed(confirmation.version);
+        logChange("control",
+                  "version-confirmed",
+                  {{"version", std::to_string(confirmation.version)}, {"after_ms", std::to_string(wholeMilliseconds(now - confirmation.since))}});
+        confirmation.answer();
+    }
+    m_confirmations.insert(m_confirmations.end(), std::make_move_iterator(open.begin()), std::make_move_iterator(open.end()));
+}
+
 void Leadership::answerWaits(TimePoint now)
 {
     std::vector<Wait> open;
@@ -152,6 +177,7 @@
         return {};
     }
     answerWaits(now);
+    confirmDue(now);
     logSpread(now);
     return m_options.hasQuorum(now) ? nextCellAssignments(m_state, m_distribution, now) : std::vector<v1::CellAssignment>();
 }
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -17,6 +17,8 @@
     /// Every VM of the settings, this one too.
     std::map<VmName, Address> vms;
     LeaseOptions lease;
+    /// A confirmed version is in force everywhere this long after the confirmation.
+    Duration confirmWithin = std::chrono::seconds(2);
     std::function<void(const VmName &to, v1::Envelope envelope)> send;
     /// Whether this VM can prove at this time that no other leader has been elected.
     std::function<bool(TimePoint now)> hasQuorum;
@@ -46,6 +48,8 @@
     void heartbeat(const VmName &from, const v1::ConfigHeartbeat &beat, TimePoint now);
     /// Answers when every VM has the present version in force or has certainly stopped admitting work.
     void waitUntilInForce(WaitAnswer answer, TimePoint now);
+    /// Answers as soon as it is certain that every VM will have the present version in force, or have stopped admitting work, in time.
+    void waitUntilConfirmed(std::function<void()> answer, TimePoint now);
     /// Answers waits, and returns the cell assignments to propose.
     std::vector<v1::CellAssignment> tick(TimePoint now);
     v1::MembersReply members(TimePoint now) const;
@@ -61,8 +65,15 @@
         std::uint64_t version;
         WaitAnswer answer;
     };
+    struct Confirmation
+    {
+        std::uint64_t version;
+        TimePoint since;
+        std::function<void()> answer;
+    };
 
     void answerWaits(TimePoint now);
+    void confirmDue(TimePoint now);
     std::vector<std::string> spreadOrder(TimePoint now) const;
     void logSpread(TimePoint now);
 
@@ -75,6 +86,7 @@
     std::uint64_t m_pushedRoutes = 0;
     Revision m_pushedRevision;
     std::vector<Wait> m_waits;
+    std::vector<Confirmation> m_confirmations;
     SpreadLog m_spreadLog;
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -150,6 +150,7 @@
         .formCluster = settings.formCluster,
         .wantedVoters = settings.wantedVoters,
         .keepAdmitting = settings.keepAdmitting,
+        .confirmWithin = settings.confirmWithin,
         .replaceReplicaAfter = settings.replaceReplicaAfter,
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     });
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -16,6 +16,7 @@
 constexpr std::int64_t MaxVoters = 9;
 constexpr std::int64_t MaxLimitSlack = 1'000'000'000'000;
 constexpr std::int64_t MaxKeepAdmittingMs = 3'600'000;
+constexpr std::int64_t MaxConfirmWithinMs = 60'000;
 
 Address readAddress(TomlTable &table, std::string_view key, const Address &fallback)
 {
@@ -96,6 +97,7 @@
     if (root.has("drain_limit_ms")) {
         settings.drainLimit = std::chrono::milliseconds(root.integer("drain_limit_ms", 0, 0, MaxDrainMs));
     }
+    settings.confirmWithin = std::chrono::milliseconds(root.integer("confirm_within_ms", settings.confirmWithin.count(), 0, MaxConfirmWithinMs));
     settings.keepAdmitting = std::chrono::milliseconds(root.integer("keep_admitting_ms", 0, 0, MaxKeepAdmittingMs));
     settings.replaceReplicaAfter
         = std::chrono::milliseconds(root.integer("replace_replica_after_ms", settings.replaceReplicaAfter.count(), 1'000, MaxReplaceReplicaAfterMs));
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -58,6 +58,7 @@
     bool plaintext = false;
     /// How long work is admitted under the last configuration after the lease ended; docs/notes/quorum-loss.md.
     std::chrono::milliseconds keepAdmitting{0};
+    std::chrono::milliseconds confirmWithin{2000};
     /// The longest that a caller may take to send one request.
     std::chrono::milliseconds requestReadLimit{30'000};
     /// How long a graceful shutdown may last; none is no limit.
--- a/tests/control/distributiontest.cpp
+++ b/tests/control/distributiontest.cpp
@@ -89,3 +89,36 @@
     distribution.heartbeat(restarted, true, after(300));
     CHECK(distribution.needsRepair(VmName{"a"}, after(300)));
 }
+
+// Guards against a confirmation after which a VM goes on under the older version for longer than operators count on.
+TEST_CASE("a version is not confirmed while a VM without it may admit work beyond the promise, and gets no new lease afterwards")
+{
+    const Duration within = std::chrono::seconds(2);
+    Distribution distribution({.keepAdmitting = std::chrono::milliseconds(1'800)}, {});
+    distribution.lead(7, Start);
+    v1::ConfigHeartbeat first = beatOf("a", 1, 7);
+    first.set_keep_admitting_ms(1'800);
+    REQUIRE(distribution.heartbeat(first, true, after(5'000)));
+    distribution.published(8, after(5'010));
+    // Its lease ends at 7.02 s, and it goes on until 8.82 s.
+    CHECK_FALSE(distribution.inForceWithin(8, within, after(5'020)));
+    CHECK_FALSE(distribution.inForceWithin(8, within, after(6'819)));
+    CHECK(distribution.inForceWithin(8, within, after(6'821)));
+    distribution.confirmed(8);
+    v1::ConfigHeartbeat second = first;
+    second.set_beat(2);
+    CHECK_FALSE(distribution.heartbeat(second, true, after(5'030)));
+    v1::ConfigHeartbeat updated = beatOf("a", 3, 8);
+    CHECK(distribution.heartbeat(updated, true, after(5'040)));
+    CHECK(distribution.inForceWithin(8, within, after(5'050)));
+}
+
+// Guards against a new leader that confirms at once, since it has heard of no VM, while VMs hold leases of the leader before it.
+TEST_CASE("a new leader confirms nothing until the leases that it knows nothing of end within the promise")
+{
+    const Duration within = std::chrono::seconds(2);
+    Distribution distribution({.keepAdmitting = std::chrono::milliseconds(1'800)}, {});
+    distribution.lead(7, Start);
+    CHECK_FALSE(distribution.inForceWithin(7, within, after(1'800)));
+    CHECK(distribution.inForceWithin(7, within, after(1'821)));
+}
