--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -8,6 +8,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include <mutex>
+#include <set>
 
 namespace cumindyke
 {
@@ -20,9 +21,60 @@
 /// Against names made up by somebody who speaks the protocol: several times the VMs of the largest system.
 constexpr std::size_t MaxNamedPeers = 2000;
 constexpr int MaxMessageBytes = 64 << 20;
-/// At most one line a link and interval.
 constexpr std::chrono::seconds LossLineInterval{1};
 
+/// Counts lost messages of all links, and writes at most a line an interval. Safe from any thread.
+class LossLog
+{
+public:
+    void lost(const VmName &peer, const std::string &why, std::size_t batchBytes, std::size_t waiting)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_losses += 1;
+        m_peers.insert(peer);
+        const auto now = std::chrono::steady_clock::now();
+        if (now < m_nextLine) {
+            return;
+        }
+        m_nextLine = now + LossLineInterval;
+        logChange("peer",
+                  "messages-lost",
+                  {{"losses", std::to_string(m_losses)},
+                   {"peers", std::to_string(m_peers.size())},
+                   {"last_peer", peer.value},
+                   {"why", why},
+                   {"batch_bytes", std::to_string(batchBytes)},
+                   {"waiting", std::to_string(waiting)}});
+        m_losses = 0;
+        m_peers.clear();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::chrono::steady_clock::time_point m_nextLine{};
+    std::size_t m_losses = 0;
+    std::set<VmName> m_peers;
+};
+
+std::string reasonOf(const grpc::Status &status)
+{
+    switch (status.error_code()) {
+    case grpc::StatusCode::DEADLINE_EXCEEDED:
+        return "deadline-passed";
+    case grpc::StatusCode::UNAVAILABLE:
+        return "unreachable";
+    default:
+        return "rpc-error-" + std::to_string(status.error_code());
+    }
+}
+
+/// What the links of one process share.
+struct Shared
+{
+    std::shared_ptr<SendBudget> budget = std::make_shared<SendBudget>();
+    LossLog losses;
+};
+
 std::shared_ptr<grpc::Channel> connectTo(const Address &address, const std::optional<TlsFiles> &tls, int attempt)
 {
     grpc::ChannelArguments arguments;
@@ -46,12 +98,13 @@
 class PeerTransport::Link : public std::enable_shared_from_this<PeerTransport::Link>
 {
 public:
-    Link(VmName self, VmName peer, Address address, std::optional<TlsFiles> tls, std::shared_ptr<SendBudget> budget)
+    Link(VmName self, VmName peer, Address address, std::optional<TlsFiles> tls, std::shared_ptr<Shared> shared)
         : m_self(std::move(self))
         , m_peer(std::move(peer))
         , m_address(std::move(address))
         , m_tls(std::move(tls))
-        , m_queue(std::move(budget))
+        , m_shared(std::move(shared))
+        , m_queue(m_shared->budget)
     {
     }
 
@@ -64,7 +117,7 @@
     {
         const std::lock_guard lock(m_mutex);
         if (m_queue.push(std::move(envelope)) > 0) {
-            logLoss("queue-full", 0);
+            m_shared->losses.lost(m_peer, "queue-full", 0, m_queue.waiting());
         }
         startCalls();
     }
@@ -106,7 +159,7 @@
         const std::lock_guard lock(m_mutex);
         m_queue.ended(lane);
         if (!status.ok()) {
-            logLoss(status.error_message(), batch.ByteSizeLong());
+            m_shared->losses.lost(m_peer, reasonOf(status), batch.ByteSizeLong(), m_queue.waiting());
         }
         m_passedDeadlines = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ? m_passedDeadlines + 1 : 0;
         if (m_passedDeadlines >= DeadlinesBeforeReconnect) {
@@ -116,42 +169,22 @@
         startCalls();
     }
 
-    /// Messages were lost. The lines are bounded, and count what came between them.
-    void logLoss(const std::string &why, std::size_t batchBytes)
-    {
-        m_losses += 1;
-        const auto now = std::chrono::steady_clock::now();
-        if (now < m_nextLossLine) {
-            return;
-        }
-        m_nextLossLine = now + LossLineInterval;
-        logChange("peer",
-                  "messages-lost",
-                  {{"peer", m_peer.value},
-                   {"why", why},
-                   {"losses", std::to_string(m_losses)},
-                   {"batch_bytes", std::to_string(batchBytes)},
-                   {"waiting", std::to_string(m_queue.waiting())}});
-        m_losses = 0;
-    }
-
     const VmName m_self;
     const VmName m_peer;
     const Address m_address;
     const std::optional<TlsFiles> m_tls;
     std::mutex m_mutex;
     std::unique_ptr<v1::Peer::Stub> m_stub;
+    const std::shared_ptr<Shared> m_shared;
     OutgoingQueue m_queue;
     int m_passedDeadlines = 0;
     int m_attempt = 0;
-    int m_losses = 0;
-    std::chrono::steady_clock::time_point m_nextLossLine{};
 };
 
 struct PeerTransport::Private
 {
     std::mutex mutex;
-    std::shared_ptr<SendBudget> budget = std::make_shared<SendBudget>();
+    std::shared_ptr<Shared> shared = std::make_shared<Shared>();
     std::map<VmName, std::shared_ptr<Link>> links;
     /// 0: peers are known by setPeers() only.
     std::uint16_t portOfNamed = 0;
@@ -173,7 +206,7 @@
     for (const auto &[peer, address] : peers) {
         const auto known = d->links.find(peer);
         const bool same = known != d->links.end() && known->second->address() == address;
-        links.emplace(peer, same ? known->second : std::make_shared<Link>(m_self, peer, address, m_tls, d->budget));
+        links.emplace(peer, same ? known->second : std::make_shared<Link>(m_self, peer, address, m_tls, d->shared));
     }
     d->links.swap(links);
 }
@@ -195,7 +228,7 @@
             if (d->portOfNamed == 0 || !ok(named) || d->links.size() >= MaxNamedPeers) {
                 return;
             }
-            known = d->links.emplace(to, std::make_shared<Link>(m_self, to, valueOf(named), m_tls, d->budget)).first;
+            known = d->links.emplace(to, std::make_shared<Link>(m_self, to, valueOf(named), m_tls, d->shared)).first;
         }
         link = known->second;
     }
