--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -147,6 +147,14 @@
     void post(ControlMessage message);
 
 private:
+    /// What an accepted command's answer waits for.
+    enum class AnswerWhen {
+        Decided,
+        InForce, ///< every VM has it, or has stopped admitting work
+        Confirmed, ///< it is certain that every VM will have it, or have stopped, in time
+    };
+    static AnswerWhen answerWhen(const v1::Command &command);
+
     explicit ControlTask(ControlOptions options);
     std::optional<Error> recover();
     void tick();
@@ -174,7 +182,7 @@
     void propose(v1::Command command, const std::function<void(const Result<v1::ProposeReply> &)> &answer);
     void proposeHere(const VmName &from, const v1::ProposeRequest &request);
     void answerQuestion(const VmName &from, const v1::ProposeRequest &request, TimePoint now);
-    void answerDecided(const VmName &from, std::uint64_t call, const v1::Command &command, const v1::ProposeReply &reply);
+    void answerDecided(const VmName &from, std::uint64_t call, AnswerWhen when, const v1::ProposeReply &reply);
     void replyWhenConfirmed(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply);
     void replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply);
     void sendReply(const VmName &to, std::uint64_t call, v1::ProposeReply reply);
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -155,20 +155,16 @@
     if (!command.ParseFromString(request.command())) {
         return;
     }
+    const AnswerWhen when = answerWhen(command);
     // A resend of a large configuration would make the log longer by all of it.
     if (const v1::ProposeReply *known = m_state.answerTo(command.command_id())) {
-        answerDecided(from, call, command, *known);
+        answerDecided(from, call, when, *known);
         return;
     }
-    v1::Command asked;
-    asked.mutable_apply()->set_wait(command.apply().wait());
-    if (command.has_publish_routes()) {
-        asked.mutable_publish_routes();
-    }
-    const auto answer = [this, from, call, asked](const Result<v1::ProposeReply> &result) {
+    const auto answer = [this, from, call, when](const Result<v1::ProposeReply> &result) {
         // Nothing is sent on a failure: whether the command is in the log is unknown, and the resend finds out.
         if (ok(result)) {
-            answerDecided(from, call, asked, valueOf(result));
+            answerDecided(from, call, when, valueOf(result));
         }
     };
     if (!m_pending.join(command.command_id(), answer)) {
@@ -185,12 +181,20 @@
     }
 }
 
-void ControlTask::answerDecided(const VmName &from, std::uint64_t call, const v1::Command &command, const v1::ProposeReply &reply)
+ControlTask::AnswerWhen ControlTask::answerWhen(const v1::Command &command)
+{
+    if (command.has_publish_routes()) {
+        return AnswerWhen::Confirmed;
+    }
+    return command.apply().wait() ? AnswerWhen::InForce : AnswerWhen::Decided;
+}
+
+void ControlTask::answerDecided(const VmName &from, std::uint64_t call, AnswerWhen when, const v1::ProposeReply &reply)
 {
     const bool accepted = reply.reply().outcome() == v1::CommandReply::ACCEPTED;
-    if (accepted && command.has_publish_routes()) {
+    if (accepted && when == AnswerWhen::Confirmed) {
         replyWhenConfirmed(from, call, reply);
-    } else if (accepted && command.apply().wait()) {
+    } else if (accepted && when == AnswerWhen::InForce) {
         replyWhenInForce(from, call, reply);
     } else {
         sendReply(from, call, reply);
--- a/src/control/distribution.cpp
+++ b/src/control/distribution.cpp
@@ -36,7 +36,7 @@
         vm.heard.reset();
         vm.version = 0;
         vm.repairAgainAt.reset();
-        vm.vainRepairs = 0;
+        vm.repairsWithoutEffect = 0;
     }
 }
 
@@ -83,7 +83,7 @@
     }
     if (vm.incarnation != beat.incarnation() || beat.version() >= vm.repairedTo) {
         vm.repairAgainAt.reset();
-        vm.vainRepairs = 0;
+        vm.repairsWithoutEffect = 0;
     }
     vm.incarnation = beat.incarnation();
     vm.gap = beat.gap();
@@ -123,10 +123,10 @@
 void Distribution::repairSent(const VmName &name, std::size_t updateBytes, TimePoint now)
 {
     Vm &vm = m_vms[name];
-    const int doublings = std::min(vm.vainRepairs, MostDoublings);
+    const int doublings = std::min(vm.repairsWithoutEffect, MostDoublings);
     vm.repairedTo = m_published.back().version;
     vm.repairAgainAt = now + (RepairInterval + transferTime(updateBytes)) * (1 << doublings);
-    vm.vainRepairs += 1;
+    vm.repairsWithoutEffect += 1;
 }
 
 std::vector<std::string> Distribution::reachable(TimePoint now) const
--- a/src/control/distribution.h
+++ b/src/control/distribution.h
@@ -121,7 +121,7 @@
         /// What the last repair brought, when the next may go, and how many went without effect.
         std::uint64_t repairedTo = 0;
         std::optional<TimePoint> repairAgainAt;
-        int vainRepairs = 0;
+        int repairsWithoutEffect = 0;
     };
 
     TimePoint leaseEnd(const Vm &vm) const;
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -112,7 +112,8 @@
     std::vector<std::string> vms = m_distribution.reachable(now);
     if (m_options.replicas) {
         const google::protobuf::RepeatedPtrField<std::string> replicas = m_options.replicas();
-        std::ranges::stable_partition(vms, [&replicas](const std::string &vm) { return std::ranges::find(replicas, vm) != replicas.end(); });
+        const auto isReplica = [&replicas](const std::string &vm) { return std::ranges::find(replicas, vm) != replicas.end(); };
+        std::stable_partition(vms.begin(), vms.end(), isReplica);
     }
     return vms;
 }
