--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -39,9 +39,9 @@
 /// How an upstream worked on a request, as far as its answer showed it.
 struct AnswerPace
 {
-    /// Milliseconds between events of a stream, or to a plain answer's end; 0: not measured.
+    /// Milliseconds between events of a stream, or to a plain answer's end; 0: unknown.
     double meanMs = 0;
-    /// Milliseconds of the longest pause between two events; 0: not measured.
+    /// Milliseconds of the longest pause between two events; 0: unknown.
     std::uint32_t longestMs = 0;
 };
 
