A lease names the fleet only to VMs that hold another tally, and only the VMs that are asked first

Change: the beat names the digest of the tally that the VM holds; the leader sends it when it differs. Of a data centre eight VMs are named, in the order in which they are asked, and the number of all. The leader makes the tally when it changed, at most each 0.2 s, not for each beat.

--- a/src/bench/placementrig.cpp
+++ b/src/bench/placementrig.cpp
@@ -176,9 +176,9 @@
         v1::PlacementVm &placing = *fleet.add_placement_vms();
         placing.set_vm(vm.name.value);
         placing.set_data_centre(vm.dataCentre.value);
-        *fleet.add_entry_vms() = vm.name.value;
         m_vms.push_back(std::move(vm));
     }
+    fleet.set_entry_vm_count(m_load.entryVms);
     for (Vm &vm : m_vms) {
         vm.client->takeCandidates(fleet);
         vm.server->takeFleet(fleet);
--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -338,6 +338,7 @@
     *envelope.mutable_config_heartbeat() = m_follower.beat(now);
     if (m_tally) {
         *envelope.mutable_config_heartbeat()->mutable_tally() = *m_tally;
+        envelope.mutable_config_heartbeat()->set_fleet_digest(m_fleet ? m_fleet->digest() : 0);
     }
     m_options.send(m_search.leader(), std::move(envelope));
 }
--- a/src/control/fleettally.cpp
+++ b/src/control/fleettally.cpp
@@ -1,5 +1,7 @@
 #include "control/fleettally.h"
 
+#include "placement/placementorder.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -48,6 +50,9 @@
         // Its counts begin at zero again; what the process before it had counted is in the totals.
         known = Vm{.incarnation = incarnation};
     }
+    if (isNew || known.dataCentre != tally.data_centre() || known.draining != tally.draining()) {
+        m_nextLook = now;
+    }
     known.dataCentre = tally.data_centre();
     known.draining = tally.draining();
     grow(known, tally);
@@ -70,20 +75,40 @@
     remember(vm, tally);
 }
 
-v1::FleetTally FleetTallies::fleet(TimePoint now) const
+const v1::FleetTally &FleetTallies::fleet(TimePoint now)
+{
+    if (now >= m_nextLook) {
+        m_fleet = makeFleet(now);
+        m_nextLook = now + LookInterval;
+    }
+    return m_fleet;
+}
+
+v1::FleetTally FleetTallies::makeFleet(TimePoint now) const
 {
     v1::FleetTally fleet;
+    std::map<std::string, std::vector<VmName>> placing;
+    std::uint32_t count = 0;
     for (const auto &[name, vm] : m_vms) {
         if (now - vm.heard > HeardLately) {
             continue;
         }
-        fleet.add_entry_vms(name.value);
+        ++count;
         if (!vm.draining) {
+            placing[vm.dataCentre].push_back(name);
+        }
+    }
+    fleet.set_entry_vm_count(count);
+    for (auto &[dataCentre, vms] : placing) {
+        std::ranges::sort(vms, {}, placementOrder);
+        vms.resize(std::min(vms.size(), MostNamedOfDataCentre));
+        for (const VmName &vm : vms) {
             v1::PlacementVm &placement = *fleet.add_placement_vms();
-            placement.set_vm(name.value);
-            placement.set_data_centre(vm.dataCentre);
+            placement.set_vm(vm.value);
+            placement.set_data_centre(dataCentre);
         }
     }
+    fleet.set_digest(std::max<std::uint64_t>(1, checksum(fleet.SerializeAsString())));
     return fleet;
 }
 
--- a/src/control/fleettally.h
+++ b/src/control/fleettally.h
@@ -15,10 +15,13 @@
 class FleetTallies
 {
 public:
+    /// More than these of a data centre are named to nobody: with all names in each lease, the leader's bytes grew with the square of the VMs.
+    static constexpr std::size_t MostNamedOfDataCentre = 8;
+
     /// A VM's tally. An older process of the VM counts as gone.
     void take(const VmName &vm, std::uint64_t incarnation, const v1::EntryTally &tally, TimePoint now);
-    /// The VMs heard of lately.
-    v1::FleetTally fleet(TimePoint now) const;
+    /// The VMs heard of lately; one that fell silent may still count for LookInterval.
+    const v1::FleetTally &fleet(TimePoint now);
     /// Growth of all VMs' counts of a service's versions since the rollout that is watched began here, by version.
     std::map<std::string, v1::VersionCounts> versionsSince(const std::string &service, const std::string &mark);
     void reset()
@@ -37,10 +40,16 @@
         std::map<VersionKey, v1::VersionCounts> counts;
     };
 
+    static constexpr Duration LookInterval = std::chrono::milliseconds(200);
+
     static void remember(Vm &vm, const v1::EntryTally &tally);
     void grow(Vm &vm, const v1::EntryTally &tally);
+    v1::FleetTally makeFleet(TimePoint now) const;
 
     std::map<VmName, Vm> m_vms;
+    v1::FleetTally m_fleet;
+    /// When m_fleet is made again, at the latest.
+    TimePoint m_nextLook{};
     /// What all VMs counted since this leader began, by service and version.
     std::map<VersionKey, v1::VersionCounts> m_totals;
     /// The totals when each rollout was first looked at.
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -86,8 +86,9 @@
         if (m_options.replicas) {
             *answer.mutable_config_lease()->mutable_replicas() = m_options.replicas();
         }
-        if (beat.has_tally()) {
-            *answer.mutable_config_lease()->mutable_fleet() = m_tallies.fleet(now);
+        const v1::FleetTally &fleet = m_tallies.fleet(now);
+        if (beat.has_tally() && beat.fleet_digest() != fleet.digest()) {
+            *answer.mutable_config_lease()->mutable_fleet() = fleet;
         }
     } else {
         answer.mutable_config_lease()->set_leader(m_options.vm.value);
--- a/src/placement/placementclient.cpp
+++ b/src/placement/placementclient.cpp
@@ -1,7 +1,7 @@
 #include "placement/placementclient.h"
 
 #include "common/address.h"
-#include "common/hash.h"
+#include "placement/placementorder.h"
 
 #include <algorithm>
 
@@ -33,7 +33,7 @@
         m_ranked[DataCentreName{vm.data_centre()}].push_back(VmName{vm.vm()});
     }
     for (auto &[dataCentre, vms] : m_ranked) {
-        std::ranges::sort(vms, {}, [](const VmName &vm) { return std::pair(checksum(vm.value), vm); });
+        std::ranges::sort(vms, {}, placementOrder);
     }
 }
 
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -56,7 +56,7 @@
     /// How many entry VMs there are.
     void takeFleet(const v1::FleetTally &fleet)
     {
-        m_fleetSize = static_cast<std::size_t>(std::max(1, fleet.entry_vms_size()));
+        m_fleetSize = std::max<std::uint32_t>(1, fleet.entry_vm_count());
     }
     /// What another data centre's server has given out.
     void takeNotice(const VmName &from, const v1::LoadNotice &notice, TimePoint now);
