VMs that lack the same configuration are repaired by one fan-out

Cause: a leader answered the beat of each VM that held nothing with the whole state, over a connection of its own to each VM. Change: repairs are gathered until the next tick (50 ms) and go down the push tree, one tree for all VMs that hold the same.

--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -44,6 +44,7 @@
 void Leadership::stopLeading()
 {
     m_leads = false;
+    m_repairs.clear();
     // Their commands were accepted; whether they are in force everywhere, the next leader knows when the client asks it.
     m_waits.clear();
     m_confirmations.clear();
@@ -95,18 +96,35 @@
         answer.mutable_config_lease()->set_beat(beat.beat());
     }
     m_options.send(from, std::move(answer));
+    for (auto &[holding, vms] : m_repairs) {
+        vms.erase(from.value);
+    }
     if (m_distribution.needsRepair(from, now)) {
-        v1::Envelope repair;
-        *repair.mutable_config_update()
-            = beat.whole() ? makeWholeConfigUpdate(m_state) : makeConfigUpdate(m_state, Revision{beat.revision()}, beat.routes_version());
-        m_distribution.repairSent(from, repair.ByteSizeLong(), now);
-        m_spreadLog.repaired(repair.ByteSizeLong());
-        m_options.send(from, std::move(repair));
+        m_repairs[{.needsWhole = beat.whole(), .revision = beat.revision(), .routesVersion = beat.routes_version()}].insert(from.value);
     }
     answerWaits(now);
     confirmDue(now);
 }
 
+/// VMs that lack the same pass one update on to each other. One by one, a leader whose whole fleet had restarted opened a connection to every VM and
+/// sent it the whole state; 100 VMs waited 8 s for it.
+void Leadership::sendRepairs(TimePoint now)
+{
+    for (const auto &[holding, vms] : std::exchange(m_repairs, {})) {
+        v1::Envelope repair;
+        *repair.mutable_config_update()
+            = holding.needsWhole ? makeWholeConfigUpdate(m_state) : makeConfigUpdate(m_state, Revision{holding.revision}, holding.routesVersion);
+        for (const std::string &vm : vms) {
+            m_distribution.repairSent(VmName{vm}, repair.ByteSizeLong(), now);
+        }
+        for (const Branch &branch : branches({vms.begin(), vms.end()})) {
+            repair.mutable_config_update()->mutable_relay()->Assign(branch.relay.begin(), branch.relay.end());
+            m_spreadLog.repaired(repair.ByteSizeLong());
+            m_options.send(branch.child, repair);
+        }
+    }
+}
+
 /// The control replicas first: they pass on to the others, and their links are wide.
 std::vector<std::string> Leadership::spreadOrder(TimePoint now) const
 {
@@ -178,6 +196,7 @@
     if (!m_leads) {
         return {};
     }
+    sendRepairs(now);
     answerWaits(now);
     confirmDue(now);
     logSpread(now);
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -7,6 +7,10 @@
 #include "control/statemachine.h"
 
 #include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace cumindyke
 {
@@ -72,6 +76,17 @@
         std::function<void()> answer;
     };
 
+    /// What a VM holds: VMs that hold the same lack the same.
+    struct Holding
+    {
+        bool needsWhole = false;
+        std::uint64_t revision = 0;
+        std::uint64_t routesVersion = 0;
+
+        auto operator<=>(const Holding &) const = default;
+    };
+
+    void sendRepairs(TimePoint now);
     void answerWaits(TimePoint now);
     void confirmDue(TimePoint now);
     std::vector<std::string> spreadOrder(TimePoint now) const;
@@ -85,6 +100,8 @@
     std::uint64_t m_pushedVersion = 0;
     std::uint64_t m_pushedRoutes = 0;
     Revision m_pushedRevision;
+    /// VMs to be repaired at the next tick.
+    std::map<Holding, std::set<std::string>> m_repairs;
     std::vector<Wait> m_waits;
     std::vector<Confirmation> m_confirmations;
     SpreadLog m_spreadLog;
--- a/tests/control/largeconfigurationtest.cpp
+++ b/tests/control/largeconfigurationtest.cpp
@@ -72,6 +72,25 @@
     CHECK(rig.peakHeldBy(1) <= MessagesOfLeader);
 }
 
+// Guards against a leader that brings every VM of a fleet that restarted up to date by itself: a connection and a whole state for each.
+TEST_CASE("300 VMs that restart together have the configuration from each other, and a lease soon")
+{
+    constexpr Duration StartedWithin = std::chrono::milliseconds(300);
+    constexpr Duration ServingWithin = std::chrono::seconds(2);
+    SpreadRig rig({.entryVms = 300});
+    rig.publish(routeTable(1, 300));
+    rig.run(std::chrono::seconds(4));
+    rig.restartFollowers(StartedWithin);
+    rig.run(ServingWithin);
+    int admitting = 0;
+    for (int vm = 0; vm < rig.size(); ++vm) {
+        admitting += rig.admitUntil(vm) > rig.now() ? 1 : 0;
+    }
+    CHECK(admitting == rig.size());
+    // Beats come in over six ticks; each has its fan-out.
+    CHECK(rig.peersOfLeader() <= 7 * FanOut);
+}
+
 // Prints the figures of docs/measurements/control-plane.md; run it by its tag.
 TEST_CASE("how long, and at what cost, a change of routes spreads", "[.measure]")
 {
--- a/tests/control/spreadrig.cpp
+++ b/tests/control/spreadrig.cpp
@@ -38,16 +38,34 @@
     for (int i = 0; i < size(); ++i) {
         vm(i).bytesPerSecond = i < m_options.coreVms ? m_options.coreBytesPerSecond : m_options.entryBytesPerSecond;
         vm(i).nextBeat = m_now + Duration(static_cast<Duration::rep>(m_random() % static_cast<std::uint64_t>(BeatInterval.count())));
-        vm(i).follower = std::make_unique<Follower>(FollowerOptions{
-            .vm = nameOf(i),
-            .dataCentre = DataCentreName{"dc"},
-            .incarnation = m_random() >> 1,
-            .keepAdmitting = Duration::zero(),
-        });
+        vm(i).follower = newFollower(i);
     }
     elect(0);
 }
 
+std::unique_ptr<Follower> SpreadRig::newFollower(int number)
+{
+    return std::make_unique<Follower>(FollowerOptions{
+        .vm = nameOf(number),
+        .dataCentre = DataCentreName{"dc"},
+        .incarnation = m_random() >> 1,
+        .keepAdmitting = Duration::zero(),
+    });
+}
+
+void SpreadRig::restartFollowers(Duration within)
+{
+    for (int i = 0; i < size(); ++i) {
+        vm(i).bytesSent = 0;
+        vm(i).peers.clear();
+        if (i == m_leader) {
+            continue;
+        }
+        vm(i).follower = newFollower(i);
+        vm(i).nextBeat = m_now + Duration(static_cast<Duration::rep>(m_random() % static_cast<std::uint64_t>(within.count())));
+    }
+}
+
 VmName SpreadRig::nameOf(int vm)
 {
     return VmName{std::to_string(vm)};
@@ -87,6 +105,7 @@
     m_published = table.version();
     for (Vm &vm : m_vms) {
         vm.bytesSent = 0;
+        vm.peers.clear();
         vm.peakHeld = vm.budget->held();
         vm.inForceAfter = Duration::max();
     }
@@ -133,6 +152,9 @@
         return;
     }
     Vm &sender = vm(from);
+    if (envelope.has_config_update()) {
+        sender.peers.insert(target);
+    }
     sender.queues.try_emplace(target, sender.budget).first->second.push(std::move(envelope));
     sender.peakHeld = std::max(sender.peakHeld, sender.budget->held());
     startCalls(from, target);
--- a/tests/control/spreadrig.h
+++ b/tests/control/spreadrig.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 /// How configurations reach many VMs over narrow links, in virtual time: the real leader's part, followers and send queues; links
 /// that carry so many bytes a second and calls that are given up at their deadline. The log itself is taken as given.
@@ -36,6 +37,8 @@
     void run(Duration time);
     /// Nothing reaches the VM or comes from it from now on, and nobody is told.
     void silence(int vm);
+    /// New processes of all VMs but the leader, with nothing: their first beats go out within the time.
+    void restartFollowers(Duration within);
     /// The VM leads from now on; the one before does not.
     void elect(int vm);
     /// A newer table is in the log, and applied by the leader.
@@ -71,6 +74,11 @@
         return m_vms.front().bytesSent;
     }
     std::size_t mostBytesFromEntryVm() const;
+    /// VMs that the leader had calls to since the last restart of the followers or publication.
+    std::size_t peersOfLeader() const
+    {
+        return m_vms.front().peers.size();
+    }
     /// The most that the leader's messages took at a time since the last publication: those that wait and those under way.
     std::size_t peakHeldByLeader() const
     {
@@ -93,6 +101,8 @@
         TimePoint downlinkFree{};
         bool silent = false;
         std::size_t bytesSent = 0;
+        /// Reached with updates.
+        std::set<int> peers;
         std::size_t peakHeld = 0;
         Duration inForceAfter = Duration::max();
     };
@@ -114,6 +124,7 @@
     }
     static VmName nameOf(int vm);
     static int numberOf(const VmName &name);
+    std::unique_ptr<Follower> newFollower(int number);
     void at(TimePoint time, std::function<void()> happen);
     void send(int from, const VmName &to, v1::Envelope envelope);
     void startCalls(int from, int to);
