Attempts to connect get more time with each failure, and a slow peer is not given a new connection every two seconds

What callers saw: 300 VMs that started together never had a lease. Channels were thrown away after two passed deadlines whatever the reason, which makes more connections the slower the peer is. Change: attempts grow to 1 s; the number of passed deadlines before a new channel doubles up to 8 until a call succeeds; a channel without a call is closed after a minute.

--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -7,6 +7,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
 #include <mutex>
 #include <set>
 
@@ -16,8 +17,12 @@
 namespace
 {
 
-/// A connection with this many passed deadlines in a row is taken for silent.
+/// A connection with this many passed deadlines in a row is taken for silent. The number doubles with each new connection that was of no use, up to
+/// the most: a peer that is only slow would otherwise have to accept more connections the slower it is.
 constexpr int DeadlinesBeforeReconnect = 2;
+constexpr int MostDeadlinesBeforeReconnect = 8;
+/// A connection without a call for so long is closed: a VM then holds connections to those that it talks to, not to all it ever talked to.
+constexpr int IdleConnectionMs = 60'000;
 /// Against names made up by somebody who speaks the protocol: several times the VMs of the largest system.
 constexpr std::size_t MaxNamedPeers = 2000;
 constexpr int MaxMessageBytes = 64 << 20;
@@ -83,11 +88,13 @@
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, 10'000);
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, 2'000);
+    arguments.SetInt(GRPC_ARG_CLIENT_IDLE_TIMEOUT_MS, IdleConnectionMs);
     // VMs that start together find each other soon: gRPC's own figures would wait 20 s for an attempt that began while the peer was dark, and
-    // after a common loss of power replicas that were all up heard nothing of each other for half a second.
+    // after a common loss of power replicas that were all up heard nothing of each other for half a second. Each failed attempt gives the next
+    // one more time: a peer that accepts slowly, since many connect to it, would otherwise never be through with any.
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 30);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 200);
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 250);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1'000);
     arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
     return grpc::CreateCustomChannel(toString(address), channelCredentials(tls), arguments);
 }
@@ -161,9 +168,13 @@
         if (!status.ok()) {
             m_shared->losses.lost(m_peer, reasonOf(status), batch.ByteSizeLong(), m_queue.waiting());
         }
+        if (status.ok()) {
+            m_deadlinesBeforeReconnect = DeadlinesBeforeReconnect;
+        }
         m_passedDeadlines = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ? m_passedDeadlines + 1 : 0;
-        if (m_passedDeadlines >= DeadlinesBeforeReconnect) {
+        if (m_passedDeadlines >= m_deadlinesBeforeReconnect) {
             m_passedDeadlines = 0;
+            m_deadlinesBeforeReconnect = std::min(2 * m_deadlinesBeforeReconnect, MostDeadlinesBeforeReconnect);
             m_stub.reset();
         }
         startCalls();
@@ -178,6 +189,7 @@
     const std::shared_ptr<Shared> m_shared;
     OutgoingQueue m_queue;
     int m_passedDeadlines = 0;
+    int m_deadlinesBeforeReconnect = DeadlinesBeforeReconnect;
     int m_attempt = 0;
 };
 
--- a/src/peer/peertransport.h
+++ b/src/peer/peertransport.h
@@ -16,7 +16,7 @@
 ///
 /// One call of a lane is under way to a peer at a time; what is sent meanwhile waits and goes as one batch, so the number of calls grows
 /// with round trips, not with messages, and large messages don't keep small ones waiting. Each call has a deadline, and what waits is bounded
-/// in bytes. A connection that went silent for good shows as passed deadlines, and is replaced by a new one after two in a row.
+/// in bytes. A connection that went silent for good shows as passed deadlines, and is replaced by a new one after some in a row.
 class PeerTransport
 {
 public:
