Beats and leases go by datagrams, without a connection between the leader and each VM

What callers saw: no request served at 300 VMs. Cause: with a call for each beat and each lease the leader held two connections for every VM, and a common start was a storm of connections to one VM: every VM asked the first of the three seeds first. Change: setting lease_port: beats, leases and hints go by UDP (8 KB at most; larger ones, and those under TLS, by calls as before). A beat without an answer is repeated once after 0.2 s. Answers go the way that the beat came, so VMs without the setting are served too. Each VM begins with another seed, by a hash of its name.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -1,5 +1,6 @@
 #include "control/controltask.h"
 
+#include "common/hash.h"
 #include "common/log.h"
 #include "control/rolloutleader.h"
 
@@ -14,6 +15,10 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
 constexpr Duration BeatInterval = std::chrono::milliseconds(500);
+/// A beat that nothing answered is followed by another one so soon, once: a datagram was lost.
+constexpr Duration UnansweredInterval = std::chrono::milliseconds(200);
+/// Several times the VMs of the largest system.
+constexpr std::size_t MostBeatingVms = 2000;
 /// A hand-over of leadership takes some round trips; a replica that finds no successor leaves after this.
 constexpr Duration DepartureLimit = std::chrono::seconds(2);
 /// For calls of operators that are under way when the process is told to end.
@@ -34,10 +39,14 @@
     return (static_cast<std::uint64_t>(device()) << 31) ^ device();
 }
 
-/// Replicas first: they know who leads.
+/// Replicas first: they know who leads. Each VM begins with another one, or all that start together would ask the same one.
 std::vector<VmName> leaderCandidates(const ControlOptions &options)
 {
     std::vector<VmName> candidates = options.replicas;
+    if (!candidates.empty()) {
+        const std::size_t first = checksum(options.vm.value) % candidates.size();
+        std::ranges::rotate(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(first));
+    }
     for (const auto &[peer, address] : options.peers) {
         if (std::ranges::find(candidates, peer) == candidates.end()) {
             candidates.push_back(peer);
@@ -58,6 +67,12 @@
     return names;
 }
 
+/// What may be lost, since the sender soon tells it again.
+bool isSignal(const v1::Envelope &envelope)
+{
+    return envelope.has_config_heartbeat() || envelope.has_config_lease();
+}
+
 std::map<VmName, Address> allVms(const ControlOptions &options)
 {
     std::map<VmName, Address> vms = options.peers;
@@ -70,6 +85,9 @@
 Result<std::unique_ptr<ControlTask>> ControlTask::start(ControlOptions options)
 {
     std::unique_ptr<ControlTask> task(new ControlTask(std::move(options)));
+    if (const std::optional<Error> error = task->openDatagrams()) {
+        return *error;
+    }
     if (const std::optional<Error> error = task->recover()) {
         return *error;
     }
@@ -88,7 +106,7 @@
                        .vms = allVms(m_options),
                        .lease = {.keepAdmitting = m_options.keepAdmitting},
                        .confirmWithin = m_options.confirmWithin,
-                       .send = m_options.send,
+                       .send = [this](const VmName &to, v1::Envelope envelope) { sendSignal(to, std::move(envelope)); },
                        .hasQuorum = [this](TimePoint now) { return hasQuorum(now); },
                        .replicas = [this] { return m_log->membership().voters(); },
                    },
@@ -111,6 +129,38 @@
     stop();
 }
 
+std::optional<Error> ControlTask::openDatagrams()
+{
+    if (!m_options.datagrams) {
+        return {};
+    }
+    auto opened = PeerDatagrams::open(m_loop, *m_options.datagrams);
+    if (!ok(opened)) {
+        return errorOf(opened);
+    }
+    m_datagrams = std::move(valueOf(opened));
+    m_datagrams->received().connect([this](PeerMessage &message) {
+        if (!isSignal(message.envelope)) {
+            return;
+        }
+        if (m_beatsByDatagram.size() < MostBeatingVms) {
+            m_beatsByDatagram.insert(message.from);
+        }
+        handle(message);
+    });
+    return {};
+}
+
+/// A beat is answered the way it came: until all VMs of a fleet have the setting, some beat by calls.
+void ControlTask::sendSignal(const VmName &to, v1::Envelope envelope)
+{
+    const bool byDatagram = envelope.has_config_heartbeat() || (envelope.has_config_lease() && m_beatsByDatagram.contains(to));
+    const bool sent = m_datagrams && to != m_options.vm && byDatagram && m_datagrams->send(to, envelope);
+    if (!sent) {
+        m_options.send(to, std::move(envelope));
+    }
+}
+
 void ControlTask::stop()
 {
     m_loop.stop();
@@ -332,7 +382,9 @@
 
 void ControlTask::beat(TimePoint now)
 {
-    m_nextBeat = now + (m_settlingBeats > 0 ? SettlingInterval : BeatInterval);
+    const bool isFollowedSoon = m_datagrams && !std::exchange(m_beatUnanswered, true);
+    m_lastBeat = now;
+    m_nextBeat = now + (m_settlingBeats > 0 ? SettlingInterval : isFollowedSoon ? UnansweredInterval : BeatInterval);
     m_settlingBeats = std::max(0, m_settlingBeats - 1);
     v1::Envelope envelope;
     *envelope.mutable_config_heartbeat() = m_follower.beat(now);
@@ -340,7 +392,7 @@
         *envelope.mutable_config_heartbeat()->mutable_tally() = *m_tally;
         envelope.mutable_config_heartbeat()->set_fleet_digest(m_fleet ? m_fleet->digest() : 0);
     }
-    m_options.send(m_search.leader(), std::move(envelope));
+    sendSignal(m_search.leader(), std::move(envelope));
 }
 
 void ControlTask::sendDue(TimePoint now)
@@ -375,6 +427,9 @@
 void ControlTask::takeLease(const VmName &from, const v1::ConfigLease &lease)
 {
     const TimePoint now = EventLoop::now();
+    if (std::exchange(m_beatUnanswered, false) && m_settlingBeats == 0) {
+        m_nextBeat = m_lastBeat + BeatInterval;
+    }
     if (lease.length_ms() == 0) {
         const VmName before = m_search.leader();
         m_search.learned(VmName{lease.leader()});
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -10,13 +10,14 @@
 #include "control/pendingproposals.h"
 #include "control/statemachine.h"
 #include "control/watchers.h"
-#include "peer/peertransport.h"
+#include "peer/peerdatagrams.h"
 #include "raft/replicatedlog.h"
 
 #include <sigc++/sigc++.h>
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <thread>
 #include <variant>
 
@@ -128,6 +129,8 @@
     Duration confirmWithin = std::chrono::seconds(2);
     /// A replica of the log that was silent for so long is replaced by another VM with a disk.
     Duration replaceReplicaAfter = std::chrono::seconds(30);
+    /// Where beats and leases come in and, on other VMs, go to; without it they go by "send".
+    std::optional<Address> datagrams;
     PeerSender send;
 };
 
@@ -135,7 +138,8 @@
 class ControlTask
 {
 public:
-    /// Recovers the state from the data folder and starts the task's thread. Errors: Storage.
+    /// Recovers the state from the data folder and starts the task's thread. Errors: Storage; Unavailable, when the address for datagrams
+    /// can't be bound.
     static Result<std::unique_ptr<ControlTask>> start(ControlOptions options);
     ~ControlTask();
     ControlTask(const ControlTask &) = delete;
@@ -156,8 +160,11 @@
     static AnswerWhen answerWhen(const v1::Command &command);
 
     explicit ControlTask(ControlOptions options);
+    std::optional<Error> openDatagrams();
     std::optional<Error> recover();
     void tick();
+    /// For beats and their answers.
+    void sendSignal(const VmName &to, v1::Envelope envelope);
 
     // The log.
     void connectLog();
@@ -209,6 +216,9 @@
     const ControlOptions m_options;
     EventLoop m_loop;
     Mailbox<ControlMessage> m_mailbox;
+    /// Null where beats and leases go by calls.
+    std::unique_ptr<PeerDatagrams> m_datagrams;
+    std::set<VmName> m_beatsByDatagram;
     Timer m_tick;
     StateMachine m_state;
     /// Null on a VM without a data folder.
@@ -227,7 +237,10 @@
     Follower m_follower;
     Watchers m_watchers;
     bool m_watchersAsk = false;
+    TimePoint m_lastBeat{};
     TimePoint m_nextBeat{};
+    /// Nothing has answered since the last beat.
+    bool m_beatUnanswered = false;
     /// When another VM is asked for a lease, if the one that was asked has not granted one by then.
     TimePoint m_askAnotherAt{};
     /// A hint was followed since another candidate was asked, or since the last lease.
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -294,7 +294,7 @@
     v1::Envelope hint;
     hint.mutable_config_lease()->set_beat(beat.beat());
     hint.mutable_config_lease()->set_leader(leader);
-    m_options.send(to, std::move(hint));
+    sendSignal(to, std::move(hint));
 }
 
 /// A VM that asked while nobody led would ask again only after its search has gone round: a quarter of a second more in which it refuses
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -22,12 +22,13 @@
     return vms;
 }
 
-std::optional<Address> datagramsOf(const Settings &settings)
+/// Datagrams carry no proof of their sender, so there are none under TLS.
+std::optional<Address> datagramsAt(const Settings &settings, std::uint16_t port)
 {
-    if (settings.tls || settings.peerPort == 0) {
+    if (settings.tls || port == 0) {
         return {};
     }
-    return Address{.host = settings.rpcAddress.host, .port = settings.peerPort};
+    return Address{.host = settings.rpcAddress.host, .port = port};
 }
 
 /// The rest of the slack is for what placement servers admit before they hear of each other, and when another one takes over.
@@ -89,8 +90,8 @@
         .headers = adapter.headers,
         .list = adapter.instanceList(settings.proxy->upstreamList),
         .requestReadLimit = settings.requestReadLimit,
-        // Datagrams carry no proof of their sender, so under TLS each VM places its own requests.
-        .datagrams = datagramsOf(settings),
+        // Without them each VM places its own requests.
+        .datagrams = datagramsAt(settings, settings.peerPort),
         .limitTolerance = settings.limitSlack / PartOfSlack,
         .sendTally = [control = m_control.get()](v1::EntryTally tally) { control->post(TallyNotice{std::move(tally)}); },
     };
@@ -152,6 +153,7 @@
         .keepAdmitting = settings.keepAdmitting,
         .confirmWithin = settings.confirmWithin,
         .replaceReplicaAfter = settings.replaceReplicaAfter,
+        .datagrams = datagramsAt(settings, settings.leasePort),
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     });
     if (!ok(control)) {
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -102,6 +102,10 @@
     settings.replaceReplicaAfter
         = std::chrono::milliseconds(root.integer("replace_replica_after_ms", settings.replaceReplicaAfter.count(), 1'000, MaxReplaceReplicaAfterMs));
     settings.peerPort = static_cast<std::uint16_t>(root.integer("peer_port", 0, 0, 65'535));
+    settings.leasePort = static_cast<std::uint16_t>(root.integer("lease_port", 0, 0, 65'535));
+    if (settings.leasePort != 0 && (settings.peerPort == 0 || settings.leasePort == settings.peerPort)) {
+        root.reject("lease_port", "needs peer_port, and another port than that one: set both, or leave it out");
+    }
     for (const std::string &replica : root.texts("replicas")) {
         settings.replicas.push_back(readReplica(replica, settings.peerPort != 0));
     }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -41,6 +41,8 @@
     std::vector<VmName> replicas;
     /// VMs are named by their IPv4 addresses and reached at this port; 0: by the peers named above only.
     std::uint16_t peerPort = 0;
+    /// Beats and leases go from and to this UDP port of each VM; 0: by calls, like everything else.
+    std::uint16_t leasePort = 0;
     /// With a new data folder, whether the replicas may form the first cluster.
     bool formCluster = true;
     /// Voters that the log grows to while VMs with disks come; 0: as many as replicas names.
--- a/tests/daemon/settingstest.cpp
+++ b/tests/daemon/settingstest.cpp
@@ -34,3 +34,12 @@
     CHECK(problemOf(std::string("vm = \"vm-1\"\nreplicas = [\"vm-1\"]\n") + Peers).empty());
     CHECK(problemOf(std::string("vm = \"vm-1\"\nreplicas = [\"vm-3\"]\n") + Peers).find("neither this VM nor a peer") != std::string::npos);
 }
+
+// Guards against placement and lease datagrams that meet at one socket, where each side would drop the other's.
+TEST_CASE("a port for leases needs VMs that are reached by address, and a port of its own")
+{
+    const std::string byAddress = "replicas = [\"127.0.0.1:7600\"]\npeer_port = 7600\n";
+    CHECK(problemOf(byAddress + "lease_port = 7601\n").empty());
+    CHECK(problemOf(byAddress + "lease_port = 7600\n").find("another port") != std::string::npos);
+    CHECK(problemOf("lease_port = 7601\n").find("needs peer_port") != std::string::npos);
+}
--- a/tests/platform/wholepathtest.cpp
+++ b/tests/platform/wholepathtest.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr std::uint16_t PeerPort = 7600;
+constexpr std::uint16_t LeasePort = 7615;
 constexpr std::uint16_t ControlPort = 8229;
 constexpr std::uint16_t FrontPort = 8221;
 constexpr std::uint16_t ReadinessPort = 8224;
