Notices between placement servers tell what changed, not every load each time

Cause: each notice, 33 a second to each other data centre's server, told every load that is not zero, a tenth of them every upstream with its pace. Change: loads that changed since the last notice, and a sixteenth of the others by turns; a quarter of the paces in each notice to backups. What a peer has not told for 100 notices is forgotten, so that a lost end can't hold a place.

--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -61,7 +61,7 @@
     updateCoverage(now);
 }
 
-void PlacementServer::fillNotice(v1::LoadNotice &notice, bool forBackup, TimePoint now) const
+void PlacementServer::fillNotice(v1::LoadNotice &notice, bool forBackup, TimePoint now)
 {
     m_board.fillNotice(notice, forBackup);
     m_limits.fillNotice(notice, forBackup, now);
--- a/src/placement/upstreamboard.cpp
+++ b/src/placement/upstreamboard.cpp
@@ -1,7 +1,10 @@
 #include "placement/upstreamboard.h"
 
+#include "common/hash.h"
+
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace cumindyke
 {
@@ -19,6 +22,13 @@
 constexpr std::uint32_t MostOnUntried = 3;
 /// A server that has anything under way sends a notice every 30 ms. What one that is gone had given out is told by its successor.
 constexpr Duration NoticeHolds = std::chrono::milliseconds(400);
+/// Of an upstream with requests, each load is told again after so many notices at the latest, and to backups after so many of theirs: what a
+/// lost notice told, or a server that is new has not heard. Told whole each time, notices filled the links between data centres with 1,000
+/// upstreams, and were too large for a datagram with 3,000.
+constexpr std::uint64_t Slices = 16;
+constexpr std::uint64_t BackupSlices = 4;
+/// More than a backup waits for a load to be told again.
+constexpr std::uint64_t NoticesBeforeForgotten = 100;
 /// Weight of the newest observation: about the last ten count.
 constexpr double PaceWeight = 0.1;
 constexpr Duration FirstRest = std::chrono::milliseconds(200);
@@ -41,6 +51,7 @@
         // Requests in flight end by name, whichever process they were sent to.
         upstream.own = known == m_upstreams.end() ? Load{} : known->second.own;
         upstream.instance = instance;
+        upstream.slice = checksum(instance.name.value);
         next.insert_or_assign(instance.name, std::move(upstream));
     }
     m_upstreams.swap(next);
@@ -58,39 +69,64 @@
 
 void UpstreamBoard::addLoads(const Peer &peer, int sign)
 {
-    for (const auto &[name, load] : peer.loads) {
-        Upstream *upstream = find(name);
-        if (!upstream) {
-            continue;
-        }
-        if (sign > 0) {
-            upstream->others.requests += load.requests;
-            upstream->others.tokens += load.tokens;
-        } else {
-            upstream->others.requests -= std::min(upstream->others.requests, load.requests);
-            upstream->others.tokens -= std::min(upstream->others.tokens, load.tokens);
-        }
+    for (const auto &[name, told] : peer.loads) {
+        addLoad(name, told.load, sign);
+    }
+}
+
+void UpstreamBoard::addLoad(const InstanceName &name, const Load &load, int sign)
+{
+    Upstream *upstream = find(name);
+    if (!upstream) {
+        return;
+    }
+    if (sign > 0) {
+        upstream->others.requests += load.requests;
+        upstream->others.tokens += load.tokens;
+    } else {
+        upstream->others.requests -= std::min(upstream->others.requests, load.requests);
+        upstream->others.tokens -= std::min(upstream->others.tokens, load.tokens);
     }
 }
 
+/// What the peer has not told for so long ended, and the notice that said so was lost.
+void UpstreamBoard::forgetUntold(Peer &peer)
+{
+    std::erase_if(peer.loads, [&](const auto &held) {
+        const bool untold = peer.sequence - held.second.sequence > NoticesBeforeForgotten;
+        if (untold) {
+            addLoad(held.first, held.second.load, -1);
+        }
+        return untold;
+    });
+}
+
 void UpstreamBoard::takeNotice(const VmName &vm, const v1::LoadNotice &notice, TimePoint now)
 {
     Peer &peer = m_peers[vm];
     if (notice.incarnation() == peer.incarnation && notice.sequence() <= peer.sequence) {
         return;
     }
-    addLoads(peer, -1);
-    peer = Peer{.incarnation = notice.incarnation(), .sequence = notice.sequence(), .heard = now, .loads = {}};
+    if (notice.incarnation() != peer.incarnation) {
+        addLoads(peer, -1);
+        peer.loads.clear();
+    }
+    peer.incarnation = notice.incarnation();
+    peer.sequence = notice.sequence();
+    peer.heard = now;
     for (const v1::UpstreamLoad &load : notice.loads()) {
         const InstanceName name{load.upstream()};
-        peer.loads[name] = Load{.requests = load.in_flight(), .tokens = load.prompt_tokens()};
+        PeerLoad &told = peer.loads[name];
+        addLoad(name, told.load, -1);
+        told = PeerLoad{.load = {.requests = load.in_flight(), .tokens = load.prompt_tokens()}, .sequence = notice.sequence()};
+        addLoad(name, told.load, 1);
         Upstream *upstream = find(name);
         if (upstream && upstream->paceMs == 0) {
             // Learned there: a server that has just taken over need not try the slow ones to find out.
             upstream->paceMs = load.pace_ms();
         }
     }
-    addLoads(peer, 1);
+    forgetUntold(peer);
 }
 
 void UpstreamBoard::forgetSilent(TimePoint now)
@@ -346,17 +382,35 @@
     return found == m_upstreams.end() ? 0 : found->second.own.requests + found->second.others.requests;
 }
 
-void UpstreamBoard::fillNotice(v1::LoadNotice &notice, bool withPaces) const
+bool UpstreamBoard::Told::isDue(const Load &now, bool isItsTurn)
 {
-    for (const auto &[name, upstream] : m_upstreams) {
-        if (upstream.own.requests == 0 && !withPaces) {
+    if (now != load) {
+        load = now;
+        repeatsNothing = now == Load{};
+        return true;
+    }
+    return isItsTurn && (now != Load{} || std::exchange(repeatsNothing, false));
+}
+
+void UpstreamBoard::fillNotice(v1::LoadNotice &notice, bool forBackup)
+{
+    const std::uint64_t slice = notice.sequence() % Slices;
+    m_backupNotices += forBackup ? 1 : 0;
+    const std::uint64_t backupSlice = m_backupNotices % BackupSlices;
+    for (auto &[name, upstream] : m_upstreams) {
+        bool due = upstream.told.isDue(upstream.own, upstream.slice % Slices == slice);
+        if (forBackup) {
+            const bool isItsBackupTurn = upstream.slice % BackupSlices == backupSlice;
+            due = upstream.toldBackups.isDue(upstream.own, isItsBackupTurn) || (isItsBackupTurn && upstream.paceMs > 0) || due;
+        }
+        if (!due) {
             continue;
         }
         v1::UpstreamLoad &load = *notice.add_loads();
         load.set_upstream(name.value);
         load.set_in_flight(upstream.own.requests);
         load.set_prompt_tokens(upstream.own.tokens);
-        if (withPaces) {
+        if (forBackup) {
             load.set_pace_ms(upstream.paceMs);
         }
     }
--- a/src/placement/upstreamboard.h
+++ b/src/placement/upstreamboard.h
@@ -94,8 +94,9 @@
 
     /// Requests that it has, as far as is known here.
     std::uint32_t inFlight(const InstanceName &name) const;
-    /// What was given out here; with what was learned of each upstream's pace, or without.
-    void fillNotice(v1::LoadNotice &notice, bool withPaces) const;
+    /// What was given out here, as far as it changed since the last notice, and a part of the rest by turns; for a VM that may have to take over,
+    /// which hears few notices, what changed since the last of those, with what was learned of the upstreams' paces. Needs the notice's sequence.
+    void fillNotice(v1::LoadNotice &notice, bool forBackup);
 
 private:
     struct Load
@@ -103,6 +104,18 @@
         std::uint32_t requests = 0;
         /// Of prompts whose first event has not come.
         std::uint64_t tokens = 0;
+
+        bool operator==(const Load &) const = default;
+    };
+    /// What the receivers of notices were told last of an upstream.
+    struct Told
+    {
+        Load load;
+        /// That nothing is left was told once, and is told again at its turn.
+        bool repeatsNothing = false;
+
+        /// Whether the next notice must tell the load; it counts as told then.
+        bool isDue(const Load &now, bool isItsTurn);
     };
     struct Upstream
     {
@@ -110,20 +123,32 @@
         Load own;
         /// Of the other servers, as of their last notices.
         Load others;
+        Told told;
+        Told toldBackups;
+        /// Whose turn it is to be told again, by the name's hash.
+        std::uint64_t slice = 0;
         double paceMs = 0;
         int failuresInARow = 0;
         TimePoint restsUntil{};
     };
 
+    struct PeerLoad
+    {
+        Load load;
+        /// The last notice that told it.
+        std::uint64_t sequence = 0;
+    };
     struct Peer
     {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         TimePoint heard;
-        std::map<InstanceName, Load> loads;
+        std::map<InstanceName, PeerLoad> loads;
     };
 
     void addLoads(const Peer &peer, int sign);
+    void addLoad(const InstanceName &name, const Load &load, int sign);
+    void forgetUntold(Peer &peer);
     bool allowed(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
     double fastestPace(const ServiceName &service) const;
     bool hasPlace(const Upstream &upstream) const;
@@ -141,6 +166,7 @@
     std::map<ServiceName, EnginePace> m_engines;
     std::map<ServiceName, StreamPauses> m_pauses;
     std::map<VmName, Peer> m_peers;
+    std::uint64_t m_backupNotices = 0;
 };
 
 }
--- a/tests/placement/upstreamboardtest.cpp
+++ b/tests/placement/upstreamboardtest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace cumindyke;
 
 namespace
@@ -236,3 +238,118 @@
         CHECK(chosen(board, Start) == "new");
     }
 }
+
+namespace
+{
+
+/// A placement server with so many upstreams, and the notices that it sends.
+struct NoticeSender
+{
+    explicit NoticeSender(int upstreams)
+        : board(Here)
+    {
+        std::vector<UpstreamInstance> list;
+        for (int i = 0; i < upstreams; ++i) {
+            list.push_back(instance(nameOf(i)));
+        }
+        board.takeList(list);
+    }
+
+    static std::string nameOf(int upstream)
+    {
+        return "i-" + std::to_string(10'000'000 + upstream);
+    }
+
+    v1::LoadNotice next(bool forBackup = false)
+    {
+        v1::LoadNotice notice;
+        notice.set_incarnation(1);
+        notice.set_sequence(++sequence);
+        board.fillNotice(notice, forBackup);
+        return notice;
+    }
+
+    UpstreamBoard board;
+    std::uint64_t sequence = 0;
+};
+
+}
+
+// Guards against notices that grow with all upstreams: with 3,000 they were larger than a datagram, and no server heard of another.
+TEST_CASE("a notice of a server with 3,000 upstreams tells what changed, and a part of the rest")
+{
+    constexpr int Upstreams = 3'000;
+    constexpr std::size_t MostBytes = 16 << 10;
+    NoticeSender sender(Upstreams);
+    for (int i = 0; i < Upstreams; ++i) {
+        sender.board.sent(InstanceName{NoticeSender::nameOf(i)}, 4'000);
+        sender.board.observedPace(InstanceName{NoticeSender::nameOf(i)}, 20);
+    }
+    sender.next(true);
+    for (int i = 0; i < 40; ++i) {
+        CHECK(sender.next(i % 10 == 9).ByteSizeLong() <= (i % 10 == 9 ? 2 : 1) * MostBytes);
+    }
+    sender.board.promptRead(InstanceName{NoticeSender::nameOf(7)}, 4'000);
+    const v1::LoadNotice changed = sender.next();
+    CHECK(std::ranges::any_of(changed.loads(), [](const v1::UpstreamLoad &load) { return load.upstream() == NoticeSender::nameOf(7); }));
+}
+
+// Guards against places that count as taken, or as free, for as long as a server runs, since one notice was lost.
+TEST_CASE("what a lost notice told is told again soon")
+{
+    NoticeSender sender(2);
+    UpstreamBoard receiver(Here);
+    receiver.takeList({instance(NoticeSender::nameOf(0)), instance(NoticeSender::nameOf(1))});
+    const InstanceName name{NoticeSender::nameOf(0)};
+    const VmName vm{"vm-2"};
+    sender.board.sent(name, 100);
+    sender.next(); // Lost.
+    SECTION("a load")
+    {
+        for (int i = 0; i < 16; ++i) {
+            receiver.takeNotice(vm, sender.next(), Start);
+        }
+        CHECK(receiver.inFlight(name) == 1);
+    }
+    SECTION("the end of a load, lost both times that it was told")
+    {
+        for (int i = 0; i < 16; ++i) {
+            receiver.takeNotice(vm, sender.next(), Start);
+        }
+        sender.board.ended(name);
+        for (int i = 0; i < 16; ++i) {
+            sender.next();
+        }
+        CHECK(receiver.inFlight(name) == 1);
+        for (int i = 0; i < 100; ++i) {
+            receiver.takeNotice(vm, sender.next(), Start);
+        }
+        CHECK(receiver.inFlight(name) == 0);
+    }
+}
+
+// Guards against a server that takes over and sends to engines that are full or slow, since it only hears what changes.
+TEST_CASE("a backup that hears few notices knows all loads and paces after some of them")
+{
+    NoticeSender sender(100);
+    UpstreamBoard receiver(Here);
+    std::vector<UpstreamInstance> list;
+    for (int i = 0; i < 100; ++i) {
+        const InstanceName name{NoticeSender::nameOf(i)};
+        list.push_back(instance(name.value));
+        sender.board.sent(name, 100);
+        sender.board.observedPace(name, 20);
+    }
+    receiver.takeList(list);
+    sender.next();
+    for (int i = 0; i < 4; ++i) {
+        for (int j = 0; j < 9; ++j) {
+            sender.next();
+        }
+        receiver.takeNotice(VmName{"vm-2"}, sender.next(true), Start);
+    }
+    for (const UpstreamInstance &upstream : list) {
+        CHECK(receiver.inFlight(upstream.name) == 1);
+        CHECK(receiver.knowsPace(upstream.name));
+    }
+}
