A long list of upstreams is read in parts, a refused page is asked for again; notices go when there is news

Cause: every placement server read the whole list each second, 61 pages (about 700 KB/s and most of the busiest VM's processor); one 429 threw away all pages before it. Servers sent notices 33 times a second also with nothing to tell. Change: a list of more than two pages is read by data centre, the own part each second, the others' only while an own upstream is not enough (none free, or 1.4 times slower than an idle fast one); old parts are not used, but when the list can't be read; a survey finds data centres without entry VMs. A failed page is repeated with a doubling delay. The first pages serve those who wait when nothing was ever read. Notices without news go each 0.1 s; what was admitted goes when it changed and with each eighth.

--- a/src/placement/fleetlimits.cpp
+++ b/src/placement/fleetlimits.cpp
@@ -29,6 +29,9 @@
 /// servers that heard of each other late gave out almost a quarter more than the limit in eight seconds.
 constexpr double MostDebtSeconds = 1;
 
+/// What was admitted is told again so often though it has not changed, for those that missed the notice of the change.
+constexpr std::uint64_t NoticesBetweenSpends = 8;
+
 double seconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -127,6 +130,7 @@
     // A request may take the level below zero: one that is larger than the whole burst would never pass otherwise.
     if (*bucket.level > kept) {
         bucket.admitted += static_cast<std::int64_t>(cost);
+        m_spendsChanged = true;
         charge(bucket, static_cast<std::int64_t>(cost));
         return {};
     }
@@ -143,6 +147,7 @@
         return;
     }
     found->second.admitted -= static_cast<std::int64_t>(cost);
+    m_spendsChanged = true;
     *found->second.level += static_cast<double>(cost);
 }
 
@@ -170,6 +175,9 @@
 
 void FleetLimits::takeNotice(const VmName &from, const v1::LoadNotice &notice, bool adopt, TimePoint now)
 {
+    if (notice.spends().empty()) {
+        return; // They are as they were told last.
+    }
     Peer &peer = m_peers[from];
     // What a server counted before it was first heard of belongs to the time before. A process that restarted counts from zero again.
     const bool isNew = peer.incarnation == 0;
@@ -202,8 +210,12 @@
     }
 }
 
-void FleetLimits::fillNotice(v1::LoadNotice &notice, bool withLevels, TimePoint now) const
+void FleetLimits::fillNotice(v1::LoadNotice &notice, bool withLevels, TimePoint now)
 {
+    const bool due = std::exchange(m_spendsChanged, false) || withLevels || notice.sequence() % NoticesBetweenSpends == 0;
+    if (!due) {
+        return;
+    }
     for (const auto &[name, bucket] : m_buckets) {
         if (bucket.rate == 0 || !bucket.level) {
             continue;
--- a/src/placement/fleetlimits.h
+++ b/src/placement/fleetlimits.h
@@ -36,8 +36,8 @@
     /// What another server's process has admitted since its start, and what it takes the levels for.
     /// While nobody asks here, its levels are taken over.
     void takeNotice(const VmName &from, const v1::LoadNotice &notice, bool adopt, TimePoint now);
-    /// For notices: all that was admitted here, and the levels if the receiver may have to go on from them.
-    void fillNotice(v1::LoadNotice &notice, bool withLevels, TimePoint now) const;
+    /// For notices: all that was admitted here if any of it changed, and by turns; the levels too if the receiver may have to go on from them.
+    void fillNotice(v1::LoadNotice &notice, bool withLevels, TimePoint now);
 
     /// Admits the cost. None: admitted; otherwise how long until a request like it is likely to pass. While an organisation asks for more than its limit,
     /// requests of lower ranks leave a reserve to the more urgent ones.
@@ -86,6 +86,8 @@
 
     const double m_tolerance;
     double m_coverage = 0;
+    /// Since the last notice.
+    bool m_spendsChanged = false;
     std::map<std::string, Bucket> m_buckets;
     std::map<VmName, Peer> m_peers;
 };
--- /dev/null
+++ b/src/placement/listschedule.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "placement/placementtypes.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cumindyke
+{
+
+/// What is read of the platform's list next.
+struct ListReading
+{
+    enum class Part {
+        Whole, ///< all of it; given up for the parts when it has many pages
+        DataCentre, ///< the upstreams of one data centre
+        Survey, ///< one page of the whole, only to learn which data centres there are
+    };
+    Part part = Part::Whole;
+    DataCentreName dataCentre;
+    /// Of the first page.
+    std::string pageToken;
+};
+
+/// Which part of the platform's list a placement server reads, and when. Pure: time is an argument.
+///
+/// A list of some pages is read whole. Of a longer one a server reads its own data centre's part, and the others only while its own upstreams are not
+/// enough: with 3,000 upstreams, each server that read all of them every second used up its link and most of its processor.
+class ListSchedule
+{
+public:
+    /// More pages than these are not read whole.
+    static constexpr std::size_t MostWholePages = 2;
+
+    ListSchedule(DataCentreName here, Duration interval)
+        : m_here(std::move(here))
+        , m_interval(interval)
+    {
+    }
+
+    /// Everything is due again: what was read before is as old as the pause.
+    void restart();
+    /// What to read now, if anything is due.
+    std::optional<ListReading> next(bool fartherWanted, TimePoint now) const;
+
+    /// When nothing is due now: how long until something may be.
+    Duration untilNextLook(TimePoint now) const;
+
+    /// A data centre that has upstreams or entry VMs.
+    void known(const DataCentreName &dataCentre);
+    void wholeRead(TimePoint now);
+    /// The whole has more pages than are read at a time.
+    void isLong()
+    {
+        m_inParts = true;
+    }
+    void partRead(const DataCentreName &dataCentre, TimePoint now);
+    /// A page of the survey was read; the last one has no next.
+    void surveyed(const std::string &nextPage, TimePoint now);
+    /// The reading is given up; it is due again after the interval.
+    void failed(const ListReading &reading, TimePoint now);
+
+private:
+    const DataCentreName m_here;
+    const Duration m_interval;
+    bool m_inParts = false;
+    TimePoint m_nextWhole{};
+    /// When each data centre's part is due; farther ones only while they are wanted.
+    std::map<DataCentreName, TimePoint> m_nextPart;
+    TimePoint m_nextSurvey{};
+    std::string m_surveyPage;
+};
+
+}
--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -16,8 +16,8 @@
 constexpr Duration LongestRetryAfter = std::chrono::seconds(5);
 /// Without a refusal for this long an overload is over.
 constexpr Duration OverloadEnds = std::chrono::seconds(1);
-/// The list is read every second; an attempt that fails takes less than another.
-constexpr Duration ListHolds = std::chrono::milliseconds(2000);
+/// A load that its data centre can't carry comes and goes; each time the first requests wait for the others' parts of the list.
+constexpr Duration KeepReadingFarther = std::chrono::seconds(3);
 /// An answer that the entry VM does not know of after several round trips was lost.
 constexpr Duration TellAgainAfter = std::chrono::milliseconds(15);
 /// While something of an entry VM waits, it hears from this server so often that silence means that the server is gone.
@@ -49,10 +49,23 @@
 
 void PlacementServer::takeList(const std::vector<UpstreamInstance> &instances, TimePoint now)
 {
-    m_board.takeList(instances);
+    m_board.takeList(instances, now);
     m_listReadAt = now;
 }
 
+void PlacementServer::takeListPart(const DataCentreName &dataCentre, const std::vector<UpstreamInstance> &instances, TimePoint now)
+{
+    m_board.takeListPart(dataCentre, instances, now);
+    if (dataCentre == m_here) {
+        m_listReadAt = now;
+    }
+}
+
+bool PlacementServer::wantsFarther(TimePoint now) const
+{
+    return now < m_fartherWantedUntil;
+}
+
 void PlacementServer::takeNotice(const VmName &from, const v1::LoadNotice &notice, TimePoint now)
 {
     m_board.takeNotice(from, notice, now);
@@ -386,6 +399,7 @@
     std::vector<Size> noPlaceFor;
     for (const AskKey &key : service.line.inOrder(now)) {
         if (!m_board.hasRoom(name, now)) {
+            m_fartherWantedUntil = now + KeepReadingFarther;
             return;
         }
         Item &item = m_entries[key.vm].items[key.id];
@@ -394,6 +408,9 @@
             continue;
         }
         const Placement placement = place(item, now);
+        if (placement.fartherMayHelp) {
+            m_fartherWantedUntil = now + KeepReadingFarther;
+        }
         if (!placement.upstream) {
             const bool special = !item.tried.empty() || m_rollouts.contains(name.value);
             if (!special) {
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -31,18 +31,24 @@
 
     /// "limitTolerance": tokens (or requests) that may be admitted beyond each limit; the setting limit_slack.
     PlacementServer(DataCentreName here, std::uint64_t limitTolerance)
-        : m_board(std::move(here))
+        : m_here(here)
+        , m_board(std::move(here))
         , m_limits(limitTolerance)
     {
     }
 
     /// The platform's whole list of upstreams.
     void takeList(const std::vector<UpstreamInstance> &instances, TimePoint now);
+    /// The list's part of one data centre.
+    void takeListPart(const DataCentreName &dataCentre, const std::vector<UpstreamInstance> &instances, TimePoint now);
     /// Whether the list could be read the last time it was tried.
     void setListReadable(bool readable)
     {
         m_listReadable = readable;
+        m_board.setListReadable(readable);
     }
+    /// The own data centre's upstreams are not enough: the others' parts of the list are to be read.
+    bool wantsFarther(TimePoint now) const;
     /// Rollouts in force, by service.
     void takeRollouts(const std::map<std::string, v1::Rollout> &rollouts)
     {
@@ -157,11 +163,13 @@
     void grant(const AskKey &key, Item &item, const Placement &placement, TimePoint now);
     Duration retryAfterFull(Service &service, TimePoint now);
 
+    const DataCentreName m_here;
     UpstreamBoard m_board;
     FleetLimits m_limits;
     std::size_t m_fleetSize = 1;
     std::map<VmName, Peer> m_peers;
     TimePoint m_listReadAt{};
+    TimePoint m_fartherWantedUntil{};
     bool m_listReadable = true;
     std::map<std::string, v1::Rollout> m_rollouts;
     std::map<VmName, Entry> m_entries;
--- a/src/placement/placementtypes.h
+++ b/src/placement/placementtypes.h
@@ -32,4 +32,7 @@
     bool operator==(const UpstreamInstance &) const = default;
 };
 
+/// The list of upstreams is read every second; an attempt that fails takes less than another.
+constexpr Duration ListHolds = std::chrono::milliseconds(2000);
+
 }
--- a/src/placement/upstreamboard.cpp
+++ b/src/placement/upstreamboard.cpp
@@ -41,9 +41,29 @@
 
 }
 
-void UpstreamBoard::takeList(const std::vector<UpstreamInstance> &instances)
+void UpstreamBoard::takeList(const std::vector<UpstreamInstance> &instances, TimePoint now)
 {
     std::map<InstanceName, Upstream> next;
+    addToList(next, instances, now);
+    m_listInParts = false;
+    replaceList(std::move(next));
+}
+
+void UpstreamBoard::takeListPart(const DataCentreName &dataCentre, const std::vector<UpstreamInstance> &instances, TimePoint now)
+{
+    std::map<InstanceName, Upstream> next;
+    for (const auto &[name, upstream] : m_upstreams) {
+        if (upstream.instance.dataCentre != dataCentre) {
+            next.emplace_hint(next.end(), name, upstream);
+        }
+    }
+    addToList(next, instances, now);
+    m_listInParts = true;
+    replaceList(std::move(next));
+}
+
+void UpstreamBoard::addToList(std::map<InstanceName, Upstream> &next, const std::vector<UpstreamInstance> &instances, TimePoint now) const
+{
     for (const UpstreamInstance &instance : instances) {
         const auto known = m_upstreams.find(instance.name);
         const bool same = known != m_upstreams.end() && known->second.instance.born == instance.born && known->second.instance.address == instance.address;
@@ -51,9 +71,15 @@
         // Requests in flight end by name, whichever process they were sent to.
         upstream.own = known == m_upstreams.end() ? Load{} : known->second.own;
         upstream.instance = instance;
+        upstream.isFarther = instance.dataCentre != m_here;
+        upstream.listedAt = now;
         upstream.slice = checksum(instance.name.value);
         next.insert_or_assign(instance.name, std::move(upstream));
     }
+}
+
+void UpstreamBoard::replaceList(std::map<InstanceName, Upstream> &&next)
+{
     m_upstreams.swap(next);
     m_ofService.clear();
     for (const auto &[name, upstream] : m_upstreams) {
@@ -139,9 +165,15 @@
     }
 }
 
+bool UpstreamBoard::isUsable(const Upstream &upstream, TimePoint now) const
+{
+    const bool isOld = m_listInParts && upstream.isFarther && m_listReadable && now - upstream.listedAt > ListHolds;
+    return !isOld && !upstream.instance.draining && now >= upstream.restsUntil;
+}
+
 bool UpstreamBoard::allowed(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const
 {
-    if (upstream.instance.draining || now < upstream.restsUntil || query.tried.contains(upstream.instance.name)) {
+    if (!isUsable(upstream, now) || query.tried.contains(upstream.instance.name)) {
         return false;
     }
     if (query.versions.target.value.empty()) {
@@ -235,7 +267,7 @@
         if (mustEnd && !wouldEnd(upstream, query, predicted, fastest)) {
             continue;
         }
-        const double score = predicted * (upstream.instance.dataCentre == m_here ? 1 : FartherFactor);
+        const double score = predicted * (upstream.isFarther ? FartherFactor : 1);
         if (score < bestScore) {
             bestScore = score;
             bestMs = predicted;
@@ -243,9 +275,17 @@
         }
     }
     if (!best) {
-        return {};
+        return Placement{.fartherMayHelp = true};
     }
-    return Placement{.upstream = &best->instance, .predicted = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(bestMs))};
+    const auto engine = m_engines.find(query.service);
+    const bool isEngine = query.promptTokens > 0 && engine != m_engines.end();
+    const double idleMs = isEngine ? engine->second.predictedMs(query.promptTokens, 1) : 0;
+    const double soonestMs = idleMs > 0 ? idleMs : fastest;
+    return Placement{
+        .upstream = &best->instance,
+        .predicted = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(bestMs)),
+        .fartherMayHelp = best->isFarther || bestMs > FartherFactor * soonestMs,
+    };
 }
 
 Duration UpstreamBoard::soonestIdle(const ServiceName &service, std::uint32_t promptTokens) const
@@ -257,10 +297,7 @@
 
 bool UpstreamBoard::hasRoom(const ServiceName &service, TimePoint now) const
 {
-    return std::ranges::any_of(ofService(service), [this, now](const Upstream *upstream) {
-        const bool usable = !upstream->instance.draining && now >= upstream->restsUntil;
-        return usable && hasPlace(*upstream);
-    });
+    return std::ranges::any_of(ofService(service), [this, now](const Upstream *upstream) { return isUsable(*upstream, now) && hasPlace(*upstream); });
 }
 
 const std::vector<const UpstreamBoard::Upstream *> &UpstreamBoard::ofService(const ServiceName &service) const
--- a/src/placement/upstreamboard.h
+++ b/src/placement/upstreamboard.h
@@ -43,6 +43,8 @@
 {
     const UpstreamInstance *upstream = nullptr;
     Duration predicted{};
+    /// One of another data centre was chosen, or might have been sooner or free where none here was.
+    bool fartherMayHelp = false;
 };
 
 /// What is known of each upstream: the platform's list, the requests that were given out here, those of other data centres from their
@@ -56,7 +58,15 @@
     }
 
     /// The platform's whole list. An entry whose name was used by an earlier process starts with nothing learned.
-    void takeList(const std::vector<UpstreamInstance> &instances);
+    void takeList(const std::vector<UpstreamInstance> &instances, TimePoint now = {});
+    /// The list's part of one data centre. From then on, farther upstreams are used only while their parts are fresh: an old part has upstreams
+    /// that have left since.
+    void takeListPart(const DataCentreName &dataCentre, const std::vector<UpstreamInstance> &instances, TimePoint now);
+    /// While the list can't be read, old parts are better than none.
+    void setListReadable(bool readable)
+    {
+        m_listReadable = readable;
+    }
     /// What another placement server has given out. Older than what came before: ignored.
     void takeNotice(const VmName &vm, const v1::LoadNotice &notice, TimePoint now);
     /// Servers that have fallen silent have nothing in flight any more, or nobody knows what.
@@ -120,6 +130,9 @@
     struct Upstream
     {
         UpstreamInstance instance;
+        bool isFarther = false;
+        /// When it was seen on the list last.
+        TimePoint listedAt{};
         Load own;
         /// Of the other servers, as of their last notices.
         Load others;
@@ -146,6 +159,9 @@
         std::map<InstanceName, PeerLoad> loads;
     };
 
+    void addToList(std::map<InstanceName, Upstream> &next, const std::vector<UpstreamInstance> &instances, TimePoint now) const;
+    void replaceList(std::map<InstanceName, Upstream> &&next);
+    bool isUsable(const Upstream &upstream, TimePoint now) const;
     void addLoads(const Peer &peer, int sign);
     void addLoad(const InstanceName &name, const Load &load, int sign);
     void forgetUntold(Peer &peer);
@@ -167,6 +183,8 @@
     std::map<ServiceName, StreamPauses> m_pauses;
     std::map<VmName, Peer> m_peers;
     std::uint64_t m_backupNotices = 0;
+    bool m_listInParts = false;
+    bool m_listReadable = true;
 };
 
 }
--- a/src/proxy/instancefeed.cpp
+++ b/src/proxy/instancefeed.cpp
@@ -16,39 +16,69 @@
 /// Against a list whose pages never end: 50 entries a page make this 10,000 upstreams.
 constexpr std::size_t MostPages = 200;
 constexpr std::size_t MostPageBytes = 4 << 20;
+/// The platform takes so many calls a second from all VMs together. A page that it refused is asked for again, later each time; from the first page on, as
+/// many calls would have been in vain as there were pages before it.
+constexpr Duration FirstRetry = std::chrono::milliseconds(100);
+constexpr int MostRetriesOfPage = 4;
 
 }
 
-InstanceFeed::InstanceFeed(EventLoop &loop, InstanceListProtocol protocol, Duration interval)
+InstanceFeed::InstanceFeed(EventLoop &loop, InstanceListProtocol protocol, DataCentreName here, Duration interval)
     : m_loop(loop)
     , m_protocol(std::move(protocol))
-    , m_interval(interval)
-    , m_next(loop, [this] {
-        m_gathered.clear();
-        m_pages = 0;
-        m_rejected = 0;
-        fetch("");
-    })
+    , m_schedule(std::move(here), interval)
+    , m_next(loop, [this] { readNext(); })
+    , m_retry(loop, [this] { fetch(); })
 {
 }
 
 void InstanceFeed::start()
 {
+    m_schedule.restart();
     m_next.startOnce(Duration::zero());
 }
 
 void InstanceFeed::stop()
 {
     m_next.stop();
+    m_retry.stop();
     m_call.reset();
 }
 
-void InstanceFeed::fetch(const std::string &pageToken)
+void InstanceFeed::setFartherWanted(bool wanted)
+{
+    m_fartherWanted = wanted;
+}
+
+void InstanceFeed::readNext()
+{
+    const TimePoint now = EventLoop::now();
+    const std::optional<ListReading> reading = m_schedule.next(m_fartherWanted, now);
+    if (!reading) {
+        m_next.startOnce(m_schedule.untilNextLook(now));
+        return;
+    }
+    m_reading = *reading;
+    m_gathered = {};
+    if (m_reading.part == ListReading::Part::DataCentre) {
+        m_gathered.dataCentre = m_reading.dataCentre;
+    }
+    m_pages = 0;
+    m_rejected = 0;
+    m_failuresOfPage = 0;
+    fetch();
+}
+
+void InstanceFeed::fetch()
 {
     m_status = 0;
     m_body.clear();
-    UpstreamRequest request{
-        .id = RequestId{"list"}, .address = m_protocol.address, .method = "GET", .target = m_protocol.target(pageToken), .headers = {}, .body = {}};
+    UpstreamRequest request{.id = RequestId{"list"},
+                            .address = m_protocol.address,
+                            .method = "GET",
+                            .target = m_protocol.target(m_gathered.dataCentre, m_reading.pageToken),
+                            .headers = {},
+                            .body = {}};
     request.mayEndWithConnection = true;
     m_call = std::make_unique<UpstreamCall>(m_loop, std::move(request), ListTimeouts);
     m_call->head().connect([this](const AnswerHead &head) { m_status = head.status; });
@@ -58,39 +88,75 @@
         }
     });
     m_call->finished().connect([this] { takePage(); });
-    m_call->failed().connect([this](CallFailure) { failed("the call was lost"); });
+    m_call->failed().connect([this](CallFailure) { pageFailed("the call was lost"); });
     m_call->start();
 }
 
 void InstanceFeed::takePage()
 {
     if (m_status != StatusOk) {
-        failed("status " + std::to_string(m_status));
+        pageFailed("status " + std::to_string(m_status));
         return;
     }
     Result<InstancePage> page = m_protocol.parse(m_body);
     if (!ok(page)) {
-        failed(errorOf(page).message);
+        pageFailed(errorOf(page).message);
         return;
     }
+    const TimePoint now = EventLoop::now();
     InstancePage &read = valueOf(page);
-    m_gathered.insert(m_gathered.end(), read.instances.begin(), read.instances.end());
+    for (const UpstreamInstance &instance : read.instances) {
+        m_schedule.known(instance.dataCentre);
+    }
+    m_failuresOfPage = 0;
     m_rejected += read.rejected;
     ++m_pages;
-    if (!read.nextPage.empty() && m_pages < MostPages) {
-        fetch(read.nextPage);
+    m_reading.pageToken = read.nextPage;
+    if (m_reading.part == ListReading::Part::Survey) {
+        m_schedule.surveyed(read.nextPage, now);
+        m_next.startOnce(Duration::zero());
         return;
     }
+    m_gathered.instances.insert(m_gathered.instances.end(), read.instances.begin(), read.instances.end());
+    const bool isLong = m_reading.part == ListReading::Part::Whole && m_pages >= ListSchedule::MostWholePages && !read.nextPage.empty();
+    if (isLong) {
+        m_schedule.isLong();
+        m_next.startOnce(Duration::zero());
+    } else if (!read.nextPage.empty() && m_pages < MostPages) {
+        fetch();
+    } else {
+        takeLast(now);
+        return;
+    }
+    if (!m_everRead) {
+        m_read.emit(m_gathered);
+    }
+}
+
+void InstanceFeed::takeLast(TimePoint now)
+{
+    if (m_reading.part == ListReading::Part::Whole) {
+        m_schedule.wholeRead(now);
+    } else {
+        m_schedule.partRead(m_reading.dataCentre, now);
+    }
+    m_everRead = true;
     noteReadable(true, "");
     m_read.emit(m_gathered);
-    m_next.startOnce(m_interval);
+    m_next.startOnce(Duration::zero());
 }
 
-void InstanceFeed::failed(const std::string &why)
+void InstanceFeed::pageFailed(const std::string &why)
 {
     noteReadable(false, why);
     m_unreadable.emit();
-    m_next.startOnce(m_interval);
+    if (m_failuresOfPage < MostRetriesOfPage) {
+        m_retry.startOnce(FirstRetry * (1 << m_failuresOfPage));
+        ++m_failuresOfPage;
+        return;
+    }
+    m_schedule.failed(m_reading, EventLoop::now());
+    m_next.startOnce(Duration::zero());
 }
 
 void InstanceFeed::noteReadable(bool readable, const std::string &why)
@@ -100,7 +166,7 @@
     }
     m_readable = readable;
     if (readable) {
-        logChange("proxy", "upstream-list-regained", {{"upstreams", std::to_string(m_gathered.size())}, {"rejected", std::to_string(m_rejected)}});
+        logChange("proxy", "upstream-list-regained", {{"upstreams", std::to_string(m_gathered.instances.size())}, {"rejected", std::to_string(m_rejected)}});
     } else {
         logWarning("proxy", "upstream-list-lost", {{"why", why}});
     }
--- a/src/proxy/placementhost.cpp
+++ b/src/proxy/placementhost.cpp
@@ -21,6 +21,8 @@
 constexpr Duration AdvanceIntervalPerWaiting = std::chrono::microseconds(100);
 /// A notice to the other data centres' servers may be this old: their requests come here only when their own upstreams are full.
 constexpr Duration NoticeInterval = std::chrono::milliseconds(30);
+/// With nothing new to tell: the others take a server that they don't hear of for longer as gone.
+constexpr Duration QuietNoticeInterval = std::chrono::milliseconds(100);
 /// Every so many notices go to the VMs that are asked next, too, with what was learned: a server that takes over knows it.
 constexpr std::uint64_t NoticesPerBackup = 10;
 constexpr std::size_t Backups = 2;
@@ -52,20 +54,27 @@
     : m_options(std::move(options))
     , m_client(m_options.vm, m_options.dataCentre, m_options.incarnation)
     , m_server(m_options.dataCentre, m_options.limitTolerance)
-    , m_feed(loop, m_options.list, m_options.listInterval)
+    , m_feed(loop, m_options.list, m_options.dataCentre, m_options.listInterval)
     , m_stateTimer(loop, [this] { sendState(); })
     , m_advanceTimer(loop, [this] { advance(); })
     , m_noticeTimer(loop, [this] { sendNotices(); })
     , m_tick(loop, [this] { tick(); })
 {
-    m_feed.read().connect([this](const std::vector<UpstreamInstance> &instances) {
-        m_server.setListReadable(true);
-        m_server.takeList(instances, EventLoop::now());
-        advanceSoon();
-    });
+    m_feed.read().connect([this](const InstanceList &list) { takeList(list); });
     m_feed.unreadable().connect([this] { m_server.setListReadable(false); });
 }
 
+void PlacementHost::takeList(const InstanceList &list)
+{
+    m_server.setListReadable(true);
+    if (list.dataCentre) {
+        m_server.takeListPart(*list.dataCentre, list.instances, EventLoop::now());
+    } else {
+        m_server.takeList(list.instances, EventLoop::now());
+    }
+    advanceSoon();
+}
+
 PlacementId PlacementHost::ask(PlacementWish wish)
 {
     const PlacementId id = m_client.ask(std::move(wish), EventLoop::now());
@@ -94,6 +103,9 @@
 void PlacementHost::takeFleet(const v1::FleetTally &fleet)
 {
     m_server.takeFleet(fleet);
+    for (const v1::PlacementVm &vm : fleet.placement_vms()) {
+        m_feed.takeDataCentre(DataCentreName{vm.data_centre()});
+    }
     // Without datagrams a VM can ask nobody else.
     if (m_socket) {
         m_client.takeCandidates(fleet);
@@ -229,7 +241,9 @@
     const TimePoint now = EventLoop::now();
     m_advanceDue = false;
     m_advanced = now;
-    for (auto &[vm, reply] : m_server.advance(now)) {
+    std::vector<PlacementServer::Reply> replies = m_server.advance(now);
+    m_feed.setFartherWanted(m_server.wantsFarther(now));
+    for (auto &[vm, reply] : replies) {
         if (vm == m_options.vm) {
             takeReply(vm, reply);
             continue;
@@ -267,6 +281,11 @@
     datagram.mutable_notice()->set_incarnation(m_options.incarnation);
     datagram.mutable_notice()->set_sequence(m_notices);
     m_server.fillNotice(*datagram.mutable_notice(), toBackups, EventLoop::now());
+    const bool hasNews = datagram.notice().loads_size() + datagram.notice().spends_size() > 0;
+    if (!hasNews && EventLoop::now() - m_lastNotice < QuietNoticeInterval) {
+        return;
+    }
+    m_lastNotice = EventLoop::now();
     // A VM that is asked in another one's place hears of the others as often as they do: by notices for backups alone, ten times as rare, it gave
     // out places and limits that were long gone.
     const std::vector<VmName> active = m_server.activePeers(EventLoop::now());
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -61,6 +61,7 @@
 private:
     PlacementHost(EventLoop &loop, PlacementHostOptions options);
 
+    void takeList(const InstanceList &list);
     void takeDatagram(const std::string &host, std::string_view bytes);
     void takeState(const VmName &from, const v1::EntryState &state);
     void takeReply(const VmName &from, const v1::PlacementReply &reply);
@@ -87,6 +88,7 @@
     std::uint64_t m_notices = 0;
     std::uint64_t m_ticks = 0;
     TimePoint m_advanced{};
+    TimePoint m_lastNotice{};
     VmName m_lastServer;
     Timer m_stateTimer;
     Timer m_advanceTimer;
--- a/src/proxy/proxytypes.h
+++ b/src/proxy/proxytypes.h
@@ -32,8 +32,8 @@
 struct InstanceListProtocol
 {
     Address address;
-    /// Path and query of a page; the first has no token.
-    std::function<std::string(std::string_view pageToken)> target;
+    /// Path and query of a page of the whole list, or of one data centre's part; the first has no token.
+    std::function<std::string(const std::optional<DataCentreName> &dataCentre, std::string_view pageToken)> target;
     /// Error: Invalid, when the whole page can't be read.
     std::function<Result<InstancePage>(std::string_view body)> parse;
 };
--- a/tests/placement/fleetlimitstest.cpp
+++ b/tests/placement/fleetlimitstest.cpp
@@ -222,3 +222,37 @@
         CHECK(admittedOf(parted, 100, 60, Start) <= (3500 + 700 - 1000) / 2 + 100);
     }
 }
+
+// Guards against an organisation that is charged again for all it ever had, since a notice of loads alone left out what was admitted.
+TEST_CASE("what was admitted is told when it changed and by turns, and a notice without it changes nothing")
+{
+    FleetLimits sender = limitsOf(1000, 1);
+    FleetLimits receiver = limitsOf(1000, 1);
+    std::uint64_t sequence = 0;
+    const auto next = [&] {
+        v1::LoadNotice notice;
+        notice.set_incarnation(3);
+        notice.set_sequence(++sequence);
+        sender.fillNotice(notice, false, Start);
+        return notice;
+    };
+    const auto tell = [&] {
+        const v1::LoadNotice notice = next();
+        receiver.takeNotice(Other, notice, false, Start);
+        return notice.spends_size();
+    };
+    CHECK(admittedOf(receiver, 100, 1, Start) == 100);
+    CHECK(admittedOf(sender, 100, 1, Start) == 100);
+    CHECK(tell() == 1);
+    int told = 0;
+    for (int i = 0; i < 16; ++i) {
+        told += tell();
+    }
+    CHECK(told == 2);
+    CHECK(admittedOf(sender, 100, 1, Start) == 100);
+    next(); // Lost.
+    for (int i = 0; i < 8; ++i) {
+        tell();
+    }
+    CHECK(admittedOf(receiver, 100, 20, Start) == 300);
+}
--- a/tests/placement/upstreamboardtest.cpp
+++ b/tests/placement/upstreamboardtest.cpp
@@ -353,3 +353,43 @@
         CHECK(receiver.knowsPace(upstream.name));
     }
 }
+
+// Guards against new work for an upstream that left while only the nearer part of the list was read.
+TEST_CASE("farther upstreams are used while their part of the list is fresh, or while the list can't be read")
+{
+    UpstreamBoard board(Here);
+    board.takeList({instance("near"), instance("far", "dc-b")}, Start);
+    board.sent(InstanceName{"near"}, 0);
+    board.sent(InstanceName{"near"}, 0);
+    CHECK(chosen(board, Start) == "far");
+    const TimePoint later = Start + std::chrono::milliseconds(2'100);
+    board.takeListPart(Here, {instance("near")}, later);
+    CHECK(board.inFlight(InstanceName{"near"}) == 2);
+    CHECK(chosen(board, later).empty());
+    CHECK_FALSE(board.hasRoom(ServiceName{"drafts"}, later));
+    SECTION("the part is read")
+    {
+        board.takeListPart(DataCentreName{"dc-b"}, {instance("far", "dc-b"), instance("further", "dc-b")}, later);
+        CHECK_FALSE(chosen(board, later).empty());
+        board.takeListPart(DataCentreName{"dc-b"}, {}, later);
+        CHECK(chosen(board, later).empty());
+    }
+    SECTION("the list can't be read")
+    {
+        board.setListReadable(false);
+        CHECK(chosen(board, later) == "far");
+    }
+}
+
+// Guards against a data centre that refuses callers beside free upstreams of the others, since nobody reads their part of the list.
+TEST_CASE("a choice says when a farther upstream might be better")
+{
+    UpstreamBoard board(Here);
+    board.takeList({instance("near")}, Start);
+    CHECK_FALSE(board.choose(AnyDraft, Start).fartherMayHelp);
+    board.sent(InstanceName{"near"}, 0);
+    CHECK(board.choose(AnyDraft, Start).fartherMayHelp);
+    board.sent(InstanceName{"near"}, 0);
+    CHECK(board.choose(AnyDraft, Start).fartherMayHelp);
+    CHECK_FALSE(board.choose(AnyDraft, Start).upstream);
+}
--- a/tests/platform/documentstest.cpp
+++ b/tests/platform/documentstest.cpp
@@ -148,6 +148,8 @@
 TEST_CASE("a page token may hold any character")
 {
     const InstanceListProtocol list = instanceListAt(Address{.host = "127.0.0.1", .port = 1});
-    CHECK(list.target("") == "/instances");
-    CHECK(list.target("a&b=c") == "/instances?pageToken=a%26b%3Dc");
+    CHECK(list.target({}, "") == "/instances");
+    CHECK(list.target({}, "a&b=c") == "/instances?pageToken=a%26b%3Dc");
+    CHECK(list.target(DataCentreName{"dc a"}, "") == "/instances?zone=dc%20a");
+    CHECK(list.target(DataCentreName{"dc-a"}, "a&b=c") == "/instances?zone=dc-a&pageToken=a%26b%3Dc");
 }
--- /dev/null
+++ b/tests/proxy/instancefeedtest.cpp
@@ -0,0 +1,143 @@
+#include "proxy/instancefeed.h"
+
+#include "entry/frontdoor.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace cumindyke;
+
+namespace
+{
+
+/// A list on loopback: each page is one upstream, "dc-a" and "dc-b" by turns; refuses pages as it is told to.
+class PagedList
+{
+public:
+    PagedList(EventLoop &loop, int upstreams)
+        : m_upstreams(upstreams)
+    {
+        auto door = FrontDoor::listen(loop, Address{.host = "127.0.0.1", .port = 0}, std::chrono::seconds(5));
+        REQUIRE(ok(door));
+        m_door = std::move(valueOf(door));
+        m_door->arrived().connect([this](const std::shared_ptr<Exchange> &exchange) { answer(*exchange); });
+    }
+
+    InstanceListProtocol protocol() const
+    {
+        return InstanceListProtocol{
+            .address = Address{.host = "127.0.0.1", .port = m_door->port()},
+            .target = [](const std::optional<DataCentreName> &dataCentre,
+                         std::string_view page) { return "/" + (dataCentre ? dataCentre->value : "all") + "/" + (page.empty() ? "0" : std::string(page)); },
+            .parse = parse,
+        };
+    }
+
+    /// Answered with 429 the first time that they are asked for.
+    std::set<std::string> refusedOnce;
+    std::vector<std::string> asked;
+
+private:
+    static std::string dataCentreOf(int upstream)
+    {
+        return upstream % 2 == 0 ? "dc-a" : "dc-b";
+    }
+
+    /// "NUMBER NEXT", or "NUMBER" for the last page.
+    static Result<InstancePage> parse(std::string_view body)
+    {
+        const std::string text(body);
+        const std::size_t space = text.find(' ');
+        const int number = std::stoi(text);
+        InstancePage page;
+        page.instances.push_back(UpstreamInstance{.name = InstanceName{"i-" + std::to_string(number)},
+                                                  .service = ServiceName{"drafts"},
+                                                  .address = Address{.host = "10.0.0.1", .port = 80},
+                                                  .dataCentre = DataCentreName{dataCentreOf(number)},
+                                                  .version = VersionName{"v1"}});
+        page.nextPage = space == std::string::npos ? "" : text.substr(space + 1);
+        return page;
+    }
+
+    void answer(Exchange &exchange)
+    {
+        const std::string path = exchange.path();
+        asked.push_back(path);
+        if (refusedOnce.erase(path) > 0) {
+            exchange.reply(429, "text/plain", "");
+            return;
+        }
+        const std::size_t slash = path.rfind('/');
+        const std::string part = path.substr(1, slash - 1);
+        int number = std::stoi(path.substr(slash + 1));
+        number += part == "dc-b" && number == 0 ? 1 : 0;
+        const int next = number + (part == "all" ? 1 : 2);
+        exchange.reply(200, "text/plain", std::to_string(number) + (next < m_upstreams ? " " + std::to_string(next) : ""));
+    }
+
+    const int m_upstreams;
+    std::unique_ptr<FrontDoor> m_door;
+};
+
+std::set<std::string> namesIn(const InstanceList &list)
+{
+    std::set<std::string> names;
+    for (const UpstreamInstance &instance : list.instances) {
+        names.insert(instance.name.value);
+    }
+    return names;
+}
+
+}
+
+// Guards against VMs that start together and refuse every caller for seconds: the platform refuses some pages, and each reading began anew.
+TEST_CASE("a page that the platform refused is asked for again, and those before it are not")
+{
+    EventLoop loop;
+    PagedList list(loop, 2);
+    list.refusedOnce = {"/all/1"};
+    InstanceFeed feed(loop, list.protocol(), DataCentreName{"dc-a"}, std::chrono::seconds(1));
+    std::vector<InstanceList> read;
+    int failures = 0;
+    feed.unreadable().connect([&] { ++failures; });
+    feed.read().connect([&](const InstanceList &part) {
+        read.push_back(part);
+        if (namesIn(part).size() == 2) {
+            loop.stop();
+        }
+    });
+    feed.start();
+    loop.run();
+    CHECK(list.asked == std::vector<std::string>{"/all/0", "/all/1", "/all/1"});
+    CHECK(failures == 1);
+    // The first page served those who waited meanwhile.
+    REQUIRE(read.size() == 2);
+    CHECK(namesIn(read.front()) == std::set<std::string>{"i-0"});
+}
+
+TEST_CASE("a long list is read in parts: the own data centre's, and the others' when they are wanted")
+{
+    EventLoop loop;
+    PagedList list(loop, 8);
+    InstanceFeed feed(loop, list.protocol(), DataCentreName{"dc-a"}, std::chrono::milliseconds(50));
+    feed.takeDataCentre(DataCentreName{"dc-b"});
+    std::map<std::string, std::set<std::string>> parts;
+    feed.read().connect([&](const InstanceList &part) {
+        if (!part.dataCentre) {
+            return;
+        }
+        parts[part.dataCentre->value] = namesIn(part);
+        if (parts.contains("dc-b")) {
+            loop.stop();
+        } else if (parts["dc-a"].size() == 4) {
+            CHECK_FALSE(std::ranges::count(list.asked, "/dc-b/0"));
+            feed.setFartherWanted(true);
+        }
+    });
+    feed.start();
+    loop.run();
+    CHECK(parts["dc-a"] == std::set<std::string>{"i-0", "i-2", "i-4", "i-6"});
+    CHECK(parts["dc-b"] == std::set<std::string>{"i-1", "i-3", "i-5", "i-7"});
+}
