VMs beat once they listen; bulk waits for a connection

Cause, by reading: the control task beat before the VM's RPC server listened, so a VM that passed a repair on could find its child not listening; the call failed at once, the update was lost, and the next repair came 1, 3, 7 s later.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -82,7 +82,7 @@
 
 }
 
-Result<std::unique_ptr<ControlTask>> ControlTask::start(ControlOptions options)
+Result<std::unique_ptr<ControlTask>> ControlTask::open(ControlOptions options)
 {
     std::unique_ptr<ControlTask> task(new ControlTask(std::move(options)));
     if (const std::optional<Error> error = task->openDatagrams()) {
@@ -91,11 +91,16 @@
     if (const std::optional<Error> error = task->recover()) {
         return *error;
     }
-    task->m_tick.startEvery(TickInterval);
-    task->m_thread = std::thread([loop = &task->m_loop] { loop->run(); });
     return task;
 }
 
+void ControlTask::start()
+{
+    m_askAnotherAt = EventLoop::now() + LeaderSilence;
+    m_tick.startEvery(TickInterval);
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
 ControlTask::ControlTask(ControlOptions options)
     : m_options(std::move(options))
     , m_mailbox(m_loop, [this](ControlMessage &&message) { std::visit([this](auto &held) { handle(held); }, message); })
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -138,13 +138,15 @@
 class ControlTask
 {
 public:
-    /// Recovers the state from the data folder and starts the task's thread. Errors: Storage; Unavailable, when the address for datagrams
-    /// can't be bound.
-    static Result<std::unique_ptr<ControlTask>> start(ControlOptions options);
+    /// Recovers the state from the data folder. Errors: Storage; Unavailable, when the address for datagrams can't be bound.
+    static Result<std::unique_ptr<ControlTask>> open(ControlOptions options);
     ~ControlTask();
     ControlTask(const ControlTask &) = delete;
     ControlTask &operator=(const ControlTask &) = delete;
 
+    /// Starts the task's thread, and with it the beats. Call when peers can reach this VM: the answer to the first beat may be a configuration that
+    /// another VM brings at once, and what it can't deliver is sent again a second later at the soonest.
+    void start();
     /// Ends the task's thread; what is posted from then on is not handled. Safe to call again.
     void stop();
     /// Safe from any thread.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -48,6 +48,7 @@
     if (const auto error = daemon->startRpc(settings)) {
         return *error;
     }
+    daemon->m_control->start();
     // Last, so that a VM that answers /healthz answers operators too.
     if (daemon->m_entry) {
         daemon->m_cells->start();
@@ -141,7 +142,7 @@
 
 std::optional<Error> Daemon::startControl(const Settings &settings)
 {
-    auto control = ControlTask::start(ControlOptions{
+    auto control = ControlTask::open(ControlOptions{
         .vm = settings.vm,
         .dataCentre = settings.dataCentre,
         .dataFolder = settings.dataFolder,
--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -155,6 +155,8 @@
         for (v1::Envelope &envelope : batch.envelopes) {
             *call->batch.add_envelopes() = std::move(envelope);
         }
+        // The sender of bulk repeats it rarely, and VMs that have just started listen a moment later than they beat.
+        call->context.set_wait_for_ready(batch.lane == Lane::Bulk);
         call->context.set_deadline(std::chrono::system_clock::now() + batch.deadline);
         m_stub->async()->Deliver(&call->context, &call->batch, &call->ack, [self = shared_from_this(), call, lane = batch.lane](const grpc::Status &status) {
             self->callEnded(lane, status, call->batch);
