A placement server that hears of its VMs one by one has spent no more than it admitted

What callers saw: for half a second after each common restart organisations far below their limits were refused (429): at the large deployment with all entry VMs killed, 338 refusals in 0.4 s, beside 550 answers (lines: level=-1219 rate=47000 coverage=0.033). Cause: a server begins with the part of the limit that belongs to the VMs it has heard of, one of 91; the first request took that part below zero, and as more VMs were heard of a positive level was multiplied by the growth of the part (a debt was kept as it was): one request counted up to 91 times. Change: what belongs to VMs that aren't covered is kept beside the level, and comes back in proportion as they are heard of; what was spent stays what it was.

--- a/src/placement/fleetlimits.cpp
+++ b/src/placement/fleetlimits.cpp
@@ -60,23 +60,37 @@
 void FleetLimits::setCoverage(double coverage, TimePoint now)
 {
     const double next = std::clamp(coverage, 0.0, 1.0);
-    // With nobody left to admit anything there is nothing to take from. What a smaller part takes with it comes back with a larger one: a server that began
-    // with its first entry VM would refuse for seconds what belongs to the others' parts.
+    // With nobody left to admit anything there is nothing to take from.
     if (next > 0 && m_coverage > 0 && next != m_coverage) {
         for (auto &[name, bucket] : m_buckets) {
             fill(bucket, now);
-            if (bucket.level && *bucket.level > 0) {
-                *bucket.level *= next / m_coverage;
-            }
+            yield(bucket, next);
         }
     }
     m_coverage = next;
 }
 
+/// What a smaller part takes with it comes back with a larger one, in full: a server that begins with its first entry VM spends the first request from that
+/// VM's small part. Scaled up with the part, that one request was a debt of seconds, and callers below their limit were refused after each common restart.
+void FleetLimits::yield(Bucket &bucket, double coverage) const
+{
+    if (coverage < m_coverage) {
+        const double lost = std::max(0.0, *bucket.level) * (1 - coverage / m_coverage);
+        *bucket.level -= lost;
+        bucket.yielded += lost;
+        return;
+    }
+    const double back = bucket.yielded * (coverage - m_coverage) / (1 - m_coverage);
+    *bucket.level += back;
+    bucket.yielded -= back;
+}
+
 void FleetLimits::fill(Bucket &bucket, TimePoint now) const
 {
     if (!bucket.level) {
-        bucket.level = m_coverage * (FirstLevel * bucket.burst + m_tolerance);
+        const double whole = FirstLevel * bucket.burst + m_tolerance;
+        bucket.level = m_coverage * whole;
+        bucket.yielded = (1 - m_coverage) * whole;
         bucket.filledAt = now;
         return;
     }
@@ -196,6 +210,7 @@
         Bucket &bucket = found->second;
         if ((adopt || !bucket.level) && spend.has_level()) {
             bucket.level = static_cast<double>(spend.level());
+            bucket.yielded = 0;
             bucket.filledAt = now;
         }
         if (adopt) {
--- a/src/placement/fleetlimits.h
+++ b/src/placement/fleetlimits.h
@@ -65,6 +65,8 @@
         double rate = 0;
         double burst = 0;
         std::optional<double> level;
+        /// What belongs to the VMs that are not covered; it comes back as they are heard of.
+        double yielded = 0;
         TimePoint filledAt;
         /// Admitted here since the start of the process.
         std::int64_t admitted = 0;
@@ -81,6 +83,7 @@
     };
 
     void fill(Bucket &bucket, TimePoint now) const;
+    void yield(Bucket &bucket, double coverage) const;
     static void charge(Bucket &bucket, std::int64_t cost);
     double reserve(const Bucket &bucket, std::uint64_t cost, WaitingRank rank, TimePoint now) const;
 
--- a/tests/placement/fleetlimitstest.cpp
+++ b/tests/placement/fleetlimitstest.cpp
@@ -256,3 +256,30 @@
     }
     CHECK(admittedOf(receiver, 100, 20, Start) == 300);
 }
+
+// Pattern: all VMs restart at once, and a placement server hears of them one by one. What the first ones had asked for was counted many times over, and
+// organisations far below their limits were refused for half a second.
+TEST_CASE("a server that hears of its VMs one by one has spent no more than it admitted")
+{
+    constexpr int Vms = 90;
+    FleetLimits limits = limitsOf(10'000, 1.0 / Vms);
+    CHECK(admittedOf(limits, 1'000, 1, Start) == 1'000);
+    for (int heard = 2; heard <= Vms; ++heard) {
+        limits.setCoverage(static_cast<double>(heard) / Vms, Start);
+    }
+    // Half of the burst is there at the start.
+    CHECK(admittedOf(limits, 1'000, 20, Start) == 4'000);
+}
+
+// The other side of it: what was given back must not be more than what was taken.
+TEST_CASE("a server whose part of the fleet shrinks and grows again gains nothing by it")
+{
+    FleetLimits limits = limitsOf(10'000, 1);
+    CHECK(admittedOf(limits, 1'000, 1, Start) == 1'000);
+    for (int i = 0; i < 10; ++i) {
+        limits.setCoverage(0.1, Start);
+        limits.setCoverage(0.6, Start);
+        limits.setCoverage(1, Start);
+    }
+    CHECK(admittedOf(limits, 1'000, 20, Start) == 4'000);
+}
