Control VMs serve their metrics; versions published, confirmed, in force, repairs, bytes held and lost between VMs are counted

Left open by the incident of the configuration that was not in force: on-call engineers had the leader's lines only. GET /metrics at the operators' address. Losses are counted by reason, not by lane: the lane of a message that a full queue dropped is not known where it is counted.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -114,6 +114,7 @@
                        .send = [this](const VmName &to, v1::Envelope envelope) { sendSignal(to, std::move(envelope)); },
                        .hasQuorum = [this](TimePoint now) { return hasQuorum(now); },
                        .replicas = [this] { return m_log->membership().voters(); },
+                       .metrics = m_options.metrics,
                    },
                    m_state)
     , m_orders(m_loop, {}, randomIncarnation())
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -28,6 +28,7 @@
     : m_options(std::move(options))
     , m_state(state)
     , m_distribution(m_options.lease, namesOf(m_options.vms))
+    , m_spreadLog(m_options.metrics)
 {
 }
 
@@ -158,9 +159,7 @@
             continue;
         }
         m_distribution.confirmed(confirmation.version);
-        logChange("control",
-                  "version-confirmed",
-                  {{"version", std::to_string(confirmation.version)}, {"after_ms", std::to_string(wholeMilliseconds(now - confirmation.since))}});
+        m_spreadLog.confirmed(confirmation.version, now - confirmation.since);
         confirmation.answer();
     }
     m_confirmations.insert(m_confirmations.end(), std::make_move_iterator(open.begin()), std::make_move_iterator(open.end()));
--- a/src/control/spreadlog.cpp
+++ b/src/control/spreadlog.cpp
@@ -16,6 +16,9 @@
 {
     m_spreading = publication.version;
     m_publishedAt = now;
+    if (m_metrics) {
+        m_metrics->published.add();
+    }
     logChange("control",
               "version-published",
               {{"version", std::to_string(publication.version)},
@@ -28,6 +31,19 @@
 {
     m_repairs += 1;
     m_repairBytes += updateBytes;
+    if (m_metrics) {
+        m_metrics->repairs.add();
+        m_metrics->repairBytes.add(static_cast<double>(updateBytes));
+    }
+}
+
+void SpreadLog::confirmed(std::uint64_t version, Duration waited)
+{
+    logChange("control", "version-confirmed", {{"version", std::to_string(version)}, {"after_ms", std::to_string(wholeMilliseconds(waited))}});
+    if (m_metrics) {
+        m_metrics->confirmed.add();
+        m_metrics->secondsToConfirm.observe(std::chrono::duration<double>(waited).count());
+    }
 }
 
 void SpreadLog::look(std::size_t pending, std::size_t lapsed, TimePoint now)
@@ -38,6 +54,9 @@
                   {{"version", std::to_string(*m_spreading)},
                    {"after_ms", std::to_string(wholeMilliseconds(now - m_publishedAt))},
                    {"lapsed_vms", std::to_string(lapsed)}});
+        if (m_metrics) {
+            m_metrics->secondsToForce.observe(std::chrono::duration<double>(now - m_publishedAt).count());
+        }
         m_spreading.reset();
     }
     if (m_repairs > 0 && now >= m_nextRepairLine) {
--- a/src/control/spreadlog.h
+++ b/src/control/spreadlog.h
@@ -1,18 +1,26 @@
 #pragma once
 
 #include "common/types.h"
+#include "control/spreadmetrics.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 namespace cumindyke
 {
 
-/// The leader's lines on how versions reach the VMs: one for each published version, one when it is in force, and one a second for all repairs.
+/// The leader's lines and counts on how versions reach the VMs: one line for each published version, one when it is in force, and one a second for all
+/// repairs.
 class SpreadLog
 {
 public:
+    explicit SpreadLog(std::optional<SpreadMetrics> metrics)
+        : m_metrics(std::move(metrics))
+    {
+    }
+
     struct Publication
     {
         std::uint64_t version = 0;
@@ -25,6 +33,8 @@
     void published(const Publication &publication, TimePoint now);
     /// A VM was sent an update by itself.
     void repaired(std::size_t updateBytes);
+    /// It is certain that the version will be in force in time.
+    void confirmed(std::uint64_t version, Duration waited);
     /// How many VMs may still admit work under an older version than the last one published, and how many have stopped.
     void look(std::size_t pending, std::size_t lapsed, TimePoint now);
     /// The last version published, until it is in force.
@@ -39,6 +49,7 @@
     void stop();
 
 private:
+    std::optional<SpreadMetrics> m_metrics;
     std::optional<std::uint64_t> m_spreading;
     TimePoint m_publishedAt{};
     TimePoint m_nextRepairLine{};
--- a/src/daemon/adapter.h
+++ b/src/daemon/adapter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/metrics.h"
 #include "common/result.h"
 #include "proxy/proxytypes.h"
 
@@ -25,8 +26,8 @@
     /// What the balancer asks for.
     std::string readinessPath;
     std::function<InstanceListProtocol(const Address &list)> instanceList;
-    /// Error: Unavailable, when the address can't be bound.
-    std::function<Result<std::unique_ptr<OperatorServer>>(const Address &address, ControlTask &control)> serveOperators;
+    /// Operators' calls, and the VM's metrics beside them. Error: Unavailable, when the address can't be bound.
+    std::function<Result<std::unique_ptr<OperatorServer>>(const Address &address, ControlTask &control, const Metrics &metrics)> serveOperators;
 };
 
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -64,7 +64,7 @@
 std::optional<Error> Daemon::openFrontDoor(const Settings &settings, const Adapter &adapter)
 {
     if (settings.operatorApi) {
-        auto served = adapter.serveOperators(*settings.operatorApi, *m_control);
+        auto served = adapter.serveOperators(*settings.operatorApi, *m_control, m_metrics);
         if (!ok(served)) {
             return errorOf(served);
         }
@@ -107,7 +107,7 @@
 
 Daemon::Daemon(const Settings &settings)
     : m_vm(settings.vm)
-    , m_transport(settings.vm, settings.tls)
+    , m_transport(settings.vm, settings.tls, &m_metrics)
 {
     m_transport.setPeers(settings.peers);
     m_transport.reachByAddress(settings.peerPort);
@@ -155,6 +155,7 @@
         .confirmWithin = settings.confirmWithin,
         .replaceReplicaAfter = settings.replaceReplicaAfter,
         .datagrams = datagramsAt(settings, settings.leasePort),
+        .metrics = SpreadMetrics::of(m_metrics),
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     });
     if (!ok(control)) {
--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -32,8 +32,16 @@
 class LossLog
 {
 public:
+    explicit LossLog(Metrics *metrics)
+        : m_metrics(metrics)
+    {
+    }
+
     void lost(const VmName &peer, const std::string &why, std::size_t batchBytes, std::size_t waiting)
     {
+        if (m_metrics) {
+            m_metrics->counter("cumindyke_peer_losses_total", "Calls to other VMs, or messages of full queues, that were lost", {{"why", why}}).add();
+        }
         const std::lock_guard lock(m_mutex);
         m_losses += 1;
         m_peers.insert(peer);
@@ -55,6 +63,7 @@
     }
 
 private:
+    Metrics *const m_metrics;
     std::mutex m_mutex;
     std::chrono::steady_clock::time_point m_nextLine{};
     std::size_t m_losses = 0;
@@ -76,7 +85,16 @@
 /// What the links of one process share.
 struct Shared
 {
+    explicit Shared(Metrics *metrics)
+        : losses(metrics)
+    {
+        if (metrics) {
+            bytesHeld = metrics->gauge("cumindyke_peer_held_bytes", "Messages to other VMs that wait or are under way");
+        }
+    }
+
     std::shared_ptr<SendBudget> budget = std::make_shared<SendBudget>();
+    std::optional<Gauge> bytesHeld;
     LossLog losses;
 };
 
@@ -126,6 +144,7 @@
         if (m_queue.push(std::move(envelope)) > 0) {
             m_shared->losses.lost(m_peer, "queue-full", 0, m_queue.waiting());
         }
+        noteHeld();
         startCalls();
     }
 
@@ -137,6 +156,13 @@
         v1::PeerAck ack;
     };
 
+    void noteHeld()
+    {
+        if (m_shared->bytesHeld) {
+            m_shared->bytesHeld->set(static_cast<double>(m_shared->budget->held()));
+        }
+    }
+
     void startCalls()
     {
         while (std::optional<OutgoingBatch> batch = m_queue.next()) {
@@ -167,6 +193,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_queue.ended(lane);
+        noteHeld();
         if (!status.ok()) {
             m_shared->losses.lost(m_peer, reasonOf(status), batch.ByteSizeLong(), m_queue.waiting());
         }
@@ -197,17 +224,22 @@
 
 struct PeerTransport::Private
 {
+    explicit Private(Metrics *metrics)
+        : shared(std::make_shared<Shared>(metrics))
+    {
+    }
+
     std::mutex mutex;
-    std::shared_ptr<Shared> shared = std::make_shared<Shared>();
+    std::shared_ptr<Shared> shared;
     std::map<VmName, std::shared_ptr<Link>> links;
     /// 0: peers are known by setPeers() only.
     std::uint16_t portOfNamed = 0;
 };
 
-PeerTransport::PeerTransport(VmName self, std::optional<TlsFiles> tls)
+PeerTransport::PeerTransport(VmName self, std::optional<TlsFiles> tls, Metrics *metrics)
     : m_self(std::move(self))
     , m_tls(std::move(tls))
-    , d(std::make_shared<Private>())
+    , d(std::make_shared<Private>(metrics))
 {
 }
 
--- a/src/peer/peertransport.h
+++ b/src/peer/peertransport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/metrics.h"
 #include "common/types.h"
 #include "peer/credentials.h"
 
@@ -20,7 +21,7 @@
 class PeerTransport
 {
 public:
-    explicit PeerTransport(VmName self, std::optional<TlsFiles> tls = {});
+    explicit PeerTransport(VmName self, std::optional<TlsFiles> tls = {}, Metrics *metrics = nullptr);
     ~PeerTransport();
     PeerTransport(const PeerTransport &) = delete;
     PeerTransport &operator=(const PeerTransport &) = delete;
--- a/tests/platform/wholepathtest.cpp
+++ b/tests/platform/wholepathtest.cpp
@@ -167,6 +167,24 @@
     CHECK(nlohmann::json::parse(http(system.control(3), "GET", "/api/rollouts/desk").body).at("state") == "in_progress");
 }
 
+// Guards against control VMs whose state nobody can watch: on-call engineers had the leader's lines only.
+TEST_CASE("process: control VMs serve their metrics, and the leader's tell that a configuration was published and confirmed")
+{
+    System system;
+    REQUIRE(system.publish(documentOf(3)));
+    REQUIRE(system.allReady());
+    int published = 0;
+    for (int vm = 1; vm <= ControlVms; ++vm) {
+        const HttpAnswer metrics = http(system.control(vm), "GET", "/metrics");
+        CHECK(metrics.status == 200);
+        CHECK(metrics.body.find("cumindyke_peer_held_bytes") != std::string::npos);
+        const bool leads = metrics.body.find("cumindyke_versions_published_total 0") == std::string::npos;
+        published += leads ? 1 : 0;
+        CHECK((metrics.body.find("cumindyke_versions_confirmed_total 0") == std::string::npos) == leads);
+    }
+    CHECK(published >= 1);
+}
+
 // What the operator fears: a configuration that was acknowledged is gone or older after all control processes were killed at once. Each has
 // synced it before the acknowledgement, so whoever leads afterwards holds it; entry VMs serve again under it.
 TEST_CASE("process: an acknowledged configuration survives the kill of every control process")
