--- a/src/raft/core.h
+++ b/src/raft/core.h
@@ -21,6 +21,8 @@
     /// Appends under way to one follower; more wait for its replies.
     std::size_t maxInFlight = 16;
     std::size_t chunkBytes = 256 << 10;
+    /// A chunk of a snapshot that was not answered for so long is taken for lost.
+    Duration chunkResend = std::chrono::seconds(1);
     /// A learner this close to the end of the log has caught up.
     Index maxPromotionLag = 64;
 };
@@ -58,6 +60,8 @@
     std::deque<Index> inFlight;
     SnapshotPointer snapshot;
     std::size_t snapshotOffset = 0;
+    /// When the chunk at the offset was sent last; none since the offset changed.
+    std::optional<TimePoint> chunkSentAt;
     TimePoint lastReply;
     /// When the leader sent the newest round that the member has answered.
     TimePoint ackedRoundSentAt = TimePoint::min();
--- a/src/raft/coreleader.cpp
+++ b/src/raft/coreleader.cpp
@@ -74,6 +74,7 @@
         progress.state = Progress::State::Snapshot;
         progress.snapshot = m_snapshot;
         progress.snapshotOffset = 0;
+        progress.chunkSentAt.reset();
         heartbeat = true;
     }
     if (progress.state == Progress::State::Snapshot) {
@@ -99,7 +100,8 @@
     m_effects.messages.push_back(std::move(request));
 }
 
-/// One chunk at a time, sent again with each heartbeat until it is answered. A silent follower gets empty ones.
+/// One chunk at a time. Heartbeats meanwhile are empty, as they are for a silent follower: with the chunk in each of them, a link that takes longer for it
+/// than heartbeats are apart got the more to carry the slower it was.
 void Core::sendChunk(const VmName &to, Progress &progress, TimePoint now)
 {
     const Snapshot &snapshot = *progress.snapshot;
@@ -108,7 +110,10 @@
     request.set_snapshot_index(snapshot.index);
     request.set_snapshot_term(snapshot.term);
     request.set_snapshot_offset(progress.snapshotOffset);
-    if (now - progress.lastReply <= m_options.electionTimeout) {
+    const bool isSilent = now - progress.lastReply > m_options.electionTimeout;
+    const bool isUnderWay = progress.chunkSentAt && now - *progress.chunkSentAt < m_options.chunkResend;
+    if (!isSilent && !isUnderWay) {
+        progress.chunkSentAt = now;
         const std::size_t size = std::min(m_options.chunkBytes, snapshot.state.size() - progress.snapshotOffset);
         request.set_snapshot_chunk(snapshot.state.substr(progress.snapshotOffset, size));
         request.set_snapshot_last(progress.snapshotOffset + size == snapshot.state.size());
@@ -200,6 +205,9 @@
         return;
     }
     const bool advanced = reply.snapshot_offset() > progress.snapshotOffset;
+    if (reply.snapshot_offset() != progress.snapshotOffset) {
+        progress.chunkSentAt.reset();
+    }
     progress.snapshotOffset = std::min<std::size_t>(reply.snapshot_offset(), progress.snapshot->state.size());
     // What stands still is sent again by the next heartbeat; answering it here would double the stream with each repeated reply.
     if (advanced) {
