--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -45,7 +45,7 @@
     std::vector<VmName> candidates = options.replicas;
     if (!candidates.empty()) {
         const std::size_t first = checksum(options.vm.value) % candidates.size();
-        std::ranges::rotate(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(first));
+        std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(first), candidates.end());
     }
     for (const auto &[peer, address] : options.peers) {
         if (std::ranges::find(candidates, peer) == candidates.end()) {
--- a/src/control/spreadlog.h
+++ b/src/control/spreadlog.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <utility>
 
 namespace cumindyke
 {
@@ -16,8 +15,8 @@
 class SpreadLog
 {
 public:
-    explicit SpreadLog(std::optional<SpreadMetrics> metrics)
-        : m_metrics(std::move(metrics))
+    explicit SpreadLog(const std::optional<SpreadMetrics> &metrics)
+        : m_metrics(metrics)
     {
     }
 
