A VM that beats by calls again is answered by calls

Found by reading: a VM once known to beat by datagrams was answered by datagrams for ever, also after the setting was taken back there. No test: it needs two processes with different settings; open.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -152,12 +152,12 @@
         if (m_beatsByDatagram.size() < MostBeatingVms) {
             m_beatsByDatagram.insert(message.from);
         }
-        handle(message);
+        take(message);
     });
     return {};
 }
 
-/// A beat is answered the way it came: until all VMs of a fleet have the setting, some beat by calls.
+/// A beat is answered the way it came: while the setting is brought to a fleet, or taken back, some VMs beat by calls.
 void ControlTask::sendSignal(const VmName &to, v1::Envelope envelope)
 {
     const bool byDatagram = envelope.has_config_heartbeat() || (envelope.has_config_lease() && m_beatsByDatagram.contains(to));
@@ -299,6 +299,14 @@
 }
 
 void ControlTask::handle(PeerMessage &message)
+{
+    if (message.envelope.has_config_heartbeat()) {
+        m_beatsByDatagram.erase(message.from);
+    }
+    take(message);
+}
+
+void ControlTask::take(PeerMessage &message)
 {
     switch (message.envelope.body_case()) {
     case v1::Envelope::kRaft:
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -166,6 +166,7 @@
     std::optional<Error> openDatagrams();
     std::optional<Error> recover();
     void tick();
+    void take(PeerMessage &message);
     /// For beats and their answers.
     void sendSignal(const VmName &to, v1::Envelope envelope);
 
@@ -221,6 +222,7 @@
     Mailbox<ControlMessage> m_mailbox;
     /// Null where beats and leases go by calls.
     std::unique_ptr<PeerDatagrams> m_datagrams;
+    /// VMs whose last beat came by a datagram.
     std::set<VmName> m_beatsByDatagram;
     Timer m_tick;
     StateMachine m_state;
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -108,7 +108,7 @@
 }
 
 /// VMs that lack the same pass one update on to each other. One by one, a leader whose whole fleet had restarted opened a connection to every VM and
-/// sent it the whole state; 100 VMs waited 8 s for it.
+/// sent it the whole state.
 void Leadership::sendRepairs(TimePoint now)
 {
     for (const auto &[holding, vms] : std::exchange(m_repairs, {})) {
