--- a/src/placement/listschedule.h
+++ b/src/placement/listschedule.h
@@ -55,6 +55,10 @@
     {
         m_inParts = true;
     }
+    bool isInParts() const
+    {
+        return m_inParts;
+    }
     void partRead(const DataCentreName &dataCentre, TimePoint now);
     /// A page of the survey was read; the last one has no next.
     void surveyed(const std::string &nextPage, TimePoint now);
--- a/src/proxy/instancefeed.cpp
+++ b/src/proxy/instancefeed.cpp
@@ -47,6 +47,9 @@
 
 void InstanceFeed::setFartherWanted(bool wanted)
 {
+    if (wanted != m_fartherWanted && m_schedule.isInParts()) {
+        logChange("proxy", "farther-upstreams", {{"read", wanted ? "yes" : "no"}});
+    }
     m_fartherWanted = wanted;
 }
 
