When a VM beats is a class of its own; all beats after a first lease follow soon again

What callers saw: possibly requests placed by single VMs for longer after a common restart: not measured. Cause: the change that repeats an unanswered beat took the last of the three beats that follow a first lease soon for such a repeat, and put it off by half a second when an answer came.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -14,24 +14,10 @@
 {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
-constexpr Duration BeatInterval = std::chrono::milliseconds(500);
-/// A beat that nothing answered is followed by another one so soon, once: a datagram was lost.
-constexpr Duration UnansweredInterval = std::chrono::milliseconds(200);
-/// Several times the VMs of the largest system.
-constexpr std::size_t MostBeatingVms = 2000;
 /// A hand-over of leadership takes some round trips; a replica that finds no successor leaves after this.
 constexpr Duration DepartureLimit = std::chrono::seconds(2);
 /// For calls of operators that are under way when the process is told to end.
 constexpr Duration LastAnswers = std::chrono::milliseconds(500);
-/// After a common restart the first lease names only the VMs that beat before this one. Until the next beat each VM placed its own requests by itself, all at
-/// the same upstreams: so the first beats follow each other soon.
-constexpr int SettlingBeats = 2;
-constexpr Duration SettlingInterval = std::chrono::milliseconds(80);
-/// Without an answer of the leader for this long, more than the beats are apart, another VM is asked who leads.
-constexpr Duration LeaderSilence = std::chrono::milliseconds(700);
-/// While nobody answered, the next one is asked this much later: several round trips, and short against the lease.
-constexpr Duration SearchInterval = std::chrono::milliseconds(250);
-
 /// Differs at every start of a process, and leaves room to count up from.
 std::uint64_t randomIncarnation()
 {
@@ -96,7 +82,7 @@
 
 void ControlTask::start()
 {
-    m_askAnotherAt = EventLoop::now() + LeaderSilence;
+    m_beats.start(EventLoop::now());
     m_tick.startEvery(TickInterval);
     m_thread = std::thread([this] { m_loop.run(); });
 }
@@ -126,7 +112,7 @@
           .incarnation = randomIncarnation(),
           .keepAdmitting = m_options.keepAdmitting,
       })
-    , m_askAnotherAt(EventLoop::now() + LeaderSilence)
+    , m_beats(m_options.datagrams.has_value())
 {
 }
 
@@ -146,13 +132,9 @@
     }
     m_datagrams = std::move(valueOf(opened));
     m_datagrams->received().connect([this](PeerMessage &message) {
-        if (!isSignal(message.envelope)) {
-            return;
+        if (isSignal(message.envelope)) {
+            take(message);
         }
-        if (m_beatsByDatagram.size() < MostBeatingVms) {
-            m_beatsByDatagram.insert(message.from);
-        }
-        take(message);
     });
     return {};
 }
@@ -160,9 +142,9 @@
 /// A beat is answered the way it came: while the setting is brought to a fleet, or taken back, some VMs beat by calls.
 void ControlTask::sendSignal(const VmName &to, v1::Envelope envelope)
 {
-    const bool byDatagram = envelope.has_config_heartbeat() || (envelope.has_config_lease() && m_beatsByDatagram.contains(to));
-    const bool sent = m_datagrams && to != m_options.vm && byDatagram && m_datagrams->send(to, envelope);
-    if (!sent) {
+    const bool byDatagram
+        = m_datagrams && to != m_options.vm && (envelope.has_config_heartbeat() || (envelope.has_config_lease() && m_datagrams->heardFrom(to)));
+    if (!byDatagram || !m_datagrams->send(to, envelope)) {
         m_options.send(to, std::move(envelope));
     }
 }
@@ -200,11 +182,11 @@
     if (now >= m_nextLook) {
         decideMoves(now);
     }
-    if (now >= m_askAnotherAt) {
+    if (m_beats.mustAskAnother(now)) {
         m_search.gaveNoAnswer(m_search.leader());
         askForLease(now);
     }
-    if (now >= m_nextBeat) {
+    if (m_beats.isDue(now)) {
         beat(now);
     }
     if (m_hadLease && now >= m_follower.admitUntil()) {
@@ -300,8 +282,8 @@
 
 void ControlTask::handle(PeerMessage &message)
 {
-    if (message.envelope.has_config_heartbeat()) {
-        m_beatsByDatagram.erase(message.from);
+    if (m_datagrams && message.envelope.has_config_heartbeat()) {
+        m_datagrams->forget(message.from);
     }
     take(message);
 }
@@ -389,17 +371,14 @@
 /// Asks whom this VM takes for the leader at once, and another one soon if there is no answer.
 void ControlTask::askForLease(TimePoint now)
 {
-    m_askAnotherAt = now + SearchInterval;
+    m_beats.askedAnother(now);
     m_hintFollowed = false;
     beat(now);
 }
 
 void ControlTask::beat(TimePoint now)
 {
-    const bool isFollowedSoon = m_datagrams && !std::exchange(m_beatUnanswered, true);
-    m_lastBeat = now;
-    m_nextBeat = now + (m_settlingBeats > 0 ? SettlingInterval : isFollowedSoon ? UnansweredInterval : BeatInterval);
-    m_settlingBeats = std::max(0, m_settlingBeats - 1);
+    m_beats.sent(now);
     v1::Envelope envelope;
     *envelope.mutable_config_heartbeat() = m_follower.beat(now);
     if (m_tally) {
@@ -441,23 +420,21 @@
 void ControlTask::takeLease(const VmName &from, const v1::ConfigLease &lease)
 {
     const TimePoint now = EventLoop::now();
-    if (std::exchange(m_beatUnanswered, false) && m_settlingBeats == 0) {
-        m_nextBeat = m_lastBeat + BeatInterval;
-    }
+    m_beats.answered();
     if (lease.length_ms() == 0) {
         const VmName before = m_search.leader();
         m_search.learned(VmName{lease.leader()});
         // Followed at once, but one hint only: a chain of them that leads nowhere must not keep the next candidate from being asked.
         if (m_search.leader() != before && !std::exchange(m_hintFollowed, true)) {
             beat(now);
-            m_askAnotherAt = now + SearchInterval;
+            m_beats.askedAnother(now);
         }
         return;
     }
     m_search.answered(from);
     m_hintFollowed = false;
     m_search.learnedReplicas(namesIn(lease.replicas()));
-    m_askAnotherAt = now + LeaderSilence;
+    m_beats.granted(now);
     if (!m_follower.granted(lease)) {
         return;
     }
@@ -466,8 +443,7 @@
     }
     if (!m_hadLease) {
         m_hadLease = true;
-        m_settlingBeats = SettlingBeats;
-        m_nextBeat = std::min(m_nextBeat, now + SettlingInterval);
+        m_beats.settle(now);
         logChange("control", "lease-granted", {{"by", from.value}, {"version", std::to_string(m_follower.version())}});
     }
     m_configurationChanged.emit(configuration());
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -2,6 +2,7 @@
 
 #include "common/eventloop.h"
 #include "common/mailbox.h"
+#include "control/beatschedule.h"
 #include "control/follower.h"
 #include "control/forwarder.h"
 #include "control/leadership.h"
@@ -17,7 +18,6 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <thread>
 #include <variant>
 
@@ -222,8 +222,6 @@
     Mailbox<ControlMessage> m_mailbox;
     /// Null where beats and leases go by calls.
     std::unique_ptr<PeerDatagrams> m_datagrams;
-    /// VMs whose last beat came by a datagram.
-    std::set<VmName> m_beatsByDatagram;
     Timer m_tick;
     StateMachine m_state;
     /// Null on a VM without a data folder.
@@ -242,17 +240,10 @@
     Follower m_follower;
     Watchers m_watchers;
     bool m_watchersAsk = false;
-    TimePoint m_lastBeat{};
-    TimePoint m_nextBeat{};
-    /// Nothing has answered since the last beat.
-    bool m_beatUnanswered = false;
-    /// When another VM is asked for a lease, if the one that was asked has not granted one by then.
-    TimePoint m_askAnotherAt{};
+    BeatSchedule m_beats;
     /// A hint was followed since another candidate was asked, or since the last lease.
     bool m_hintFollowed = false;
     bool m_hadLease = false;
-    /// Beats that still follow soon on each other.
-    int m_settlingBeats = 0;
     std::function<void()> m_left;
     TimePoint m_leaveBy{};
     std::optional<v1::EntryTally> m_tally;
--- a/src/peer/peerdatagrams.cpp
+++ b/src/peer/peerdatagrams.cpp
@@ -8,6 +8,8 @@
 
 /// A few packets; with each further one the chance grows that one is lost, and all with it.
 constexpr std::size_t MostBytes = 8 << 10;
+/// Against senders that are no VMs: several times the VMs of the largest system.
+constexpr std::size_t MostHeard = 2000;
 
 }
 
@@ -52,6 +54,9 @@
     if (!isOurs) {
         return;
     }
+    if (m_heard.size() < MostHeard) {
+        m_heard.insert(VmName{host});
+    }
     for (v1::Envelope &envelope : *batch.mutable_envelopes()) {
         PeerMessage message{.from = VmName{host}, .envelope = std::move(envelope)};
         m_received.emit(message);
--- a/src/peer/peerdatagrams.h
+++ b/src/peer/peerdatagrams.h
@@ -7,16 +7,13 @@
 #include "peer/peertransport.h"
 
 #include <memory>
+#include <set>
 
 namespace cumindyke
 {
 
-/// Small envelopes between VMs without connections: for what is told again anyway, such as beats and leases.
-///
-/// Failure guarded against: with a call for each beat, a leader held two connections for each VM of the fleet. When 300 VMs started at once it
-/// accepted them so slowly that every attempt was given up before it was through, and begun again, until no VM had a lease.
-///
-/// Datagrams carry no proof of their sender, so they aren't used under TLS.
+/// Small envelopes between VMs without connections, so that a VM that hears from all others holds no connection for each: for what is told again
+/// anyway, such as beats and leases. Datagrams carry no proof of their sender, so they aren't used under TLS.
 class PeerDatagrams
 {
 public:
@@ -25,6 +22,15 @@
 
     /// False when the envelope is too large for a datagram, or the peer's name is no address.
     bool send(const VmName &to, const v1::Envelope &envelope);
+    /// Whether an envelope came from the VM that way, and it was not forgotten since.
+    bool heardFrom(const VmName &vm) const
+    {
+        return m_heard.contains(vm);
+    }
+    void forget(const VmName &vm)
+    {
+        m_heard.erase(vm);
+    }
     /// Emitted on the loop for each envelope from another VM.
     sigc::signal<void, PeerMessage &> &received()
     {
@@ -37,6 +43,7 @@
 
     const std::unique_ptr<DatagramSocket> m_socket;
     const Address m_own;
+    std::set<VmName> m_heard;
     sigc::signal<void, PeerMessage &> m_received;
 };
 
--- a/tests/peer/peerdatagramstest.cpp
+++ b/tests/peer/peerdatagramstest.cpp
@@ -40,6 +40,10 @@
     loop.run();
     CHECK(from == VmName{network.host(1)});
     CHECK(beat == 7);
+    CHECK(valueOf(two)->heardFrom(from));
+    CHECK_FALSE(valueOf(one)->heardFrom(VmName{network.host(2)}));
+    valueOf(two)->forget(from);
+    CHECK_FALSE(valueOf(two)->heardFrom(from));
 }
 
 // Guards against an envelope that is lost without a word: the caller sends these by a call.
