Repairs wait by VM, and are grouped when they are sent

Each beat looked through all groups of VMs that wait for a repair, and a group that had become empty still made an update. No change of what is sent (test '300 VMs that restart together ...').

--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -97,28 +97,29 @@
         answer.mutable_config_lease()->set_beat(beat.beat());
     }
     m_options.send(from, std::move(answer));
-    for (auto &[holding, vms] : m_repairs) {
-        vms.erase(from.value);
-    }
+    m_repairs.erase(from);
     if (m_distribution.needsRepair(from, now)) {
-        m_repairs[{.needsWhole = beat.whole(), .revision = beat.revision(), .routesVersion = beat.routes_version()}].insert(from.value);
+        m_repairs[from] = {.needsWhole = beat.whole(), .revision = beat.revision(), .routesVersion = beat.routes_version()};
     }
     answerWaits(now);
     confirmDue(now);
 }
 
-/// VMs that lack the same pass one update on to each other. One by one, a leader whose whole fleet had restarted opened a connection to every VM and
-/// sent it the whole state.
+/// VMs that lack the same pass one update on to each other, so that the leader's work does not grow with the VMs that restarted together.
 void Leadership::sendRepairs(TimePoint now)
 {
-    for (const auto &[holding, vms] : std::exchange(m_repairs, {})) {
+    std::map<Holding, std::vector<std::string>> vmsOf;
+    for (const auto &[vm, holding] : std::exchange(m_repairs, {})) {
+        vmsOf[holding].push_back(vm.value);
+    }
+    for (const auto &[holding, vms] : vmsOf) {
         v1::Envelope repair;
         *repair.mutable_config_update()
             = holding.needsWhole ? makeWholeConfigUpdate(m_state) : makeConfigUpdate(m_state, Revision{holding.revision}, holding.routesVersion);
         for (const std::string &vm : vms) {
             m_distribution.repairSent(VmName{vm}, repair.ByteSizeLong(), now);
         }
-        for (const Branch &branch : branches({vms.begin(), vms.end()})) {
+        for (const Branch &branch : branches(vms)) {
             repair.mutable_config_update()->mutable_relay()->Assign(branch.relay.begin(), branch.relay.end());
             m_spreadLog.repaired(repair.ByteSizeLong());
             m_options.send(branch.child, repair);
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -8,7 +8,6 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -102,7 +101,7 @@
     std::uint64_t m_pushedRoutes = 0;
     Revision m_pushedRevision;
     /// VMs to be repaired at the next tick.
-    std::map<Holding, std::set<std::string>> m_repairs;
+    std::map<VmName, Holding> m_repairs;
     std::vector<Wait> m_waits;
     std::vector<Confirmation> m_confirmations;
     SpreadLog m_spreadLog;
