--- a/src/control/fleettally.h
+++ b/src/control/fleettally.h
@@ -15,7 +15,8 @@
 class FleetTallies
 {
 public:
-    /// More than these of a data centre are named to nobody: with all names in each lease, the leader's bytes grew with the square of the VMs.
+    /// The first of them are asked for places, the others in their stead. Leases that named all VMs would make the leader's bytes grow with the square of
+    /// the VMs.
     static constexpr std::size_t MostNamedOfDataCentre = 8;
 
     /// A VM's tally. An older process of the VM counts as gone.
@@ -40,6 +41,7 @@
         std::map<VersionKey, v1::VersionCounts> counts;
     };
 
+    /// How late a VM's silence may be noticed.
     static constexpr Duration LookInterval = std::chrono::milliseconds(200);
 
     static void remember(Vm &vm, const v1::EntryTally &tally);
--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -107,9 +107,8 @@
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, 10'000);
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, 2'000);
     arguments.SetInt(GRPC_ARG_CLIENT_IDLE_TIMEOUT_MS, IdleConnectionMs);
-    // VMs that start together find each other soon: gRPC's own figures would wait 20 s for an attempt that began while the peer was dark, and
-    // after a common loss of power replicas that were all up heard nothing of each other for half a second. Each failed attempt gives the next
-    // one more time: a peer that accepts slowly, since many connect to it, would otherwise never be through with any.
+    // VMs that start together find each other soon: gRPC's own figures would wait 20 s for an attempt that began while the peer was dark. Each failed
+    // attempt gives the next one more time: a peer that accepts slowly, since many connect to it, would otherwise never be through with any.
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 30);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 200);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1'000);
--- a/src/placement/fleetlimits.cpp
+++ b/src/placement/fleetlimits.cpp
@@ -70,8 +70,8 @@
     m_coverage = next;
 }
 
-/// What a smaller part takes with it comes back with a larger one, in full: a server that begins with its first entry VM spends the first request from that
-/// VM's small part. Scaled up with the part, that one request was a debt of seconds, and callers below their limit were refused after each common restart.
+/// What a smaller part takes with it comes back with a larger one. Only that is scaled, not what was spent: a server that begins with one entry VM of many
+/// would count that VM's first request many times over.
 void FleetLimits::yield(Bucket &bucket, double coverage) const
 {
     if (coverage < m_coverage) {
--- a/src/placement/listschedule.h
+++ b/src/placement/listschedule.h
@@ -26,7 +26,7 @@
 /// Which part of the platform's list a placement server reads, and when. Pure: time is an argument.
 ///
 /// A list of some pages is read whole. Of a longer one a server reads its own data centre's part, and the others only while its own upstreams are not
-/// enough: with 3,000 upstreams, each server that read all of them every second used up its link and most of its processor.
+/// enough: the whole of a long list would take much of a small VM's link and processor each second.
 class ListSchedule
 {
 public:
--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -462,7 +462,7 @@
 /// one is better than none.
 bool PlacementServer::listIsUsable(TimePoint now) const
 {
-    return now - m_listReadAt <= ListHolds || !m_listReadable;
+    return now - m_listReadAt <= ListHolds || !m_board.isListReadable();
 }
 
 std::vector<PlacementServer::Reply> PlacementServer::advance(TimePoint now)
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -44,7 +44,6 @@
     /// Whether the list could be read the last time it was tried.
     void setListReadable(bool readable)
     {
-        m_listReadable = readable;
         m_board.setListReadable(readable);
     }
     /// The own data centre's upstreams are not enough: the others' parts of the list are to be read.
@@ -170,7 +169,6 @@
     std::map<VmName, Peer> m_peers;
     TimePoint m_listReadAt{};
     TimePoint m_fartherWantedUntil{};
-    bool m_listReadable = true;
     std::map<std::string, v1::Rollout> m_rollouts;
     std::map<VmName, Entry> m_entries;
     std::map<ServiceName, Service> m_services;
--- a/src/placement/upstreamboard.cpp
+++ b/src/placement/upstreamboard.cpp
@@ -22,9 +22,8 @@
 constexpr std::uint32_t MostOnUntried = 3;
 /// A server that has anything under way sends a notice every 30 ms. What one that is gone had given out is told by its successor.
 constexpr Duration NoticeHolds = std::chrono::milliseconds(400);
-/// Of an upstream with requests, each load is told again after so many notices at the latest, and to backups after so many of theirs: what a
-/// lost notice told, or a server that is new has not heard. Told whole each time, notices filled the links between data centres with 1,000
-/// upstreams, and were too large for a datagram with 3,000.
+/// Of an upstream with requests, each load is told again after so many notices at the latest, and to backups after so many of theirs: for those that
+/// missed a notice, or are new. A notice of everything would not fit in a datagram.
 constexpr std::uint64_t Slices = 16;
 constexpr std::uint64_t BackupSlices = 4;
 /// More than a backup waits for a load to be told again.
--- a/src/placement/upstreamboard.h
+++ b/src/placement/upstreamboard.h
@@ -62,11 +62,15 @@
     /// The list's part of one data centre. From then on, farther upstreams are used only while their parts are fresh: an old part has upstreams
     /// that have left since.
     void takeListPart(const DataCentreName &dataCentre, const std::vector<UpstreamInstance> &instances, TimePoint now);
-    /// While the list can't be read, old parts are better than none.
+    /// While the list can't be read, an old one is better than none.
     void setListReadable(bool readable)
     {
         m_listReadable = readable;
     }
+    bool isListReadable() const
+    {
+        return m_listReadable;
+    }
     /// What another placement server has given out. Older than what came before: ignored.
     void takeNotice(const VmName &vm, const v1::LoadNotice &notice, TimePoint now);
     /// Servers that have fallen silent have nothing in flight any more, or nobody knows what.
--- a/src/proxy/instancefeed.cpp
+++ b/src/proxy/instancefeed.cpp
@@ -16,8 +16,7 @@
 /// Against a list whose pages never end: 50 entries a page make this 10,000 upstreams.
 constexpr std::size_t MostPages = 200;
 constexpr std::size_t MostPageBytes = 4 << 20;
-/// The platform takes so many calls a second from all VMs together. A page that it refused is asked for again, later each time; from the first page on, as
-/// many calls would have been in vain as there were pages before it.
+/// The platform takes so many calls a second from all VMs together: a page that it refused is asked for again, later each time, and those before it are kept.
 constexpr Duration FirstRetry = std::chrono::milliseconds(100);
 constexpr int MostRetriesOfPage = 4;
 
--- a/src/raft/coreleader.cpp
+++ b/src/raft/coreleader.cpp
@@ -100,8 +100,7 @@
     m_effects.messages.push_back(std::move(request));
 }
 
-/// One chunk at a time. Heartbeats meanwhile are empty, as they are for a silent follower: with the chunk in each of them, a link that takes longer for it
-/// than heartbeats are apart got the more to carry the slower it was.
+/// One chunk at a time. Heartbeats meanwhile are empty, as they are for a silent follower, so that a slow link has to carry each chunk once.
 void Core::sendChunk(const VmName &to, Progress &progress, TimePoint now)
 {
     const Snapshot &snapshot = *progress.snapshot;
--- a/tests/placement/fleetlimitstest.cpp
+++ b/tests/placement/fleetlimitstest.cpp
@@ -257,8 +257,7 @@
     CHECK(admittedOf(receiver, 100, 20, Start) == 300);
 }
 
-// Pattern: all VMs restart at once, and a placement server hears of them one by one. What the first ones had asked for was counted many times over, and
-// organisations far below their limits were refused for half a second.
+// Guards against organisations below their limits that are refused after a common restart, while a server hears of its VMs one by one.
 TEST_CASE("a server that hears of its VMs one by one has spent no more than it admitted")
 {
     constexpr int Vms = 90;
@@ -271,7 +270,7 @@
     CHECK(admittedOf(limits, 1'000, 20, Start) == 4'000);
 }
 
-// The other side of it: what was given back must not be more than what was taken.
+// Guards against limits that grow with each VM that goes and comes back.
 TEST_CASE("a server whose part of the fleet shrinks and grows again gains nothing by it")
 {
     FleetLimits limits = limitsOf(10'000, 1);
