Observability: lines that name the requests an ended upstream was running, by content

Which lost requests are copies of one another, and whether an upstream ended or only closed a connection, was in no line. After a lost answer, a passed deadline, or a caller that left before the first event, the entry VM connects to the upstream's address once; if that is refused the process has ended, and a line names the request with a hash of organisation, method, host, path and body. One connection for all requests of an upstream that are lost together; nothing is hashed for a request that ends well.

--- a/src/common/hash.cpp
+++ b/src/common/hash.cpp
@@ -1,9 +1,13 @@
 #include "common/hash.h"
 
+#include <openssl/evp.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
 
 #include <array>
+#include <cstdio>
+#include <cstring>
+#include <memory>
 
 namespace cumindyke
 {
@@ -27,6 +31,29 @@
     return text;
 }
 
+std::uint64_t secureHash(std::initializer_list<std::string_view> parts)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (const std::string_view part : parts) {
+        const std::uint64_t length = part.size();
+        EVP_DigestUpdate(context.get(), &length, sizeof length);
+        EVP_DigestUpdate(context.get(), part.data(), part.size());
+    }
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    std::uint64_t value = 0;
+    std::memcpy(&value, digest.data(), sizeof value);
+    return value;
+}
+
+std::string toString(RequestFingerprint fingerprint)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint.value));
+    return text.data();
+}
+
 KeyHash hashKey(std::string_view key)
 {
     return KeyHash{fingerprint(key)};
--- a/src/common/hash.h
+++ b/src/common/hash.h
@@ -3,6 +3,7 @@
 #include "common/types.h"
 
 #include <cstdint>
+#include <initializer_list>
 #include <string_view>
 
 namespace cumindyke
@@ -17,4 +18,10 @@
 /// Returns the SHA-256 of the bytes in hexadecimal, as the fingerprint of a payload.
 std::string fingerprint(std::string_view bytes);
 
+/// Returns the first 64 bits of the SHA-256 of the parts and their lengths. Nobody can construct other parts with the same value.
+std::uint64_t secureHash(std::initializer_list<std::string_view> parts);
+
+/// Returns 16 hexadecimal digits, for logs.
+std::string toString(RequestFingerprint fingerprint);
+
 }
--- a/src/common/types.h
+++ b/src/common/types.h
@@ -29,6 +29,8 @@
 using MoveName = Strong<struct MoveNameTag, std::string>;
 /// Created by the entry VM for each request it accepts; unique across VMs and restarts. Upstreams echo it.
 using RequestId = Strong<struct RequestIdTag, std::string>;
+/// Identifies the content of a request: the same for all copies that a caller sends, whatever their ids.
+using RequestFingerprint = Strong<struct RequestFingerprintTag, std::uint64_t>;
 /// Created by the operator's client; a resend carries the same id.
 using CommandId = Strong<struct CommandIdTag, std::string>;
 /// Lower-case hexadecimal SHA-256 of an API key.
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -287,6 +287,7 @@
         return;
     }
     countAnswer(*request, false);
+    checkUpstreamEnded(*request);
     handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
 }
 
@@ -390,6 +391,9 @@
         return;
     }
     m_exchangesToAbort.push_back(request->exchange);
+    if (request->call && request->eventBatches == 0) {
+        checkUpstreamEnded(*request);
+    }
     finish(*request, "caller-left", "");
 }
 
@@ -405,6 +409,7 @@
     }
     if (request->call) {
         countAnswer(*request, false);
+        checkUpstreamEnded(*request);
     }
     replyFailure(*request, ErrorKind::DeadlinePassed, "the request's deadline has passed");
 }
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/hash.h"
 #include "entry/exchange.h"
 #include "placement/requestqueue.h"
 #include "proxy/attempts.h"
@@ -60,6 +61,16 @@
         return parsed.route->kind() == v1::RESUMABLE_STREAMING;
     }
 
+    /// Computed when it is first needed: an ordinary request never pays for it.
+    RequestFingerprint fingerprint()
+    {
+        if (!m_fingerprint) {
+            m_fingerprint
+                = RequestFingerprint{secureHash({parsed.organisation.value, exchange->method(), parsed.route->host(), exchange->target(), exchange->body()})};
+        }
+        return *m_fingerprint;
+    }
+
     const LocalRequestId localId;
     const ParsedRequest parsed;
     std::shared_ptr<Exchange> exchange;
@@ -87,6 +98,9 @@
     Duration longestPause{};
     /// Fires at the deadline.
     std::unique_ptr<Timer> deadlineTimer;
+
+private:
+    std::optional<RequestFingerprint> m_fingerprint;
 };
 
 }
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -9,6 +9,7 @@
 #include "proxy/proxyrequest.h"
 #include "proxy/requestparser.h"
 #include "proxy/retrybudget.h"
+#include "upstream/livenesschecks.h"
 
 #include <functional>
 #include <map>
@@ -127,6 +128,7 @@
     bool isAnswerToRequest(const ProxyRequest &request, const AnswerHead &head) const;
     bool isNotRun(const AnswerHead &head) const;
     void handleAttemptEnd(ProxyRequest &request, AttemptEnd end, v1::PlacementOutcome outcome);
+    void checkUpstreamEnded(ProxyRequest &request);
     void retryOrFinish(ProxyRequest &request, AttemptEnd end, NextStep step);
     void endCall(ProxyRequest &request, v1::PlacementOutcome outcome, const AnswerPace &pace = {});
     void recordEvents(ProxyRequest &request, TimePoint now);
@@ -170,6 +172,8 @@
     std::map<PlacementId, LocalRequestId> m_requestsByPlacement;
     std::map<std::pair<std::string, std::string>, VersionCount> m_versionCounts;
     std::map<LocalRequestId, std::unique_ptr<ProxyRequest>> m_requests;
+    LivenessChecks m_livenessChecks;
+    Counter m_requestsLostToEndedUpstreams;
     std::uint64_t m_nextLocalId = 1;
     /// Ended requests. Their signals may still be running, so they are destroyed from the loop.
     std::vector<std::unique_ptr<ProxyRequest>> m_endedRequests;
