--- a/tests/fakeplatform/fakeplatform.cpp
+++ b/tests/fakeplatform/fakeplatform.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr int Events = 3;
+/// From the start of a crashing request's run to the end of the process.
+constexpr Duration TimeToCrash = std::chrono::milliseconds(30);
 
 bool endsWith(const std::string &text, const std::string &end)
 {
@@ -32,8 +34,9 @@
 /// A streamed answer, sent one event at a time.
 struct FakePlatform::Stream
 {
-    Stream(EventLoop &loop, std::shared_ptr<Exchange> streamExchange)
-        : exchange(std::move(streamExchange))
+    Stream(EventLoop &loop, std::string streamUpstream, std::shared_ptr<Exchange> streamExchange)
+        : upstream(std::move(streamUpstream))
+        , exchange(std::move(streamExchange))
         , timer(loop, [this] { next(); })
     {
         timer.startEvery(std::chrono::milliseconds(100));
@@ -50,12 +53,20 @@
         exchange->streamData("id: " + std::to_string(sent) + "\ndata: part " + std::to_string(sent) + "\n\n");
     }
 
+    /// Closes the connection without an end of the answer.
+    void abort()
+    {
+        timer.stop();
+        exchange->abort();
+    }
+
+    std::string upstream;
     std::shared_ptr<Exchange> exchange;
     Timer timer;
     int sent = 0;
 };
 
-FakePlatform::FakePlatform(const std::string &host, const std::string &instance, const std::string &service)
+FakePlatform::FakePlatform(const std::string &host, const std::string &instance, const std::string &service, const std::vector<std::string> &upstreamHosts)
     : m_instance(instance)
     , m_service(service)
     , m_address{.host = host, .port = 0}
@@ -67,6 +78,11 @@
     m_door = std::move(valueOf(door));
     m_address.port = m_door->port();
     m_door->arrived().connect([this](const std::shared_ptr<Exchange> &exchange) { handleRequest(exchange); });
+    for (const std::string &upstreamHost : upstreamHosts) {
+        m_upstreams.push_back(std::make_unique<Upstream>());
+        m_upstreams.back()->address.host = upstreamHost;
+        start(*m_upstreams.back());
+    }
     m_thread = std::thread([this] { m_loop.run(); });
 }
 
@@ -88,26 +104,98 @@
     m_state = state;
 }
 
+int FakePlatform::endedCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_endedCount;
+}
+
+void FakePlatform::start(Upstream &upstream)
+{
+    auto door = HttpServer::listen(m_loop, upstream.address, std::chrono::seconds(30));
+    if (!ok(door)) {
+        throw std::runtime_error(errorOf(door).message);
+    }
+    upstream.door = std::move(valueOf(door));
+    upstream.door->arrived().connect([this, &upstream](const std::shared_ptr<Exchange> &exchange) { handleUpstreamRequest(upstream, exchange); });
+    const std::lock_guard lock(m_mutex);
+    upstream.address.port = upstream.door->port();
+    upstream.instance = "i-" + upstream.address.host + "-" + std::to_string(++upstream.starts);
+}
+
+void FakePlatform::end(Upstream &upstream)
+{
+    for (const std::shared_ptr<Exchange> &exchange : upstream.crashing) {
+        exchange->abort();
+    }
+    for (const std::unique_ptr<Stream> &stream : m_streams) {
+        if (stream->upstream == upstream.instance) {
+            stream->abort();
+        }
+    }
+    upstream.crashing.clear();
+    upstream.door.reset();
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_endedCount;
+    }
+    m_loop.releaseLater(std::shared_ptr<Timer>(std::move(upstream.timer)));
+    upstream.timer = std::make_unique<Timer>(m_loop, [this, &upstream] { start(upstream); });
+    upstream.timer->startOnce(RestartDelay);
+}
+
+void FakePlatform::handleUpstreamRequest(Upstream &upstream, const std::shared_ptr<Exchange> &exchange)
+{
+    if (exchange->body() != CrashingBody) {
+        replyUpstreamRequest(upstream.instance, exchange);
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_seen.push_back(SeenRequest{.upstream = upstream.instance,
+                                     .method = exchange->method(),
+                                     .target = exchange->target(),
+                                     .headers = exchange->headers(),
+                                     .body = exchange->body()});
+    }
+    exchange->addHeader("Cumindyke-Request-Id", exchange->header("Cumindyke-Request-Id"));
+    exchange->addHeader("Cumindyke-Runner-Seal", "seal-of-" + upstream.instance);
+    exchange->startStream(200, "text/event-stream");
+    upstream.crashing.push_back(exchange);
+    if (upstream.crashing.size() == 1) {
+        upstream.timer = std::make_unique<Timer>(m_loop, [this, &upstream] { end(upstream); });
+        upstream.timer->startOnce(TimeToCrash);
+    }
+}
+
 void FakePlatform::handleRequest(const std::shared_ptr<Exchange> &exchange)
 {
     if (exchange->path() == "/instances") {
         replyList(*exchange);
     } else {
-        replyUpstreamRequest(exchange);
+        replyUpstreamRequest(m_instance, exchange);
     }
 }
 
 void FakePlatform::replyList(Exchange &exchange) const
 {
     const std::lock_guard lock(m_mutex);
-    const nlohmann::json entry{
-        {"id", m_instance}, {"service", m_service}, {"address", toString(m_address)}, {"zone", "z-a"}, {"version", "v1"}, {"slots", 4}, {"state", m_state}};
-    // The last entry is malformed, as if another program had written it.
-    const nlohmann::json list{{"instances", {entry, {{"id", 5}}}}, {"next", nullptr}};
+    const auto entry = [this](const std::string &instance, const Address &address) {
+        return nlohmann::json{
+            {"id", instance}, {"service", m_service}, {"address", toString(address)}, {"zone", "z-a"}, {"version", "v1"}, {"slots", 4}, {"state", m_state}};
+    };
+    // The second entry is malformed, as if another program had written it.
+    nlohmann::json list{{"instances", {entry(m_instance, m_address), {{"id", 5}}}}, {"next", nullptr}};
+    if (!m_upstreams.empty()) {
+        list["instances"].erase(0);
+    }
+    for (const std::unique_ptr<Upstream> &upstream : m_upstreams) {
+        list["instances"].push_back(entry(upstream->instance, upstream->address));
+    }
     exchange.reply(200, "application/json", list.dump());
 }
 
-void FakePlatform::replyUpstreamRequest(const std::shared_ptr<Exchange> &exchange)
+void FakePlatform::replyUpstreamRequest(const std::string &instance, const std::shared_ptr<Exchange> &exchange)
 {
     exchange->addHeader("Cumindyke-Request-Id", exchange->header("Cumindyke-Request-Id"));
     if (endsWith(exchange->path(), "/full")) {
@@ -117,12 +205,13 @@
     }
     {
         const std::lock_guard lock(m_mutex);
-        m_seen.push_back(SeenRequest{.method = exchange->method(), .target = exchange->target(), .headers = exchange->headers(), .body = exchange->body()});
+        m_seen.push_back(SeenRequest{
+            .upstream = instance, .method = exchange->method(), .target = exchange->target(), .headers = exchange->headers(), .body = exchange->body()});
     }
-    exchange->addHeader("Cumindyke-Runner-Seal", "seal-of-" + m_instance);
+    exchange->addHeader("Cumindyke-Runner-Seal", "seal-of-" + instance);
     if (endsWith(exchange->path(), "/stream")) {
         exchange->startStream(200, "text/event-stream");
-        m_streams.push_back(std::make_unique<Stream>(m_loop, exchange));
+        m_streams.push_back(std::make_unique<Stream>(m_loop, instance, exchange));
         return;
     }
     exchange->reply(200, "text/plain", "ran " + exchange->target() + " " + exchange->body());
--- a/tests/fakeplatform/fakeplatform.h
+++ b/tests/fakeplatform/fakeplatform.h
@@ -17,6 +17,8 @@
 /// A request that the fake upstream received.
 struct SeenRequest
 {
+    /// Name of the upstream process that ran it.
+    std::string upstream;
     std::string method;
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
@@ -25,13 +27,18 @@
     std::string header(const std::string &name) const;
 };
 
-/// A fake of the users' platform for tests with real daemons: serves the list of upstreams, and one upstream that answers every path according to the
+/// A fake of the users' platform for tests with real daemons: serves the list of upstreams, and upstreams that answer every path according to the
 /// platform's protocol. A path that ends with "/stream" is answered with three events, 100 ms apart; one that ends with "/full" is refused without
-/// running.
+/// running. A request whose body is CrashingBody ends the process of an upstream with its own address: its sockets are closed, and a successor with
+/// another name starts at the address after RestartDelay.
 class FakePlatform
 {
 public:
-    FakePlatform(const std::string &host, const std::string &instance, const std::string &service);
+    static constexpr const char *CrashingBody = "ends the process that runs it";
+    static constexpr Duration RestartDelay = std::chrono::milliseconds(1500);
+
+    /// The first upstream shares the address of the list; the others have the addresses in "upstreamHosts".
+    FakePlatform(const std::string &host, const std::string &instance, const std::string &service, const std::vector<std::string> &upstreamHosts = {});
     ~FakePlatform();
     FakePlatform(const FakePlatform &) = delete;
     FakePlatform &operator=(const FakePlatform &) = delete;
@@ -43,13 +50,30 @@
     }
     std::vector<SeenRequest> seen() const;
     void setState(const std::string &state);
+    /// Number of upstream processes that a request has ended.
+    int endedCount() const;
 
 private:
     struct Stream;
+    /// An upstream with its own address.
+    struct Upstream
+    {
+        std::string instance;
+        Address address;
+        int starts = 0;
+        /// Null while no process runs.
+        std::unique_ptr<HttpServer> door;
+        std::unique_ptr<Timer> timer;
+        /// Requests that will end the process.
+        std::vector<std::shared_ptr<Exchange>> crashing;
+    };
 
     void handleRequest(const std::shared_ptr<Exchange> &exchange);
     void replyList(Exchange &exchange) const;
-    void replyUpstreamRequest(const std::shared_ptr<Exchange> &exchange);
+    void replyUpstreamRequest(const std::string &instance, const std::shared_ptr<Exchange> &exchange);
+    void start(Upstream &upstream);
+    void end(Upstream &upstream);
+    void handleUpstreamRequest(Upstream &upstream, const std::shared_ptr<Exchange> &exchange);
 
     const std::string m_instance;
     const std::string m_service;
@@ -60,6 +84,8 @@
     mutable std::mutex m_mutex;
     std::vector<SeenRequest> m_seen;
     std::string m_state = "ready";
+    std::vector<std::unique_ptr<Upstream>> m_upstreams;
+    int m_endedCount = 0;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/tests/fakeplatform/platformsystem.cpp
@@ -0,0 +1,36 @@
+#include "fakeplatform/platformsystem.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cumindyke::test
+{
+
+std::string documentOf(int version)
+{
+    const auto route = [](const std::string &name, const std::string &kind) {
+        return nlohmann::json{{"name", name},
+                              {"host", "desk.example"},
+                              {"pathPrefix", "/" + name + "/"},
+                              {"kind", kind},
+                              {"timeoutMs", 5000},
+                              {"priority", 0},
+                              {"service", "desk"},
+                              {"targetLatencyMs", 300},
+                              {"maxAttempts", 1},
+                              {"authExempt", false},
+                              {"unknownField", {}}};
+    };
+    return nlohmann::json{
+        {"version", version},
+        {"routes", {route("deposits", "non_idempotent"), route("drafts", "streaming")}},
+        {"services", {{{"name", "desk"}}}},
+        {"tenants", {{{"name", "ensemble"}, {"apiKeys", {"key-1"}}, {"priority", 1}, {"unit", "tokens"}, {"plainTokens", 200}, {"ratePerS", 0}}}}}
+        .dump(1);
+}
+
+HeaderList callerHeaders(const std::string &id, const std::string &key)
+{
+    return {{"Host", "desk.example"}, {"Cumindyke-Request-Id", id}, {"Cumindyke-Deadline-Ms", "4000"}, {"Cumindyke-Key", key}, {"Cumindyke-Hold", "stolen"}};
+}
+
+}
--- a/tests/platform/wholepathtest.cpp
+++ b/tests/platform/wholepathtest.cpp
@@ -1,128 +1,13 @@
-#include "fakeplatform/fakeplatform.h"
-#include "support/processes.h"
+#include "fakeplatform/platformsystem.h"
 
 #include <catch2/catch.hpp>
 
 #include <csignal>
-#include <fstream>
 #include <nlohmann/json.hpp>
 
 using namespace cumindyke;
 using namespace cumindyke::test;
 
-namespace
-{
-
-constexpr std::uint16_t PeerPort = 7600;
-constexpr std::uint16_t LeasePort = 7615;
-constexpr std::uint16_t ControlPort = 8229;
-constexpr std::uint16_t CallerPort = 8221;
-constexpr std::uint16_t ReadinessPort = 8224;
-constexpr int ControlVms = 3;
-constexpr int EntryVms = 2;
-
-/// Three control VMs, two entry VMs and the fake platform, on loopback.
-class System
-{
-public:
-    explicit System(std::string extraSettings = {})
-        : platform(network.host(90), "i-1", "desk")
-        , extraSettings(std::move(extraSettings))
-    {
-        for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
-            start(vm);
-        }
-    }
-
-    void start(int vm)
-    {
-        const std::string host = network.host(vm);
-        const std::string file = folder.file("vm" + std::to_string(vm) + ".toml");
-        std::ofstream(file) << settings(vm, host);
-        daemons[vm] = std::make_unique<Process>(std::vector<std::string>{std::string(CUMINDYKE_BIN) + "/cumindyked", "--settings", file},
-                                                folder.file("out" + std::to_string(vm)),
-                                                folder.file("err" + std::to_string(vm)));
-    }
-
-    Address operatorAddress(int vm) const
-    {
-        return Address{.host = network.host(vm), .port = ControlPort};
-    }
-    Address callerAddress(int vm = ControlVms + 1) const
-    {
-        return Address{.host = network.host(vm), .port = CallerPort};
-    }
-    bool isReady(int vm) const
-    {
-        return http(Address{.host = network.host(vm), .port = ReadinessPort}, "GET", "/api/readyz").status == 200;
-    }
-    /// Sends the document to each control VM in turn until it is acknowledged, as the operator does.
-    bool publish(const std::string &document) const
-    {
-        int vm = 0;
-        return eventually([&] { return http(operatorAddress(vm++ % ControlVms + 1), "PUT", "/api/config", {}, document).status == 200; });
-    }
-    bool waitUntilReady() const
-    {
-        return eventually([this] { return isReady(ControlVms + 1) && isReady(ControlVms + 2); });
-    }
-
-    TestNetwork network;
-    TemporaryFolder folder;
-    FakePlatform platform;
-    /// Additional settings of every VM.
-    const std::string extraSettings;
-    std::map<int, std::unique_ptr<Process>> daemons;
-
-private:
-    std::string settings(int vm, const std::string &host) const
-    {
-        std::string replicas;
-        for (int seed = 1; seed <= ControlVms; ++seed) {
-            replicas += (seed == 1 ? "\"" : ", \"") + toString(operatorAddress(seed)) + "\"";
-        }
-        const bool isControl = vm <= ControlVms;
-        std::string text = "vm = \"" + host + "\"\ndata_centre = \"z-a\"\nrpc_address = \"" + host + ":" + std::to_string(PeerPort)
-            + "\"\npeer_port = " + std::to_string(PeerPort) + "\nlease_port = " + std::to_string(LeasePort) + "\nreplicas = [" + replicas
-            + "]\nkeep_admitting_ms = 1800\n" + extraSettings + "data_folder = \"" + (isControl ? folder.file("data" + std::to_string(vm)) : "") + "\"\n";
-        if (isControl) {
-            return text + "operator_api = \"" + toString(operatorAddress(vm)) + "\"\n";
-        }
-        return text + "[proxy]\naddress = \"" + toString(callerAddress(vm)) + "\"\nreadiness_address = \"" + host + ":" + std::to_string(ReadinessPort)
-            + "\"\nupstream_list = \"" + toString(platform.address()) + "\"\n";
-    }
-};
-
-std::string documentOf(int version)
-{
-    const auto route = [](const std::string &name, const std::string &kind) {
-        return nlohmann::json{{"name", name},
-                              {"host", "desk.example"},
-                              {"pathPrefix", "/" + name + "/"},
-                              {"kind", kind},
-                              {"timeoutMs", 5000},
-                              {"priority", 0},
-                              {"service", "desk"},
-                              {"targetLatencyMs", 300},
-                              {"maxAttempts", 1},
-                              {"authExempt", false},
-                              {"unknownField", {}}};
-    };
-    return nlohmann::json{
-        {"version", version},
-        {"routes", {route("deposits", "non_idempotent"), route("drafts", "streaming")}},
-        {"services", {{{"name", "desk"}}}},
-        {"tenants", {{{"name", "ensemble"}, {"apiKeys", {"key-1"}}, {"priority", 1}, {"unit", "tokens"}, {"plainTokens", 200}, {"ratePerS", 0}}}}}
-        .dump(1);
-}
-
-HeaderList callerHeaders(const std::string &id, const std::string &key = "key-1")
-{
-    return {{"Host", "desk.example"}, {"Cumindyke-Request-Id", id}, {"Cumindyke-Deadline-Ms", "4000"}, {"Cumindyke-Key", key}, {"Cumindyke-Hold", "stolen"}};
-}
-
-}
-
 TEST_CASE("process: a caller's request passes the whole path unchanged, and the operator reads back the published document")
 {
     System system;
