The front door keeps requests that end upstreams away from further ones, as routes do

The same cause was on the front door's own path: each copy of a completion is a new request there too. What ProxyTask did is SuspectTracker now (src/entry), used by both tasks. A stream whose connection fails is checked at once: after the seconds of attempts to resume it, a successor may listen at the address.

--- a/src/control/crashledger.cpp
+++ b/src/control/crashledger.cpp
@@ -16,6 +16,7 @@
 
 v1::CommandReply CrashLedger::apply(const v1::SuspectCommand &command, WallTime now)
 {
+    expire(now);
     for (const v1::CrashReport &report : command.crashes()) {
         recordCrash(report, now);
     }
--- a/src/entry/activerequest.h
+++ b/src/entry/activerequest.h
@@ -2,6 +2,7 @@
 
 #include "entry/callerrequest.h"
 #include "entry/requestlifecycle.h"
+#include "entry/suspecttracker.h"
 #include "entry/upstreamattempt.h"
 #include "policy/capacity.h"
 
@@ -22,6 +23,16 @@
     /// Tokens of the answer received so far; 0 for a plain service.
     TokenCount answerTokens;
     std::unique_ptr<UpstreamAttempt> attempt;
+    SuspectState suspectState;
+
+    RequestContent content() const
+    {
+        return RequestContent{.organisation = request.organisation.value,
+                              .method = request.method,
+                              .host = request.service.value,
+                              .target = request.target,
+                              .body = request.body};
+    }
 };
 
 }
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -59,6 +59,13 @@
     , m_history(m_options.vm.value, m_options.historyFile)
     , m_limits(OrganisationLimitOptions{.vms = std::max<std::size_t>(1, m_options.vms.size())})
     , m_requests(m_loop)
+    , m_suspects(m_loop,
+                 SuspectTrackerOptions{
+                     .vm = m_options.vm,
+                     .propose = m_options.propose,
+                     .post = [this](SuspectReply reply) { post(std::move(reply)); },
+                 },
+                 metrics)
     , m_keyed(keyedOptions())
     , m_keyedSweepTimer(m_loop, [this] {
         m_keyed.sweep(EventLoop::now());
@@ -117,6 +124,7 @@
         logChange("entry", "configuration-in-force", {{"revision", std::to_string(configuration.declarations->revision().value)}});
     }
     m_versions.setMoves(configuration.moves, *configuration.declarations);
+    m_suspects.setTable(configuration.suspects);
     m_admission.setConfiguration(std::move(configuration));
     m_dispatcher.setDeclarations(m_admission.configuration().declarations, EventLoop::now());
     if (m_platformList) {
@@ -147,6 +155,11 @@
     m_keyed.handle(saved);
 }
 
+void EntryTask::handle(SuspectReply &&reply)
+{
+    m_suspects.handle(reply);
+}
+
 void EntryTask::handle(PeerMessage &&message)
 {
     if (message.envelope.has_join()) {
@@ -252,8 +265,8 @@
 
 void EntryTask::enqueue(const RequestId &id)
 {
-    const ActiveRequest *active = m_requests.find(id);
-    if (!active) {
+    ActiveRequest *active = m_requests.find(id);
+    if (!active || !mayRun(id, *active)) {
         return;
     }
     const ServiceName service = active->request.service;
@@ -331,10 +344,46 @@
     }
 }
 
+/// Whether the request may be sent. Otherwise it was answered, or it waits for the answer to its claim of a trial.
+bool EntryTask::mayRun(const RequestId &id, ActiveRequest &active)
+{
+    const auto onAnswer = [this, id](const auto &answer) { return onTrialAnswered(id, answer); };
+    const auto decision = m_suspects.admit(id, active.content(), active.suspectState, active.request.deadline, onAnswer);
+    if (const auto *refusal = std::get_if<SuspectRefusal>(&decision)) {
+        refuseSuspect(id, *refusal);
+    }
+    return std::holds_alternative<MayRun>(decision);
+}
+
+bool EntryTask::onTrialAnswered(const RequestId &id, const std::variant<TrialId, SuspectRefusal> &answer)
+{
+    ActiveRequest *active = m_requests.find(id);
+    if (!active) {
+        return false;
+    }
+    if (const auto *refusal = std::get_if<SuspectRefusal>(&answer)) {
+        refuseSuspect(id, *refusal);
+        return true;
+    }
+    active->suspectState.trial = std::get<TrialId>(answer);
+    enqueue(id);
+    return true;
+}
+
+void EntryTask::refuseSuspect(const RequestId &id, const SuspectRefusal &refusal)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retryAfter);
+    endWithError(id,
+                 Error{ErrorKind::Unavailable, refusal.reason + ": change the request, or try again after Retry-After"},
+                 m_requests.find(id)->lifecycle.outcomeIfAbandoned(),
+                 seconds);
+}
+
 void EntryTask::dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream)
 {
     ActiveRequest *active = m_requests.find(id);
-    if (!active || !active->lifecycle.dispatch(upstream.name)) {
+    // It may have become a suspect while it was queued.
+    if (!active || !mayRun(id, *active) || !active->lifecycle.dispatch(upstream.name)) {
         m_dispatcher.releaseSlot(slot, EventLoop::now());
         return;
     }
@@ -345,6 +394,8 @@
         active->lifecycle.markAnswerStarted();
         m_dispatcher.onUpstreamAccepted(name, EventLoop::now());
     });
+    active->attempt->interrupted().connect(
+        [this, active, id, upstream] { m_suspects.checkUpstreamEnded(id, active->content(), active->suspectState, upstream.name.value, upstream.address); });
     m_versions.recordSent(active->request, upstream, EventLoop::now());
     active->attempt->tokensReceived().connect([this, active, id](std::uint64_t tokens) {
         active->answerTokens = TokenCount{static_cast<std::uint32_t>(tokens)};
@@ -363,6 +414,7 @@
     m_versions.recordAttemptEnd(id, result.kind, active->request.deadline, EventLoop::now());
     switch (result.kind) {
     case AttemptResult::Kind::Completed:
+        m_suspects.recordAnswer(id, active->content(), active->suspectState);
         if (active->answerTokens.value > 0) {
             m_dispatcher.recordAnswerLength(active->request, active->answerTokens);
         }
@@ -372,6 +424,7 @@
         onAttemptNotRun(*active);
         break;
     case AttemptResult::Kind::Failed:
+        m_suspects.recordAnswer(id, active->content(), active->suspectState);
         abandon(id, Error{ErrorKind::UpstreamFailed, "the upstream answered " + std::to_string(result.status) + ": " + result.failureBody});
         break;
     case AttemptResult::Kind::Lost:
@@ -416,6 +469,12 @@
 }
 
 void EntryTask::abandonWithOutcome(const RequestId &id, const Error &error, RunOutcome outcome)
+{
+    const ServiceName service = m_requests.find(id)->request.service;
+    endWithError(id, error, outcome, estimatedRetryAfter(service, EventLoop::now()));
+}
+
+void EntryTask::endWithError(const RequestId &id, const Error &error, RunOutcome outcome, std::chrono::seconds retryAfter)
 {
     const ActiveRequest &active = *m_requests.find(id);
     m_history.write("given-up", id, EventLoop::now(), {{"kind", toString(error.kind)}, {"outcome", toString(outcome)}});
@@ -424,7 +483,7 @@
         active.exchange->endStream();
     } else {
         active.exchange->addHeader(headers::RequestId, id.value);
-        active.exchange->replyError(error, outcome, estimatedRetryAfter(active.request.service, EventLoop::now()));
+        active.exchange->replyError(error, outcome, retryAfter);
     }
     finish(id, requestEndOf(outcome));
 }
@@ -447,6 +506,7 @@
     }
     m_dispatcher.remove(request);
     releaseSlot(*ended);
+    m_suspects.releaseTrial(ended->suspectState);
     ended->lifecycle.markEnded();
     m_keyed.onRequestEnded(id, claimEndOf(end), ended->exchange->savedAnswer(), EventLoop::now());
     if (ended->attempt && ended->attempt->cancel()) {
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -12,6 +12,7 @@
 #include "entry/organisationlimits.h"
 #include "entry/requeststore.h"
 #include "entry/servicerate.h"
+#include "entry/suspecttracker.h"
 #include "entry/versiontraffic.h"
 #include "report/requestendcounters.h"
 #include "upstream/platformlist.h"
@@ -37,7 +38,7 @@
     std::function<void(const v1::ReportReply &)> answer;
 };
 
-using EntryMessage = std::variant<Configuration, DrainRequest, ReportQuery, ClaimDecision, ClaimEndSaved, PeerMessage>;
+using EntryMessage = std::variant<Configuration, DrainRequest, ReportQuery, ClaimDecision, ClaimEndSaved, SuspectReply, PeerMessage>;
 
 struct EntryOptions
 {
@@ -84,6 +85,7 @@
     void handle(const ReportQuery &query);
     void handle(const ClaimDecision &decision);
     void handle(const ClaimEndSaved &saved);
+    void handle(SuspectReply &&reply);
     void handle(PeerMessage &&message);
     KeyedOptions keyedOptions();
 
@@ -99,12 +101,16 @@
     void onLeavingVmsChanged(const LeavingVms &leaving);
     void enqueue(const RequestId &id);
     void onKeyedAnswer(const RequestId &id, const KeyedResult &result);
+    bool mayRun(const RequestId &id, ActiveRequest &active);
+    bool onTrialAnswered(const RequestId &id, const std::variant<TrialId, SuspectRefusal> &answer);
+    void refuseSuspect(const RequestId &id, const SuspectRefusal &refusal);
     void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
     void onAttemptEnded(const RequestId &id, const AttemptResult &result);
     void onAttemptNotRun(ActiveRequest &active);
     void onCallerDisconnected(const RequestId &id);
     void abandon(const RequestId &id, const Error &error);
     void abandonWithOutcome(const RequestId &id, const Error &error, RunOutcome outcome);
+    void endWithError(const RequestId &id, const Error &error, RunOutcome outcome, std::chrono::seconds retryAfter);
     void finish(const RequestId &id, RequestEnd end);
     void releaseSlot(ActiveRequest &active);
     void finishDrainIfIdle();
@@ -130,6 +136,7 @@
     OrganisationLimits m_limits;
     std::map<ServiceName, ServiceRate> m_serviceRates;
     RequestStore m_requests;
+    SuspectTracker m_suspects;
     KeyedRequests m_keyed;
     Timer m_keyedSweepTimer;
     std::unique_ptr<PlatformList> m_platformList;
--- a/src/entry/upstreamattempt.cpp
+++ b/src/entry/upstreamattempt.cpp
@@ -182,6 +182,9 @@
 
 void UpstreamAttempt::scheduleResume()
 {
+    if (m_failedResumes == 0) {
+        m_interrupted.emit();
+    }
     if (!canResume(EventLoop::now())) {
         end(AttemptResult::Kind::Lost);
         return;
--- a/src/entry/upstreamattempt.h
+++ b/src/entry/upstreamattempt.h
@@ -75,6 +75,11 @@
     {
         return m_tokensReceived;
     }
+    /// The connection failed before the end of the answer; the stream may be resumed.
+    sigc::signal<void> &interrupted()
+    {
+        return m_interrupted;
+    }
     sigc::signal<void, const AttemptResult &> &ended()
     {
         return m_ended;
@@ -111,6 +116,7 @@
     bool m_finished = false;
     sigc::signal<void> m_answerStartedSignal;
     sigc::signal<void, std::uint64_t> m_tokensReceived;
+    sigc::signal<void> m_interrupted;
     sigc::signal<void, const AttemptResult &> m_ended;
     sigc::connection m_outputDrainedConnection;
 };
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -257,7 +257,7 @@
     const TimePoint now = EventLoop::now();
     const bool failed = request->answerHead.status >= FirstServerError;
     if (!request->eventSplitter.hasPartial()) {
-        recordCompleteAnswer(*request);
+        m_suspects.recordAnswer(request->parsed.id, request->content(), request->suspectState);
     }
     if (failed && !request->headForwarded) {
         countAnswer(*request, false);
@@ -289,7 +289,7 @@
         handleAttemptEnd(*request, AttemptEnd::NotSent, v1::PLACEMENT_FAILED);
         return;
     }
-    if (!request->trial) {
+    if (!request->suspectState.trial) {
         countAnswer(*request, false);
     }
     handleLostAnswer(*request);
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -58,7 +58,7 @@
 {
     const auto found = m_requestsByPlacement.find(granted.id);
     ProxyRequest *request = found == m_requestsByPlacement.end() ? nullptr : find(found->second);
-    if (request && !isUnsuspected(*request)) {
+    if (request && !m_suspects.isUnsuspected(request->content(), request->suspectState)) {
         // It became a suspect while it waited for the slot.
         endCall(*request, v1::PLACEMENT_CANCELLED);
         requestPlacementOrRefuse(*request, EventLoop::now());
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "common/hash.h"
-#include "entry/crashguard.h"
 #include "entry/exchange.h"
+#include "entry/suspecttracker.h"
 #include "placement/requestqueue.h"
 #include "proxy/attempts.h"
 #include "proxy/eventsplitter.h"
@@ -62,28 +61,13 @@
         return parsed.route->kind() == v1::RESUMABLE_STREAMING;
     }
 
-    /// Computed when it is first needed: an ordinary request never pays for it.
-    RequestFingerprint fingerprint()
+    RequestContent content() const
     {
-        if (!m_fingerprint) {
-            m_fingerprint
-                = RequestFingerprint{secureHash({parsed.organisation.value, exchange->method(), parsed.route->host(), exchange->target(), exchange->body()})};
-        }
-        return *m_fingerprint;
-    }
-
-    /// A cheap hash of the same content, for CrashGuard.
-    std::uint64_t contentHash(std::uint64_t seed) const
-    {
-        std::uint64_t hash = seed;
-        for (const std::string_view part : {std::string_view(parsed.organisation.value),
-                                            std::string_view(exchange->method()),
-                                            std::string_view(parsed.route->host()),
-                                            std::string_view(exchange->target()),
-                                            std::string_view(exchange->body())}) {
-            hash = seededChecksum(part, hash);
-        }
-        return hash;
+        return RequestContent{.organisation = parsed.organisation.value,
+                              .method = exchange->method(),
+                              .host = parsed.route->host(),
+                              .target = exchange->target(),
+                              .body = exchange->body()};
     }
 
     const LocalRequestId localId;
@@ -96,10 +80,7 @@
     /// The placement server wants the pace of the first events to be reported.
     bool paceWanted = false;
 
-    /// Set while this copy of a suspect request may run.
-    std::optional<TrialId> trial;
-    /// Fires if a claim of a trial is not answered.
-    std::unique_ptr<Timer> claimTimer;
+    SuspectState suspectState;
 
     /// The current call to the upstream; null while the request waits for a slot.
     std::unique_ptr<UpstreamCall> call;
@@ -118,9 +99,6 @@
     Duration longestPause{};
     /// Fires at the deadline.
     std::unique_ptr<Timer> deadlineTimer;
-
-private:
-    std::optional<RequestFingerprint> m_fingerprint;
 };
 
 }
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -20,12 +20,6 @@
 /// A few seconds' requests of a busy VM.
 constexpr std::size_t MaxHeldRequests = 500;
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 std::string milliseconds(Duration duration)
 {
     return std::to_string(wholeMilliseconds(duration));
@@ -48,12 +42,13 @@
     , m_metrics(metrics)
     , m_incarnation(std::random_device{}())
     , m_holdTimer(m_loop, [this] { releaseHeldRequests(); })
-    , m_livenessChecks(m_loop)
-    , m_crashGuard(randomSeed())
-    , m_suspectReportTimer(m_loop, [this] { reportSuspects(); })
-    , m_requestsLostToEndedUpstreams(
-          metrics.counter("cumindyke_requests_lost_to_ended_upstreams_total", "Requests that an upstream's process ran when it ended"))
-    , m_suspectRefusals(metrics.counter("cumindyke_suspect_refusals_total", "Requests refused because copies of them ended upstreams"))
+    , m_suspects(m_loop,
+                 SuspectTrackerOptions{
+                     .vm = m_options.vm,
+                     .propose = m_options.propose,
+                     .post = [this](SuspectReply reply) { post(std::move(reply)); },
+                 },
+                 metrics)
     , m_cleanUpTimer(m_loop, [this] { cleanUp(); })
     , m_drainTimer(m_loop, [this] { finishDrainIfDone(); })
     , m_tallyTimer(m_loop, [this] { sendTally(); })
@@ -136,7 +131,7 @@
         rollouts[rollout.service()] = rollout;
     }
     m_placement->setRollouts(rollouts);
-    m_crashGuard.setTable(configuration.suspects);
+    m_suspects.setTable(configuration.suspects);
     if (configuration.fleet && configuration.fleet != m_fleet) {
         m_fleet = configuration.fleet;
         m_placement->setFleet(*m_fleet);
@@ -295,9 +290,8 @@
                {"longest_pause_ms", request.eventBatches > 1 ? milliseconds(request.longestPause) : ""},
                {"ms", milliseconds(now - request.parsed.arrived)}});
     endCall(request, v1::PLACEMENT_CANCELLED);
-    releaseTrial(request);
+    m_suspects.releaseTrial(request.suspectState);
     request.deadlineTimer->stop();
-    request.claimTimer.reset();
     const auto found = m_requests.find(request.localId);
     m_endedRequests.push_back(std::move(found->second));
     m_requests.erase(found);
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -5,11 +5,11 @@
 #include "common/metrics.h"
 #include "control/controltask.h"
 #include "entry/httpserver.h"
+#include "entry/suspecttracker.h"
 #include "proxy/placementhost.h"
 #include "proxy/proxyrequest.h"
 #include "proxy/requestparser.h"
 #include "proxy/retrybudget.h"
-#include "upstream/livenesschecks.h"
 
 #include <functional>
 #include <map>
@@ -57,15 +57,6 @@
     std::function<void()> drained;
 };
 
-/// The answer to reports about suspect requests, and to the claim of a trial.
-struct SuspectReply
-{
-    v1::SuspectCommand command;
-    /// The request that claimed the trial, if any.
-    LocalRequestId claimant;
-    Result<v1::CommandReply> reply;
-};
-
 using ProxyMessage = std::variant<Configuration, ProxyDrain, SuspectReply>;
 
 /// The reverse proxy of an entry VM: forwards callers' requests to upstreams and the answers back, unchanged. Owns all sockets that this needs; other
@@ -110,7 +101,10 @@
 
     void handle(Configuration &configuration);
     void handle(ProxyDrain &drain);
-    void handle(SuspectReply &reply);
+    void handle(SuspectReply &reply)
+    {
+        m_suspects.handle(reply);
+    }
 
     // Admission.
     void handleRequest(const std::shared_ptr<Exchange> &exchange);
@@ -142,18 +136,9 @@
     void handleAttemptEnd(ProxyRequest &request, AttemptEnd end, v1::PlacementOutcome outcome);
     void handleLostAnswer(ProxyRequest &request);
     void checkUpstreamEnded(ProxyRequest &request, const std::function<void()> &then = {});
-
-    // Requests that end upstreams.
     bool mayRun(ProxyRequest &request);
-    bool isUnsuspected(ProxyRequest &request);
-    void claimTrial(ProxyRequest &request);
-    void onTrialAnswered(LocalRequestId localId, const v1::Trial &trial, bool isGranted);
-    void refuseTrial(ProxyRequest &request, const std::string &reason);
-    void refuseSuspect(ProxyRequest &request, const std::string &reason, Duration retryAfter);
-    void recordCompleteAnswer(ProxyRequest &request);
-    void releaseTrial(ProxyRequest &request);
-    void reportSuspects(LocalRequestId claimant = {}, const v1::Trial *claim = nullptr);
-    void scheduleSuspectReport(Duration delay);
+    bool onTrialAnswered(LocalRequestId localId, const std::variant<TrialId, SuspectRefusal> &answer);
+    void refuseSuspect(ProxyRequest &request, const SuspectRefusal &refusal);
     void retryOrFinish(ProxyRequest &request, AttemptEnd end, NextStep step);
     void endCall(ProxyRequest &request, v1::PlacementOutcome outcome, const AnswerPace &pace = {});
     void recordEvents(ProxyRequest &request, TimePoint now);
@@ -197,12 +182,7 @@
     std::map<PlacementId, LocalRequestId> m_requestsByPlacement;
     std::map<std::pair<std::string, std::string>, VersionCount> m_versionCounts;
     std::map<LocalRequestId, std::unique_ptr<ProxyRequest>> m_requests;
-    LivenessChecks m_livenessChecks;
-    CrashGuard m_crashGuard;
-    Timer m_suspectReportTimer;
-    std::uint64_t m_suspectCommandCount = 0;
-    Counter m_requestsLostToEndedUpstreams;
-    Counter m_suspectRefusals;
+    SuspectTracker m_suspects;
     std::uint64_t m_nextLocalId = 1;
     /// Ended requests. Their signals may still be running, so they are destroyed from the loop.
     std::vector<std::unique_ptr<ProxyRequest>> m_endedRequests;
--- a/tests/fakeupstream/fakeupstream.cpp
+++ b/tests/fakeupstream/fakeupstream.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
+#include <cstdlib>
 #include <stdexcept>
 
 namespace cumindyke
@@ -27,6 +28,8 @@
 constexpr std::size_t PrefixBytes = 256;
 /// Finished streams are removed from this number on.
 constexpr std::size_t MaxStreams = 20'000;
+constexpr Duration TimeToCrash = std::chrono::milliseconds(30);
+constexpr int CrashExitCode = 70;
 
 std::string bodyOf(evhttp_request *request)
 {
@@ -96,6 +99,7 @@
     , m_server(evhttp_new(loop.base()))
     , m_engine(m_options.speed)
     , m_stepTimer(loop, [this] { advance(); })
+    , m_crashTimer(loop, [] { std::_Exit(CrashExitCode); })
 {
     evhttp_bound_socket *socket = evhttp_bind_socket_with_handle(m_server, m_options.host.c_str(), m_options.port);
     if (!socket) {
@@ -173,6 +177,9 @@
         prompt += message.value("content", "") + "\n";
     }
     logEvent("run", id, fingerprint(prompt));
+    if (!m_options.crashOn.empty() && prompt.find(m_options.crashOn) != std::string::npos) {
+        m_crashTimer.startOnceIfStopped(TimeToCrash);
+    }
     if (m_faults.fail) {
         reply(request, 500, {{"error", "failed on command"}});
         return;
--- a/tests/fakeupstream/fakeupstream.h
+++ b/tests/fakeupstream/fakeupstream.h
@@ -47,6 +47,8 @@
     std::uint16_t port = 0;
     /// Log of runs for the history checker, one JSON object per line; empty: none.
     std::string logFile;
+    /// The process exits shortly after it began to run a model request whose prompt contains this text; empty: never.
+    std::string crashOn;
     EngineSpeed speed;
 };
 
@@ -115,6 +117,7 @@
     std::uint16_t m_port = 0;
     EngineModel m_engine;
     Timer m_stepTimer;
+    Timer m_crashTimer;
     Faults m_faults;
     std::map<std::string, Stream> m_streams;
     std::ofstream m_log;
--- a/tests/fakeupstream/main.cpp
+++ b/tests/fakeupstream/main.cpp
@@ -16,6 +16,7 @@
         "version", "version it runs", cxxopts::value<std::string>()->default_value("v1"))(
         "log", "file for runs", cxxopts::value<std::string>()->default_value(""))(
         "step-ms", "length of an idle engine's step", cxxopts::value<int>()->default_value("12"))(
+        "crash-on", "exit after a prompt with this text", cxxopts::value<std::string>()->default_value(""))(
         "max-batch", "sequences at once", cxxopts::value<std::uint32_t>()->default_value("32"))("help", "print this help");
     try {
         const cxxopts::ParseResult parsed = options.parse(argc, argv);
@@ -30,6 +31,7 @@
             .host = parsed["host"].as<std::string>(),
             .port = parsed["port"].as<std::uint16_t>(),
             .logFile = parsed["log"].as<std::string>(),
+            .crashOn = parsed["crash-on"].as<std::string>(),
         };
         upstreamOptions.speed.stepBase = std::chrono::milliseconds(parsed["step-ms"].as<int>());
         upstreamOptions.speed.maxBatch = parsed["max-batch"].as<std::uint32_t>();
