--- a/tests/fakeplatform/fakeplatform.cpp
+++ b/tests/fakeplatform/fakeplatform.cpp
@@ -104,6 +104,12 @@
     m_state = state;
 }
 
+void FakePlatform::setRequestLimit(const std::string &limit)
+{
+    const std::lock_guard lock(m_mutex);
+    m_requestLimit = limit;
+}
+
 int FakePlatform::endedCount() const
 {
     const std::lock_guard lock(m_mutex);
@@ -209,6 +215,12 @@
             .upstream = instance, .method = exchange->method(), .target = exchange->target(), .headers = exchange->headers(), .body = exchange->body()});
     }
     exchange->addHeader("Cumindyke-Runner-Seal", "seal-of-" + instance);
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_requestLimit.empty()) {
+            exchange->addHeader("Server-Limit", m_requestLimit);
+        }
+    }
     if (endsWith(exchange->path(), "/stream")) {
         exchange->startStream(200, "text/event-stream");
         m_streams.push_back(std::make_unique<Stream>(m_loop, instance, exchange));
--- a/tests/fakeplatform/fakeplatform.h
+++ b/tests/fakeplatform/fakeplatform.h
@@ -50,6 +50,8 @@
     }
     std::vector<SeenRequest> seen() const;
     void setState(const std::string &state);
+    /// From now on the upstreams' answers name this limit of requests a second; empty: none.
+    void setRequestLimit(const std::string &limit);
     /// Number of upstream processes that a request has ended.
     int endedCount() const;
 
@@ -84,6 +86,7 @@
     mutable std::mutex m_mutex;
     std::vector<SeenRequest> m_seen;
     std::string m_state = "ready";
+    std::string m_requestLimit;
     std::vector<std::unique_ptr<Upstream>> m_upstreams;
     int m_endedCount = 0;
     std::thread m_thread;
