An upstream that names a request limit gets no more than that from all VMs together

What the upstream saw: after it had named 3.9 requests a second it got up to 15, since no part of the system read the header (hypothesis 1: the rate didn't fall at any VM). Class: what an upstream says of itself goes to the caller unread.

The entry VM reads the limit at the head of the answer and tells its placement server with its next state, until that confirms it, and every further server, so that a lost datagram or a takeover loses none. The server sees a limited upstream as the capacity that it has: a bucket that saves up half a second at most. Three servers, each at the whole limit, would come to 47 requests in 4 s (hypothesis 2): only the server of the upstream's own data centre sends to it, at its share of the entry VMs that it knows of. At least one request in 2 s tells when the limit is lifted; an answer that ran and names none lifts it. Malformed values leave the limit as it was, with a line.

--- a/src/placement/placementclient.cpp
+++ b/src/placement/placementclient.cpp
@@ -18,10 +18,11 @@
 /// At some 65 bytes per placement request this makes 26 KB, under half of a datagram's capacity. The rest is sent when these requests have ended.
 constexpr std::size_t MaxRequestsPerState = 400;
 
-std::string describeInputs(const v1::PlacementGrant &grant, const VmName &from)
+std::string describeInputs(const v1::PlacementGrant &grant, const VmName &from, std::optional<double> limitPerSecond)
 {
+    const std::string limit = limitPerSecond ? " limit_per_s=" + std::to_string(*limitPerSecond) : "";
     return "tokens_to_read=" + std::to_string(grant.tokens_to_read()) + " in_flight=" + std::to_string(grant.in_flight())
-        + " predicted_ms=" + std::to_string(grant.predicted_ms()) + " list_age_ms=" + std::to_string(grant.list_age_ms()) + " placed_by=" + from.value;
+        + " predicted_ms=" + std::to_string(grant.predicted_ms()) + " list_age_ms=" + std::to_string(grant.list_age_ms()) + " placed_by=" + from.value + limit;
 }
 
 }
@@ -109,6 +110,7 @@
     state.set_sequence(++m_lastStateSequence);
     state.mutable_ended()->Add(m_endedRequests.begin(), m_endedRequests.end());
     m_endedRequests.clear();
+    m_namedLimits.write(state, m_confirmedSequence, now);
     std::size_t written = 0;
     for (auto &[id, tracked] : m_requests) {
         if (++written > MaxRequestsPerState) {
@@ -137,6 +139,7 @@
 void PlacementClient::resetConfirmed()
 {
     m_confirmedSequence = 0;
+    m_namedLimits.resetConfirmed();
     for (auto &[id, tracked] : m_requests) {
         tracked.firstSentInState = 0;
     }
@@ -220,7 +223,10 @@
     --m_waitingCount;
     UpstreamInstance upstream{
         .name = tracked.upstream, .service = tracked.request.service, .address = valueOf(address), .dataCentre = {}, .version = VersionName{grant.version()}};
-    return PlacementGranted{.id = found->first, .upstream = std::move(upstream), .inputs = describeInputs(grant, from), .paceWanted = grant.pace_wanted()};
+    return PlacementGranted{.id = found->first,
+                            .upstream = std::move(upstream),
+                            .inputs = describeInputs(grant, from, m_namedLimits.find(tracked.upstream)),
+                            .paceWanted = grant.pace_wanted()};
 }
 
 bool PlacementClient::replaceTimedOutServer(TimePoint now)
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placement/namedlimits.h"
 #include "placement/placementtypes.h"
 
 #include "placement.pb.h"
@@ -100,6 +101,11 @@
     void recordFirstEvent(PlacementId id, Duration after);
     /// Records the mean milliseconds between the first events, if the grant asked for it.
     void recordEarlyPace(PlacementId id, double paceMs);
+    /// Records the request limit that an upstream named in an answer; no value: it named none. Returns whether the limit has changed.
+    bool recordRequestLimit(const InstanceName &upstream, std::optional<double> perSecond, TimePoint now)
+    {
+        return m_namedLimits.record(upstream, perSecond, now);
+    }
     /// Stops tracking the request: its attempt ended, or it needs no slot any more.
     void ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace);
 
@@ -152,6 +158,7 @@
     std::map<PlacementId, TrackedRequest> m_requests;
     std::size_t m_waitingCount = 0;
     std::vector<v1::EndedRequest> m_endedRequests;
+    NamedLimits m_namedLimits;
     /// The server that confirmed states of this VM, and the newest state it confirmed.
     VmName m_confirmingServer;
     std::uint64_t m_confirmedSequence = 0;
--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -88,7 +88,9 @@
     for (const auto &[vm, peer] : m_peers) {
         covered += now - peer.lastReceivedAt <= PeerTimeout ? peer.entryVmCount : 0;
     }
-    m_limits.setCoverage(static_cast<double>(covered) / static_cast<double>(m_entryVmCount), now);
+    const double coverage = static_cast<double>(covered) / static_cast<double>(m_entryVmCount);
+    m_limits.setCoverage(coverage, now);
+    m_pool.setCoverage(coverage);
 }
 
 void PlacementServer::handleState(const VmName &from, const v1::EntryState &state, TimePoint now)
@@ -109,13 +111,17 @@
     entryVm.sequence = state.sequence();
     entryVm.lastReceivedAt = now;
     updateCoverage(now);
+    for (const v1::RequestLimit &limit : state.limits()) {
+        const std::optional<double> perSecond = limit.has_per_second() ? std::optional(limit.per_second()) : std::nullopt;
+        m_pool.recordRequestLimit(InstanceName{limit.upstream()}, perSecond, now - std::chrono::milliseconds(limit.age_ms()), now);
+    }
     for (const v1::EndedRequest &ended : state.ended()) {
         handleEnded(ended, now);
     }
     std::vector<std::uint64_t> listedIds(state.unchanged().begin(), state.unchanged().end());
     for (const v1::PlacedRequest &placed : state.placed()) {
         listedIds.push_back(placed.id());
-        handlePlaced(from, entryVm, placed);
+        handlePlaced(from, entryVm, placed, now);
     }
     for (const v1::PlacementAsk &ask : state.asks()) {
         listedIds.push_back(ask.id());
@@ -222,7 +228,7 @@
 
 /// A request that was not granted here was granted by another server. The queue entry or slot that this server had assigned to it is released, since
 /// it would be held for ever otherwise.
-void PlacementServer::handlePlaced(const VmName &from, EntryVm &entryVm, const v1::PlacedRequest &placed)
+void PlacementServer::handlePlaced(const VmName &from, EntryVm &entryVm, const v1::PlacedRequest &placed, TimePoint now)
 {
     const PlacementId id{placed.id()};
     TrackedRequest &request = entryVm.requests[id];
@@ -241,7 +247,7 @@
                                  .grant = {},
                                  .refusal = {},
                                  .decisionSentAt = {}};
-        m_pool.acquireSlot(upstream, request.promptTokens);
+        m_pool.acquireSlot(upstream, request.promptTokens, now);
     }
     request.stage = Stage::Sent;
     if (placed.early_pace_ms() > 0) {
@@ -379,7 +385,7 @@
     request.upstream = upstream.name;
     request.tokensToRead = m_pool.pendingPromptTokens(upstream.name) + request.promptTokens;
     request.decisionSentAt = now;
-    m_pool.acquireSlot(upstream.name, request.promptTokens);
+    m_pool.acquireSlot(upstream.name, request.promptTokens, now);
     v1::PlacementGrant grant;
     grant.set_id(key.id.value);
     grant.set_upstream(upstream.name.value);
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -149,7 +149,7 @@
     void handlePlacementRequest(const VmName &from, EntryVm &entryVm, const v1::PlacementAsk &ask, TimePoint now);
     TrackedRequest makeRequest(const v1::PlacementAsk &ask, TimePoint now) const;
     void resendDecision(EntryVm &entryVm, PlacementId id, TimePoint now);
-    void handlePlaced(const VmName &from, EntryVm &entryVm, const v1::PlacedRequest &placed);
+    void handlePlaced(const VmName &from, EntryVm &entryVm, const v1::PlacedRequest &placed, TimePoint now);
     void handleEnded(const v1::EndedRequest &ended, TimePoint now);
     void release(const VmName &from, PlacementId id, const TrackedRequest &request);
     void releaseAll(const VmName &from, const EntryVm &entryVm);
--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -61,12 +61,15 @@
     replaceUpstreams(std::move(next));
 }
 
-void UpstreamPool::addInstances(std::map<InstanceName, Upstream> &next, const std::vector<UpstreamInstance> &instances, TimePoint now) const
+void UpstreamPool::addInstances(std::map<InstanceName, Upstream> &next, const std::vector<UpstreamInstance> &instances, TimePoint now)
 {
     for (const UpstreamInstance &instance : instances) {
         const auto known = m_upstreams.find(instance.name);
         const bool isSameProcess
             = known != m_upstreams.end() && known->second.instance.startedAtMs == instance.startedAtMs && known->second.instance.address == instance.address;
+        if (known != m_upstreams.end() && !isSameProcess) {
+            m_requestRates.forget(instance.name);
+        }
         Upstream upstream = isSameProcess ? known->second : Upstream{};
         // Requests in flight are released by name, whichever process they were sent to.
         upstream.ownLoad = known == m_upstreams.end() ? Load{} : known->second.ownLoad;
@@ -158,6 +161,7 @@
 
 void UpstreamPool::expireTimedOut(TimePoint now)
 {
+    m_requestRates.expire(now);
     for (auto &[vm, peer] : m_peers) {
         if (now - peer.lastReceivedAt > NoticeTimeout && !peer.loads.empty()) {
             addLoads(peer, -1);
@@ -169,7 +173,9 @@
 bool UpstreamPool::isUsable(const Upstream &upstream, TimePoint now) const
 {
     const bool isStale = m_listInParts && upstream.isRemote && m_listReadable && now - upstream.lastListedAt > MaxListAge;
-    return !isStale && !upstream.instance.draining && now >= upstream.ejectedUntil;
+    // A limited upstream is left to the placement server of its own data centre, which alone can keep to the limit.
+    const bool isLeftToOthers = upstream.isRemote && m_requestRates.isLimited(upstream.instance.name);
+    return !isStale && !isLeftToOthers && !upstream.instance.draining && now >= upstream.ejectedUntil;
 }
 
 bool UpstreamPool::isEligible(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const
@@ -209,8 +215,11 @@
 
 /// An upstream without a measured pace counts as the fastest, so that it gets requests. If it were filled before it was measured and were the
 /// slowest, its answers would be late, and it would hold requests that others could have served.
-bool UpstreamPool::hasFreeSlot(const Upstream &upstream) const
+bool UpstreamPool::hasFreeSlot(const Upstream &upstream, TimePoint now) const
 {
+    if (!m_requestRates.maySend(upstream.instance.name, m_coverage, now)) {
+        return false;
+    }
     const std::uint32_t requests = upstream.ownLoad.requests + upstream.peerLoad.requests;
     const bool isUnmeasured = upstream.paceMs <= 0 && m_firstEventModels.contains(upstream.instance.service);
     return requests < (isUnmeasured ? std::min(MaxRequestsOnUnmeasured, upstream.instance.slots) : upstream.instance.slots);
@@ -262,7 +271,7 @@
     double bestScore = std::numeric_limits<double>::max();
     for (const Upstream *candidate : upstreamsOf(query.service)) {
         const Upstream &upstream = *candidate;
-        if (!isEligible(upstream, query, now) || !hasFreeSlot(upstream) || wouldExceedMaxPause(upstream, query, fastestPaceMs)) {
+        if (!isEligible(upstream, query, now) || !hasFreeSlot(upstream, now) || wouldExceedMaxPause(upstream, query, fastestPaceMs)) {
             continue;
         }
         const double responseMs = predictedMs(upstream, query.promptTokens, fastestPaceMs);
@@ -299,7 +308,7 @@
 
 bool UpstreamPool::hasFreeSlot(const ServiceName &service, TimePoint now) const
 {
-    return std::ranges::any_of(upstreamsOf(service), [this, now](const Upstream *upstream) { return isUsable(*upstream, now) && hasFreeSlot(*upstream); });
+    return std::ranges::any_of(upstreamsOf(service), [this, now](const Upstream *upstream) { return isUsable(*upstream, now) && hasFreeSlot(*upstream, now); });
 }
 
 const std::vector<const UpstreamPool::Upstream *> &UpstreamPool::upstreamsOf(const ServiceName &service) const
@@ -315,8 +324,9 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
-void UpstreamPool::acquireSlot(const InstanceName &name, std::uint32_t promptTokens)
+void UpstreamPool::acquireSlot(const InstanceName &name, std::uint32_t promptTokens, TimePoint now)
 {
+    m_requestRates.recordSent(name, m_coverage, now);
     if (Upstream *upstream = find(name)) {
         ++upstream->ownLoad.requests;
         upstream->ownLoad.tokens += promptTokens;
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -3,10 +3,13 @@
 #include "placement/firsteventmodel.h"
 #include "placement/pauseratioestimator.h"
 #include "placement/placementtypes.h"
+#include "placement/requestrates.h"
 
 #include "control.pb.h"
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -79,12 +82,22 @@
 
     /// Returns the upstream that is predicted to answer first; none if all are full or not usable.
     Placement choose(const PlacementQuery &query, TimePoint now) const;
+    /// Records the request limit that an upstream named in an answer; see RequestRates.
+    void recordRequestLimit(const InstanceName &name, std::optional<double> perSecond, TimePoint answeredAt, TimePoint now)
+    {
+        m_requestRates.record(name, perSecond, answeredAt, now);
+    }
+    /// Sets the share of all entry VMs, 0 to 1, that this server knows of.
+    void setCoverage(double coverage)
+    {
+        m_coverage = std::clamp(coverage, 0.0, 1.0);
+    }
     /// Whether any usable upstream of the service has a free slot.
     bool hasFreeSlot(const ServiceName &service, TimePoint now) const;
     /// Time to the first event on the fastest upstream when it is idle; zero while nothing is recorded.
     Duration idleFirstEventTime(const ServiceName &service, std::uint32_t promptTokens) const;
 
-    void acquireSlot(const InstanceName &name, std::uint32_t promptTokens);
+    void acquireSlot(const InstanceName &name, std::uint32_t promptTokens, TimePoint now = {});
     /// Records that the prompt has been processed: the first event arrived, or the attempt ended before it.
     void recordPrefillDone(const InstanceName &name, std::uint32_t promptTokens);
     void releaseSlot(const InstanceName &name);
@@ -164,7 +177,7 @@
         std::map<InstanceName, ReceivedLoad> loads;
     };
 
-    void addInstances(std::map<InstanceName, Upstream> &next, const std::vector<UpstreamInstance> &instances, TimePoint now) const;
+    void addInstances(std::map<InstanceName, Upstream> &next, const std::vector<UpstreamInstance> &instances, TimePoint now);
     void replaceUpstreams(std::map<InstanceName, Upstream> &&next);
     bool isUsable(const Upstream &upstream, TimePoint now) const;
     void addLoads(const Peer &peer, int sign);
@@ -172,7 +185,7 @@
     void expireUnreported(Peer &peer);
     bool isEligible(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
     double fastestPace(const ServiceName &service) const;
-    bool hasFreeSlot(const Upstream &upstream) const;
+    bool hasFreeSlot(const Upstream &upstream, TimePoint now) const;
     bool wouldExceedMaxPause(const Upstream &upstream, const PlacementQuery &query, double fastestPaceMs) const;
     bool wouldFinishInTime(const Upstream &upstream, const PlacementQuery &query, double firstEventMs, double fastestPaceMs) const;
     bool anyWouldFinishInTime(const PlacementQuery &query, double fastestPaceMs, TimePoint now) const;
@@ -186,6 +199,8 @@
     std::map<ServiceName, std::vector<const Upstream *>> m_upstreamsByService;
     std::map<ServiceName, FirstEventModel> m_firstEventModels;
     std::map<ServiceName, PauseRatioEstimator> m_pauseRatios;
+    RequestRates m_requestRates;
+    double m_coverage = 1;
     std::map<VmName, Peer> m_peers;
     std::uint64_t m_backupNoticeCount = 0;
     bool m_listInParts = false;
--- a/src/proxy/placementhost.cpp
+++ b/src/proxy/placementhost.cpp
@@ -94,6 +94,15 @@
     scheduleState();
 }
 
+bool PlacementHost::recordRequestLimit(const InstanceName &upstream, std::optional<double> perSecond)
+{
+    const bool hasChanged = m_client.recordRequestLimit(upstream, perSecond, EventLoop::now());
+    if (hasChanged) {
+        scheduleState();
+    }
+    return hasChanged;
+}
+
 void PlacementHost::ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace)
 {
     m_client.ended(id, outcome, pace);
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -40,6 +40,7 @@
     /// See PlacementClient.
     void recordFirstEvent(PlacementId id, Duration after);
     void recordEarlyPace(PlacementId id, double paceMs);
+    bool recordRequestLimit(const InstanceName &upstream, std::optional<double> perSecond);
     void ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace);
     /// Emitted for the requests of this VM.
     sigc::signal<void, const PlacementGranted &> &granted()
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -3,6 +3,7 @@
 #include "proxy/proxytask.h"
 
 #include "common/log.h"
+#include "proxy/requestlimit.h"
 
 #include <algorithm>
 #include <array>
@@ -173,6 +174,27 @@
     return echoed && *echoed == request.parsed.id.value;
 }
 
+/// The limit that the upstream names holds until one of its answers to a request that ran names none.
+void ProxyTask::recordRequestLimit(const ProxyRequest &request, const AnswerHead &head)
+{
+    const std::string *echoed = headerOf(head, m_options.headers.requestId);
+    if (head.status == StatusMisdirected || !echoed || *echoed != request.parsed.id.value) {
+        return;
+    }
+    const Result<std::optional<double>> limit = parseRequestLimit(head.headers, m_options.headers.requestLimit);
+    if (!ok(limit)) {
+        logWarning("proxy", "request-limit-invalid", {{"upstream", request.upstream.name.value}, {"why", errorOf(limit).message}});
+        return;
+    }
+    const std::optional<double> perSecond = valueOf(limit);
+    if ((perSecond || isAnswerToRequest(request, head)) && !(isNotRun(head) && !perSecond)
+        && m_placement->recordRequestLimit(request.upstream.name, perSecond)) {
+        logChange("proxy",
+                  "request-limit",
+                  {{"id", request.parsed.id.value}, {"upstream", request.upstream.name.value}, {"per_s", perSecond ? std::to_string(*perSecond) : "none"}});
+    }
+}
+
 void ProxyTask::onAnswerHead(LocalRequestId localId, const AnswerHead &head)
 {
     ProxyRequest *request = find(localId);
@@ -181,6 +203,7 @@
     }
     const TimePoint now = EventLoop::now();
     request->answerHead = head;
+    recordRequestLimit(*request, head);
     if (isNotRun(head)) {
         handleAttemptEnd(*request, AttemptEnd::RefusedNotRun, head.status == StatusMisdirected ? v1::PLACEMENT_MISDIRECTED : v1::PLACEMENT_REFUSED);
         return;
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -131,6 +131,7 @@
     void onAnswerData(LocalRequestId localId, std::string_view bytes);
     void onAnswerEnd(LocalRequestId localId);
     void onCallFailed(LocalRequestId localId, CallFailure failure);
+    void recordRequestLimit(const ProxyRequest &request, const AnswerHead &head);
     bool isAnswerToRequest(const ProxyRequest &request, const AnswerHead &head) const;
     bool isNotRun(const AnswerHead &head) const;
     void handleAttemptEnd(ProxyRequest &request, AttemptEnd end, v1::PlacementOutcome outcome);
--- a/src/proxy/proxytypes.h
+++ b/src/proxy/proxytypes.h
@@ -55,6 +55,8 @@
     std::string answerProof;
     /// On an answer: the upstream did not run the request.
     std::string notRun;
+    /// On an answer: requests a second that the upstream takes from all VMs together.
+    std::string requestLimit;
     /// "PROMPT,MAXIMUM OUTPUT" in tokens.
     std::string tokenCounts;
     /// Number of tokens that the caller expects in the answer.
