The front door keeps to the request limits of upstreams, as routes do

The header of our own protocol is X-Request-Limit. Each VM keeps to its part, one of as many as there are VMs, by the rate that routes use (RequestRate, in src/policy now); an upstream at its limit keeps its grants and gets the next request when it may. It isn't reported to the scheduler as unreachable: a first try did that, and after the first answers no VM got a grant again.

Test: two VMs, six callers, a limit of 2 a second: at most 17 in 4 s, some, and any number once it is lifted.

--- a/src/cell/grantpool.cpp
+++ b/src/cell/grantpool.cpp
@@ -88,6 +88,7 @@
 
 void GrantPool::setUpstreams(const std::vector<PooledUpstream> &upstreams, VmShare share)
 {
+    m_rateShare = 1.0 / std::max<std::uint32_t>(1, share.count);
     for (UpstreamSlots &known : m_upstreams) {
         known.declared = false;
     }
@@ -176,7 +177,7 @@
             const auto grant = std::ranges::find_if(cell.unusedGrants, [&](const UnusedGrant &candidate) {
                 const UpstreamSlots &upstream = m_upstreams[candidate.upstream];
                 const bool fits = !candidate.isKept && (ownKey ? candidate.key == key : candidate.tier > request.tier);
-                return fits && candidate.expiry > now && upstream.upstream.version == version && upstream.unreachableUntil <= now;
+                return fits && candidate.expiry > now && upstream.upstream.version == version && upstream.mayUse(now);
             });
             if (grant == cell.unusedGrants.end()) {
                 continue;
@@ -221,7 +222,7 @@
 bool GrantPool::mayUseKept(const UnusedGrant &grant, const PendingRequest &request, const VersionName &version, TimePoint now) const
 {
     const UpstreamSlots &upstream = m_upstreams[grant.upstream];
-    if (!grant.isKept || grant.expiry <= now || !upstream.declared || upstream.upstream.version != version || upstream.unreachableUntil > now) {
+    if (!grant.isKept || grant.expiry <= now || !upstream.declared || upstream.upstream.version != version || !upstream.mayUse(now)) {
         return false;
     }
     if (request.prefix != 0 || isLong(request.promptTokens, request.answerTokens)) {
@@ -237,7 +238,7 @@
     double lowestUtilisation = 1;
     for (std::uint32_t i = 0; i < m_upstreams.size(); ++i) {
         const UpstreamSlots &slots = m_upstreams[i];
-        if (!slots.declared || slots.upstream.service != request.service || slots.upstream.version != version || slots.unreachableUntil > now) {
+        if (!slots.declared || slots.upstream.service != request.service || slots.upstream.version != version || !slots.mayUse(now)) {
             continue;
         }
         if (!usesFallback(m_cells[slots.cell], now) || slots.running >= slots.fallbackShare) {
@@ -302,6 +303,33 @@
     m_cells[m_upstreams[found->second].cell].reportDue = true;
 }
 
+void GrantPool::recordRequestLimit(const UpstreamName &upstream, std::optional<double> perSecond, TimePoint now)
+{
+    const auto found = m_upstreamIndex.find(upstream);
+    if (found == m_upstreamIndex.end()) {
+        return;
+    }
+    UpstreamSlots &slots = m_upstreams[found->second];
+    const bool wasLimited = slots.rate.isLimited();
+    slots.rate.setLimit(perSecond, now, now);
+    if (!perSecond) {
+        slots.limitedUntil = {};
+    } else if (!wasLimited) {
+        slots.limitedUntil = slots.rate.nextSendAt(m_rateShare, now);
+    }
+}
+
+void GrantPool::recordSent(const UpstreamName &upstream, TimePoint now)
+{
+    const auto found = m_upstreamIndex.find(upstream);
+    if (found == m_upstreamIndex.end() || !m_upstreams[found->second].rate.isLimited()) {
+        return;
+    }
+    UpstreamSlots &slots = m_upstreams[found->second];
+    slots.rate.recordSent(m_rateShare, now);
+    slots.limitedUntil = slots.rate.nextSendAt(m_rateShare, now);
+}
+
 bool GrantPool::exhausted(TimePoint now) const
 {
     return std::ranges::none_of(m_cells, [this, now](const Cell &cell) { return !cell.unusedGrants.empty() || usesFallback(cell, now); });
--- a/src/cell/grantpool.h
+++ b/src/cell/grantpool.h
@@ -2,6 +2,7 @@
 
 #include "cell/cellmessages.h"
 #include "policy/capacity.h"
+#include "policy/requestrate.h"
 
 #include <deque>
 #include <map>
@@ -69,6 +70,10 @@
     void release(const Slot &slot, TimePoint now);
     /// Records that the upstream refused a connection: it gets no request for a second, and is reported to the scheduler.
     void recordUnreachable(const UpstreamName &upstream, TimePoint now);
+    /// Records the request limit that the upstream named in an answer; no value: it named none.
+    void recordRequestLimit(const UpstreamName &upstream, std::optional<double> perSecond, TimePoint now);
+    /// Records that a request is sent to the upstream. One at its request limit gets none until it may get the next.
+    void recordSent(const UpstreamName &upstream, TimePoint now);
     /// Returns whether acquire() can't return a slot for any request now.
     bool exhausted(TimePoint now) const;
 
@@ -127,6 +132,14 @@
         /// Whether the upstream is in the declarations.
         bool declared = true;
         TimePoint unreachableUntil;
+        RequestRate rate;
+        /// Until when the upstream is at its request limit. Not reported to the scheduler, which would give its grants to no VM.
+        TimePoint limitedUntil;
+
+        bool mayUse(TimePoint now) const
+        {
+            return unreachableUntil <= now && limitedUntil <= now;
+        }
     };
     struct Cell
     {
@@ -171,6 +184,8 @@
     bool isMessageDue(const Cell &cell, std::uint32_t index, std::uint64_t demandHash, bool hasWaiting, TimePoint now) const;
 
     VmName m_vm;
+    /// This VM's part of an upstream's request limit.
+    double m_rateShare = 1;
     std::vector<UpstreamSlots> m_upstreams;
     std::unordered_map<UpstreamName, std::uint32_t> m_upstreamIndex;
     std::vector<Cell> m_cells;
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -5,6 +5,7 @@
 #include "entry/headers.h"
 #include "entry/outcomes.h"
 #include "entry/pages.h"
+#include "upstream/requestlimit.h"
 
 namespace cumindyke
 {
@@ -344,6 +345,17 @@
     }
 }
 
+/// The limit that the upstream names holds until one of its answers names none.
+void EntryTask::onAnswerHead(const RequestId &id, const UpstreamName &upstream, const AnswerHead &head)
+{
+    const Result<std::optional<double>> limit = parseRequestLimit(head.headers, headers::UpstreamRequestLimit);
+    if (!ok(limit)) {
+        logWarning("entry", "request-limit-invalid", {{"id", id.value}, {"upstream", upstream.value}, {"why", errorOf(limit).message}});
+        return;
+    }
+    m_dispatcher.capacity().recordRequestLimit(upstream, valueOf(limit), EventLoop::now());
+}
+
 /// Whether the request may be sent. Otherwise it was answered, or it waits for the answer to its claim of a trial.
 bool EntryTask::mayRun(const RequestId &id, ActiveRequest &active)
 {
@@ -394,6 +406,8 @@
         active->lifecycle.markAnswerStarted();
         m_dispatcher.onUpstreamAccepted(name, EventLoop::now());
     });
+    m_dispatcher.capacity().recordSent(upstream.name, EventLoop::now());
+    active->attempt->headReceived().connect([this, id, name = upstream.name](const AnswerHead &head) { onAnswerHead(id, name, head); });
     active->attempt->interrupted().connect(
         [this, active, id, upstream] { m_suspects.checkUpstreamEnded(id, active->content(), active->suspectState, upstream.name.value, upstream.address); });
     m_versions.recordSent(active->request, upstream, EventLoop::now());
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -101,6 +101,7 @@
     void onLeavingVmsChanged(const LeavingVms &leaving);
     void enqueue(const RequestId &id);
     void onKeyedAnswer(const RequestId &id, const KeyedResult &result);
+    void onAnswerHead(const RequestId &id, const UpstreamName &upstream, const AnswerHead &head);
     bool mayRun(const RequestId &id, ActiveRequest &active);
     bool onTrialAnswered(const RequestId &id, const std::variant<TrialId, SuspectRefusal> &answer);
     void refuseSuspect(const RequestId &id, const SuspectRefusal &refusal);
--- a/src/entry/upstreamattempt.cpp
+++ b/src/entry/upstreamattempt.cpp
@@ -117,6 +117,7 @@
 void UpstreamAttempt::onHead(const AnswerHead &head)
 {
     m_head = head;
+    m_headReceived.emit(head);
     if (!isForwardable() || hasNotRunHeader(head) || m_answerStarted) {
         return;
     }
--- a/src/entry/upstreamattempt.h
+++ b/src/entry/upstreamattempt.h
@@ -75,6 +75,11 @@
     {
         return m_tokensReceived;
     }
+    /// The head of an answer that this upstream gave to this request was received.
+    sigc::signal<void, const AnswerHead &> &headReceived()
+    {
+        return m_headReceived;
+    }
     /// The connection failed before the end of the answer; the stream may be resumed.
     sigc::signal<void> &interrupted()
     {
@@ -116,6 +121,7 @@
     bool m_finished = false;
     sigc::signal<void> m_answerStartedSignal;
     sigc::signal<void, std::uint64_t> m_tokensReceived;
+    sigc::signal<void, const AnswerHead &> m_headReceived;
     sigc::signal<void> m_interrupted;
     sigc::signal<void, const AttemptResult &> m_ended;
     sigc::connection m_outputDrainedConnection;
--- a/src/placement/requestrates.h
+++ b/src/placement/requestrates.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "placement/placementtypes.h"
+#include "policy/requestrate.h"
 
 #include <map>
 #include <optional>
@@ -10,39 +11,49 @@
 
 /// The request limits that upstreams name in their answers, as kept by one placement server. Pure: time is an argument.
 ///
-/// A limit holds for all VMs together. Only the placement server of the upstream's data centre sends to a limited upstream, at the whole rate if it knows
-/// of all entry VMs and at its share of them otherwise, so that servers that are cut off from each other do not exceed the limit together.
+/// Only the placement server of the upstream's data centre sends to a limited upstream, at the whole rate if it knows of all entry VMs and at its share
+/// of them otherwise, so that servers that are cut off from each other do not exceed the limit together. Kept apart from the list of upstreams: a server
+/// that takes over may learn of a limit before it has read the list.
 class RequestRates
 {
 public:
-    /// Records what an upstream named in an answer; no value: it names no limit any more. An older answer than the last one is ignored.
-    void record(const InstanceName &upstream, std::optional<double> perSecond, TimePoint answeredAt, TimePoint now);
+    /// See RequestRate::setLimit().
+    void record(const InstanceName &upstream, std::optional<double> perSecond, TimePoint answeredAt, TimePoint now)
+    {
+        m_rates[upstream].setLimit(perSecond, answeredAt, now);
+    }
     /// Forgets an upstream: another process has its name now.
     void forget(const InstanceName &upstream)
     {
-        m_limits.erase(upstream);
+        m_rates.erase(upstream);
+    }
+    bool isLimited(const InstanceName &upstream) const
+    {
+        const auto found = m_rates.find(upstream);
+        return found != m_rates.end() && found->second.isLimited();
     }
-    bool isLimited(const InstanceName &upstream) const;
     /// Whether one more request may be sent now. "share": part of all entry VMs that this server knows of, 0 to 1.
-    bool maySend(const InstanceName &upstream, double share, TimePoint now) const;
-    void recordSent(const InstanceName &upstream, double share, TimePoint now);
-    /// Forgets upstreams whose last answer with news of a limit is long ago and that name none.
-    void expire(TimePoint now);
-
-private:
-    struct Limit
+    bool maySend(const InstanceName &upstream, double share, TimePoint now) const
     {
-        std::optional<double> perSecond;
-        TimePoint answeredAt;
-        /// Requests that may be sent; negative after requests that another server placed.
-        double level = 0;
-        TimePoint refilledAt;
-    };
+        const auto found = m_rates.find(upstream);
+        return found == m_rates.end() || found->second.maySend(share, now);
+    }
+    void recordSent(const InstanceName &upstream, double share, TimePoint now)
+    {
+        if (const auto found = m_rates.find(upstream); found != m_rates.end()) {
+            found->second.recordSent(share, now);
+        }
+    }
+    /// Forgets upstreams that have had no limit for a while. A late report of an older answer is ignored until then.
+    void expire(TimePoint now)
+    {
+        std::erase_if(m_rates, [now](const auto &pair) { return !pair.second.isLimited() && now - pair.second.answeredAt() > KeepTime; });
+    }
 
-    static double rate(const Limit &limit, double share);
-    static double levelAt(const Limit &limit, double share, TimePoint now);
+private:
+    static constexpr Duration KeepTime = std::chrono::seconds(60);
 
-    std::map<InstanceName, Limit> m_limits;
+    std::map<InstanceName, RequestRate> m_rates;
 };
 
 }
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -3,7 +3,7 @@
 #include "proxy/proxytask.h"
 
 #include "common/log.h"
-#include "proxy/requestlimit.h"
+#include "upstream/requestlimit.h"
 
 #include <algorithm>
 #include <array>
--- a/src/proxy/requestlimit.cpp
+++ b/src/upstream/requestlimit.cpp
@@ -1,4 +1,4 @@
-#include "proxy/requestlimit.h"
+#include "upstream/requestlimit.h"
 
 #include <algorithm>
 #include <charconv>
--- a/tests/fakeupstream/fakeupstream.cpp
+++ b/tests/fakeupstream/fakeupstream.cpp
@@ -273,6 +273,7 @@
     if (!stream.headSent) {
         stream.headSent = true;
         addHeader(stream.reader, "Content-Type", "text/event-stream");
+        addRequestLimit(stream.reader);
         evhttp_send_reply_start(stream.reader, 200, nullptr);
     }
     while (stream.sentTokens < stream.generatedTokens) {
@@ -376,6 +377,7 @@
     m_faults.fail = faults.value("fail", m_faults.fail);
     m_faults.crossed = faults.value("crossed", m_faults.crossed);
     m_faults.cutAfter = faults.value("cut_after", m_faults.cutAfter);
+    m_faults.requestLimit = faults.value("request_limit", m_faults.requestLimit);
     m_faults.silentAfter = faults.value("silent_after", m_faults.silentAfter);
     m_faults.draining = faults.value("draining", m_faults.draining);
     m_faults.plainDelayMs = faults.value("plain_delay_ms", m_faults.plainDelayMs);
@@ -384,6 +386,13 @@
     reply(request, 200, {{"faults", "set"}});
 }
 
+void FakeUpstream::addRequestLimit(evhttp_request *request) const
+{
+    if (!m_faults.requestLimit.empty()) {
+        addHeader(request, "X-Request-Limit", m_faults.requestLimit);
+    }
+}
+
 void FakeUpstream::runPlain(evhttp_request *request, const std::string &method, const std::string &path)
 {
     const std::string id = headerOf(request, "X-Request-Id");
@@ -394,6 +403,7 @@
         return;
     }
     ++m_plainCallCount;
+    addRequestLimit(request);
     logEvent("run", id, method + " " + path + " " + fingerprint(bodyOf(request)));
     if (m_faults.fail) {
         reply(request, 500, {{"error", "failed on command"}});
--- a/tests/fakeupstream/fakeupstream.h
+++ b/tests/fakeupstream/fakeupstream.h
@@ -35,6 +35,8 @@
     bool draining = false;
     /// Delay of the answers to plain calls.
     std::uint32_t plainDelayMs = 0;
+    /// Requests a second that answers name as X-Request-Limit; empty: none.
+    std::string requestLimit;
     /// Refuses orders with an outdated epoch.
     bool checksFence = true;
 };
@@ -99,6 +101,7 @@
     void handleOrder(evhttp_request *request);
     void handleFaults(evhttp_request *request);
     void runPlain(evhttp_request *request, const std::string &method, const std::string &path);
+    void addRequestLimit(evhttp_request *request) const;
     void sendLoad(evhttp_request *request);
     void sendCacheEvents(evhttp_request *request);
 
--- a/tests/proxy/requestlimittest.cpp
+++ b/tests/upstream/requestlimittest.cpp
@@ -1,4 +1,4 @@
-#include "proxy/requestlimit.h"
+#include "upstream/requestlimit.h"
 
 #include <catch2/catch.hpp>
 
