A placement server keeps to its share of an upstream's request limit by the VMs it serves

Found by reading: the share was the part of all entry VMs that a server knows of. The share is now the part of the data centre's entry VMs whose requests the server places.

--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -82,15 +82,22 @@
     notice.set_entry_vms(static_cast<std::uint32_t>(m_entryVms.size()));
 }
 
+void PlacementServer::setFleet(const v1::FleetTally &fleet)
+{
+    m_entryVmCount = std::max<std::uint32_t>(1, fleet.entry_vm_count());
+    const auto isLocal = [this](const v1::PlacementVm &vm) { return vm.data_centre() == m_localDataCentre.value; };
+    m_localEntryVmCount = std::max<std::size_t>(1, static_cast<std::size_t>(std::ranges::count_if(fleet.placement_vms(), isLocal)));
+}
+
 void PlacementServer::updateCoverage(TimePoint now)
 {
     std::size_t covered = m_entryVms.size();
     for (const auto &[vm, peer] : m_peers) {
         covered += now - peer.lastReceivedAt <= PeerTimeout ? peer.entryVmCount : 0;
     }
-    const double coverage = static_cast<double>(covered) / static_cast<double>(m_entryVmCount);
-    m_limits.setCoverage(coverage, now);
-    m_pool.setCoverage(coverage);
+    m_limits.setCoverage(static_cast<double>(covered) / static_cast<double>(m_entryVmCount), now);
+    // Not the coverage: a VM that places its own requests for some seconds may know of all others, and so may the server that it left.
+    m_pool.setRequestShare(static_cast<double>(m_entryVms.size()) / static_cast<double>(m_localEntryVmCount));
 }
 
 void PlacementServer::handleState(const VmName &from, const v1::EntryState &state, TimePoint now)
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -58,11 +58,8 @@
     {
         m_limits.setRoutes(routes, now);
     }
-    /// Sets the number of entry VMs.
-    void setFleet(const v1::FleetTally &fleet)
-    {
-        m_entryVmCount = std::max<std::uint32_t>(1, fleet.entry_vm_count());
-    }
+    /// Sets the entry VMs.
+    void setFleet(const v1::FleetTally &fleet);
     /// Applies the load notice of another placement server.
     void handleNotice(const VmName &from, const v1::LoadNotice &notice, TimePoint now);
     /// Applies the state of an entry VM: all its waiting and placed requests. States that arrive out of order are ignored.
@@ -166,6 +163,8 @@
     UpstreamPool m_pool;
     FleetLimits m_limits;
     std::size_t m_entryVmCount = 1;
+    /// Of this data centre; at most as many as the fleet's tally names.
+    std::size_t m_localEntryVmCount = 1;
     std::map<VmName, Peer> m_peers;
     TimePoint m_localListReadAt{};
     TimePoint m_remoteWantedUntil{};
--- a/src/placement/requestrates.h
+++ b/src/placement/requestrates.h
@@ -11,8 +11,8 @@
 
 /// The request limits that upstreams name in their answers, as kept by one placement server. Pure: time is an argument.
 ///
-/// Only the placement server of the upstream's data centre sends to a limited upstream, at the whole rate if it knows of all entry VMs and at its share
-/// of them otherwise, so that servers that are cut off from each other do not exceed the limit together. Kept apart from the list of upstreams: a server
+/// Only a placement server of the upstream's data centre sends to a limited upstream, at the whole rate if it places the requests of all entry VMs there
+/// and at its share of them otherwise, so that several servers do not exceed the limit together. Kept apart from the list of upstreams: a server
 /// that takes over may learn of a limit before it has read the list.
 class RequestRates
 {
@@ -32,7 +32,7 @@
         const auto found = m_rates.find(upstream);
         return found != m_rates.end() && found->second.isLimited();
     }
-    /// Whether one more request may be sent now. "share": part of all entry VMs that this server knows of, 0 to 1.
+    /// Whether one more request may be sent now. "share": part of the data centre's entry VMs whose requests this server places, 0 to 1.
     bool maySend(const InstanceName &upstream, double share, TimePoint now) const
     {
         const auto found = m_rates.find(upstream);
--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -217,7 +217,7 @@
 /// slowest, its answers would be late, and it would hold requests that others could have served.
 bool UpstreamPool::hasFreeSlot(const Upstream &upstream, TimePoint now) const
 {
-    if (!m_requestRates.maySend(upstream.instance.name, m_coverage, now)) {
+    if (!m_requestRates.maySend(upstream.instance.name, m_requestShare, now)) {
         return false;
     }
     const std::uint32_t requests = upstream.ownLoad.requests + upstream.peerLoad.requests;
@@ -326,7 +326,7 @@
 
 void UpstreamPool::acquireSlot(const InstanceName &name, std::uint32_t promptTokens, TimePoint now)
 {
-    m_requestRates.recordSent(name, m_coverage, now);
+    m_requestRates.recordSent(name, m_requestShare, now);
     if (Upstream *upstream = find(name)) {
         ++upstream->ownLoad.requests;
         upstream->ownLoad.tokens += promptTokens;
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -87,10 +87,10 @@
     {
         m_requestRates.record(name, perSecond, answeredAt, now);
     }
-    /// Sets the share of all entry VMs, 0 to 1, that this server knows of.
-    void setCoverage(double coverage)
+    /// Sets the share of the data centre's entry VMs, 0 to 1, whose requests are placed here: its part of the upstreams' request limits.
+    void setRequestShare(double share)
     {
-        m_coverage = std::clamp(coverage, 0.0, 1.0);
+        m_requestShare = std::clamp(share, 0.0, 1.0);
     }
     /// Whether any usable upstream of the service has a free slot.
     bool hasFreeSlot(const ServiceName &service, TimePoint now) const;
@@ -200,7 +200,7 @@
     std::map<ServiceName, FirstEventModel> m_firstEventModels;
     std::map<ServiceName, PauseRatioEstimator> m_pauseRatios;
     RequestRates m_requestRates;
-    double m_coverage = 1;
+    double m_requestShare = 1;
     std::map<VmName, Peer> m_peers;
     std::uint64_t m_backupNoticeCount = 0;
     bool m_listInParts = false;
--- a/tests/placement/requestlimitstest.cpp
+++ b/tests/placement/requestlimitstest.cpp
@@ -51,12 +51,17 @@
 class BusyServer
 {
 public:
-    explicit BusyServer(VmName vm = Vm1, std::uint32_t entryVms = 1)
+    explicit BusyServer(VmName vm = Vm1, const std::vector<VmName> &localVms = {Vm1})
         : m_vm(std::move(vm))
         , m_server(LocalDataCentre, 0)
     {
         v1::FleetTally fleet;
-        fleet.set_entry_vm_count(entryVms);
+        fleet.set_entry_vm_count(static_cast<std::uint32_t>(localVms.size()));
+        for (const VmName &localVm : localVms) {
+            v1::PlacementVm &placement = *fleet.add_placement_vms();
+            placement.set_vm(localVm.value);
+            placement.set_data_centre(LocalDataCentre.value);
+        }
         m_server.setFleet(fleet);
         m_state.set_incarnation(7);
         setList({engine(Engine.value, LocalDataCentre)}, Start);
@@ -133,8 +138,8 @@
     CHECK(sentWithin(rates, 1, after(60'000), std::chrono::milliseconds(20)) <= 11);
 }
 
-// Guards against servers that each use the whole limit while they are cut off from each other.
-TEST_CASE("servers that know of a part of the entry VMs keep to the limit together")
+// Guards against senders that each use the whole limit.
+TEST_CASE("senders with a share each keep to the limit together")
 {
     int sent = 0;
     for (const double share : {0.2, 0.3, 0.5}) {
@@ -191,6 +196,19 @@
     CHECK(next.grantedWithin(after(500), Window) <= 3 + Limit * 4);
 }
 
+// Guards against twice the limit for seconds: a VM whose server answered late places its own requests, and the server goes on for the others.
+TEST_CASE("two placement servers of a data centre keep to a limit together")
+{
+    int granted = 0;
+    for (const VmName &vm : {Vm1, Vm2}) {
+        BusyServer server(vm, {Vm1, Vm2});
+        server.name(Limit);
+        server.grantedWithin(Start, std::chrono::seconds(1));
+        granted += server.grantedWithin(after(1000), Window);
+    }
+    CHECK(granted <= 2 + Limit * 4);
+}
+
 // Guards against several servers that use one upstream, each at its whole limit.
 TEST_CASE("a limited upstream of another data centre gets no requests")
 {
