--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -263,6 +263,12 @@
             *answer.mutable_routes()->add_rollouts() = rollout;
         }
         return answer;
+    case v1::LeaderQuestion::kSuspects:
+        answer.mutable_suspects();
+        for (const auto &[fingerprint, suspect] : m_state.crashLedger().suspects()) {
+            *answer.mutable_suspects()->add_suspects() = suspect;
+        }
+        return answer;
     case v1::LeaderQuestion::QUESTION_NOT_SET:
         break;
     }
--- a/src/control/crashledger.h
+++ b/src/control/crashledger.h
@@ -38,6 +38,10 @@
         return m_version;
     }
     v1::SuspectTable table() const;
+    const std::map<std::uint64_t, v1::Suspect> &suspects() const
+    {
+        return m_suspects;
+    }
 
     void writeTo(v1::StateSnapshot &snapshot) const;
     void readFrom(const v1::StateSnapshot &snapshot);
--- a/src/control/operatorhandlers.cpp
+++ b/src/control/operatorhandlers.cpp
@@ -63,6 +63,11 @@
         *question.mutable_report() = request;
         askLeader(control, question, answer, &v1::LeaderAnswer::report);
     };
+    handlers.suspects = [&control](const v1::SuspectsRequest & /*request*/, const ReplyCallback<v1::SuspectsReply> &answer) {
+        v1::LeaderQuestion question;
+        question.mutable_suspects();
+        askLeader(control, question, answer, &v1::LeaderAnswer::suspects);
+    };
     handlers.saveSnapshot = [&control](const v1::SaveSnapshotRequest & /*request*/, const ReplyCallback<v1::SaveSnapshotReply> &answer) {
         v1::LeaderQuestion question;
         question.mutable_save_snapshot();
@@ -112,6 +117,12 @@
         *command.mutable_restore() = request;
         propose(control, std::move(command), answer);
     };
+    handlers.clearSuspect = [&control](const v1::ClearSuspectRequest &request, const ReplyCallback<v1::CommandReply> &answer) {
+        v1::Command command;
+        command.set_command_id(request.command_id());
+        command.mutable_suspects()->add_cleared(request.fingerprint());
+        propose(control, std::move(command), answer);
+    };
     addLeaderQuestions(handlers, control);
     return handlers;
 }
--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -99,6 +99,16 @@
     return call<v1::MembersReply>(&v1::Operator::Stub::Members, v1::MembersRequest());
 }
 
+Result<v1::SuspectsReply> OperatorClient::suspects()
+{
+    return call<v1::SuspectsReply>(&v1::Operator::Stub::Suspects, v1::SuspectsRequest());
+}
+
+Result<v1::CommandReply> OperatorClient::clearSuspect(const v1::ClearSuspectRequest &request)
+{
+    return call<v1::CommandReply>(&v1::Operator::Stub::ClearSuspect, request);
+}
+
 Result<v1::CommandReply> OperatorClient::changeMembers(const v1::ChangeMembersRequest &request)
 {
     return call<v1::CommandReply>(&v1::Operator::Stub::ChangeMembers, request);
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -26,6 +26,8 @@
     Result<v1::CommandReply> abortMove(const v1::AbortMoveRequest &request);
     Result<v1::MovesReply> moves();
     Result<v1::MembersReply> members();
+    Result<v1::SuspectsReply> suspects();
+    Result<v1::CommandReply> clearSuspect(const v1::ClearSuspectRequest &request);
     Result<v1::CommandReply> changeMembers(const v1::ChangeMembersRequest &request);
     Result<v1::SaveSnapshotReply> saveSnapshot();
     Result<v1::CommandReply> restoreSnapshot(const v1::RestoreSnapshotRequest &request);
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -194,6 +194,7 @@
     {"history", "", "show accepted changes (--after REVISION)", 0, 0, historyCommand},
     {"watch", "", "show changes and moves as they happen (--after REVISION, --count N)", 0, 0, watchCommand},
     {"members", "[add-replica|remove-replica VM]", "show the VMs, the replicas and the leader, or change the replicas", 0, 2, membersCommand},
+    {"suspects", "[clear FINGERPRINT]", "show requests that ran at upstreams which ended, or let one run again", 0, 2, suspectsCommand},
     {"snapshot", "save|restore FILE", "save the whole state to a file, or make a saved one a new revision", 2, 2, snapshotCommand},
     {"move",
      "start SERVICE VERSION|status [SERVICE]|abort MOVE",
--- a/src/ctl/context.h
+++ b/src/ctl/context.h
@@ -36,6 +36,7 @@
 // Subcommands that have source files of their own.
 ExitCode watchCommand(const Context &context);
 ExitCode membersCommand(const Context &context);
+ExitCode suspectsCommand(const Context &context);
 ExitCode snapshotCommand(const Context &context);
 ExitCode moveCommand(const Context &context);
 ExitCode reportCommand(const Context &context);
--- a/src/peer/rpcserver.cpp
+++ b/src/peer/rpcserver.cpp
@@ -207,6 +207,14 @@
     {
         return serveUnary(context, m_handlers.members, request, reply);
     }
+    grpc::ServerUnaryReactor *Suspects(grpc::CallbackServerContext *context, const v1::SuspectsRequest *request, v1::SuspectsReply *reply) override
+    {
+        return serveUnary(context, m_handlers.suspects, request, reply);
+    }
+    grpc::ServerUnaryReactor *ClearSuspect(grpc::CallbackServerContext *context, const v1::ClearSuspectRequest *request, v1::CommandReply *reply) override
+    {
+        return serveUnary(context, m_handlers.clearSuspect, request, reply);
+    }
     grpc::ServerUnaryReactor *ChangeMembers(grpc::CallbackServerContext *context, const v1::ChangeMembersRequest *request, v1::CommandReply *reply) override
     {
         return serveUnary(context, m_handlers.changeMembers, request, reply);
--- a/src/peer/rpcserver.h
+++ b/src/peer/rpcserver.h
@@ -38,6 +38,8 @@
     std::function<void(const v1::AbortMoveRequest &, ReplyCallback<v1::CommandReply>)> abortMove;
     std::function<void(const v1::MovesRequest &, ReplyCallback<v1::MovesReply>)> moves;
     std::function<void(const v1::MembersRequest &, ReplyCallback<v1::MembersReply>)> members;
+    std::function<void(const v1::SuspectsRequest &, ReplyCallback<v1::SuspectsReply>)> suspects;
+    std::function<void(const v1::ClearSuspectRequest &, ReplyCallback<v1::CommandReply>)> clearSuspect;
     std::function<void(const v1::ChangeMembersRequest &, ReplyCallback<v1::CommandReply>)> changeMembers;
     std::function<void(const v1::ReportRequest &, ReplyCallback<v1::ReportReply>)> report;
     std::function<void(const v1::SaveSnapshotRequest &, ReplyCallback<v1::SaveSnapshotReply>)> saveSnapshot;
--- a/tests/process/crashingrequeststest.cpp
+++ b/tests/process/crashingrequeststest.cpp
@@ -22,4 +22,11 @@
     CHECK(last.status == 503);
     CHECK(last.header("X-Cumindyke-Outcome") == "not-run");
     CHECK(deployment.draft("a harmless prompt", 5).status == 200);
+
+    const std::string suspects = deployment.daemon().ctl({"suspects"}).out;
+    CHECK(suspects.find("crashes 3") != std::string::npos);
+    CHECK(suspects.find("refused_until_ms") != std::string::npos);
+    CHECK(deployment.daemon().ctl({"suspects", "clear", suspects.substr(0, suspects.find(' '))}).exitCode == 0);
+    CHECK(deployment.daemon().ctl({"suspects"}).out.empty());
+    CHECK(deployment.daemon().ctl({"suspects", "clear", "no fingerprint"}).exitCode == 2);
 }
