--- a/src/control/crashledger.cpp
+++ b/src/control/crashledger.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-/// Limits a trial whose VM was lost: no other copy runs meanwhile.
+/// Upper bound of a trial's length: if its VM is lost, no other copy runs until it is over.
 constexpr std::uint32_t MaxTrialMs = 60'000;
 
 }
--- a/src/entry/crashguard.h
+++ b/src/entry/crashguard.h
@@ -83,6 +83,7 @@
         TimePoint at{};
     };
 
+    /// Of a report whose confirmation has not arrived.
     static constexpr std::uint64_t Unknown = std::numeric_limits<std::uint64_t>::max();
     static constexpr Duration AnswerMemory = std::chrono::seconds(10);
     /// 512 KB; many times the answers of a busy VM within AnswerMemory.
--- a/src/entry/suspecttracker.h
+++ b/src/entry/suspecttracker.h
@@ -17,7 +17,7 @@
 namespace cumindyke
 {
 
-/// What all copies of a request have in common, whatever their ids and deadlines. The views must outlive the object.
+/// What all copies of a request have in common, whatever their ids and deadlines. Valid as long as the request that the views refer to.
 struct RequestContent
 {
     /// Empty if the caller is not known.
