Requests under a trial run at different upstreams

Trials were placed like any request, so two could share an upstream, and both counted.

Change: a placement request says that it is on trial; the placement server places it at no upstream that runs another one (also after a takeover: placed requests say it), and it waits if there is none. On the front door each VM does the same with its slots.

--- a/src/cell/grantpool.cpp
+++ b/src/cell/grantpool.cpp
@@ -177,7 +177,7 @@
             const auto grant = std::ranges::find_if(cell.unusedGrants, [&](const UnusedGrant &candidate) {
                 const UpstreamSlots &upstream = m_upstreams[candidate.upstream];
                 const bool fits = !candidate.isKept && (ownKey ? candidate.key == key : candidate.tier > request.tier);
-                return fits && candidate.expiry > now && upstream.upstream.version == version && upstream.mayUse(now);
+                return fits && candidate.expiry > now && upstream.upstream.version == version && upstream.mayUse(request, now);
             });
             if (grant == cell.unusedGrants.end()) {
                 continue;
@@ -222,7 +222,7 @@
 bool GrantPool::mayUseKept(const UnusedGrant &grant, const PendingRequest &request, const VersionName &version, TimePoint now) const
 {
     const UpstreamSlots &upstream = m_upstreams[grant.upstream];
-    if (!grant.isKept || grant.expiry <= now || !upstream.declared || upstream.upstream.version != version || !upstream.mayUse(now)) {
+    if (!grant.isKept || grant.expiry <= now || !upstream.declared || upstream.upstream.version != version || !upstream.mayUse(request, now)) {
         return false;
     }
     if (request.prefix != 0 || isLong(request.promptTokens, request.answerTokens)) {
@@ -238,7 +238,7 @@
     double lowestUtilisation = 1;
     for (std::uint32_t i = 0; i < m_upstreams.size(); ++i) {
         const UpstreamSlots &slots = m_upstreams[i];
-        if (!slots.declared || slots.upstream.service != request.service || slots.upstream.version != version || !slots.mayUse(now)) {
+        if (!slots.declared || slots.upstream.service != request.service || slots.upstream.version != version || !slots.mayUse(request, now)) {
             continue;
         }
         if (!usesFallback(m_cells[slots.cell], now) || slots.running >= slots.fallbackShare) {
@@ -260,13 +260,15 @@
     ++slots.running;
     slots.longRunning += isLongWork ? 1 : 0;
     slots.tokens += request.work.value;
+    slots.trials += request.isOnTrial ? 1 : 0;
     const Duration perToken = grant ? grant->perToken : Duration::zero();
     m_usedSlots.emplace(++m_lastSlotNumber,
                         UsedSlot{.upstream = index,
                                  .isLong = isLongWork,
                                  .tokens = request.work.value,
                                  .perToken = perToken,
-                                 .mayKeep = grant && request.prefix == 0 && !isLongWork});
+                                 .mayKeep = grant && request.prefix == 0 && !isLongWork,
+                                 .isOnTrial = request.isOnTrial});
     return Slot{.upstream = slots.upstream.name, .grant = m_lastSlotNumber};
 }
 
@@ -280,6 +282,7 @@
     --slots.running;
     slots.longRunning -= found->second.isLong ? 1 : 0;
     slots.tokens -= found->second.tokens;
+    slots.trials -= found->second.isOnTrial ? 1 : 0;
     Cell &cell = m_cells[slots.cell];
     const UsedSlot usedSlot = found->second;
     m_usedSlots.erase(found);
--- a/src/cell/grantpool.h
+++ b/src/cell/grantpool.h
@@ -114,6 +114,7 @@
         Duration perToken{};
         /// Whether the slot was granted by a scheduler, which counts it as held, and its request needs no particular upstream.
         bool mayKeep = false;
+        bool isOnTrial = false;
     };
     /// This VM's slots on an upstream.
     struct UpstreamSlots
@@ -127,6 +128,8 @@
         std::uint32_t tokens = 0;
         /// Granted and kept slots without a request.
         std::uint32_t unused = 0;
+        /// Slots with a request under a trial.
+        std::uint32_t trials = 0;
         /// Number of slots that this VM may use while the cell has no scheduler.
         std::uint32_t fallbackShare = 0;
         /// Whether the upstream is in the declarations.
@@ -136,6 +139,10 @@
         /// Until when the upstream is at its request limit. Not reported to the scheduler, which would give its grants to no VM.
         TimePoint limitedUntil;
 
+        bool mayUse(const PendingRequest &request, TimePoint now) const
+        {
+            return mayUse(now) && !(request.isOnTrial && trials > 0);
+        }
         bool mayUse(TimePoint now) const
         {
             return unreachableUntil <= now && limitedUntil <= now;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -65,7 +65,7 @@
     rerouteQueued(now);
 }
 
-void Dispatcher::enqueue(const CallerRequest &request, TimePoint now)
+void Dispatcher::enqueue(const CallerRequest &request, bool isOnTrial, TimePoint now)
 {
     PendingRequest pending{
         .id = request.id,
@@ -78,6 +78,7 @@
         .answerTokens = m_lengthEstimate.answer(request.service, request.route, request.maxAnswerTokens),
         .prefix = request.prefix,
         .version = m_versions ? m_versions->chooseVersion(request, now) : VersionName{},
+        .isOnTrial = isOnTrial,
     };
     pending.answerTokens = feasibleAnswer(m_capacity, pending, now);
     pending.work = TokenCount{pending.promptTokens.value + pending.answerTokens.value};
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -34,7 +34,7 @@
         m_versions = versions;
     }
     /// Queues the request until dispatchQueued() finds a slot for it.
-    void enqueue(const CallerRequest &request, TimePoint now);
+    void enqueue(const CallerRequest &request, bool isOnTrial, TimePoint now);
     /// Removes the request from its queue. Returns false when it was not queued.
     bool remove(const CallerRequest &request);
     /// Dispatches the queued requests of a service for which there are free slots.
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -272,7 +272,7 @@
     }
     const ServiceName service = active->request.service;
     const TimePoint now = EventLoop::now();
-    m_dispatcher.enqueue(active->request, now);
+    m_dispatcher.enqueue(active->request, active->suspectState.trial.has_value(), now);
     m_dispatcher.dispatchQueued(service, now);
     scheduleCellMessages(now);
 }
@@ -462,7 +462,7 @@
         return;
     }
     const ServiceName service = active.request.service;
-    m_dispatcher.enqueue(active.request, now);
+    m_dispatcher.enqueue(active.request, active.suspectState.trial.has_value(), now);
     m_dispatcher.dispatchQueued(service, now);
     scheduleCellMessages(now);
 }
--- a/src/placement/placementclient.cpp
+++ b/src/placement/placementclient.cpp
@@ -154,6 +154,7 @@
         placed.set_prompt_tokens(tracked.request.promptTokens);
         placed.set_first_event_ms(tracked.firstEventMs);
         placed.set_early_pace_ms(tracked.earlyPaceMs);
+        placed.set_on_trial(tracked.request.isOnTrial);
         return;
     }
     v1::PlacementAsk &ask = *state.add_asks();
@@ -168,6 +169,7 @@
     ask.set_cost(tracked.request.cost);
     ask.set_longest_pause_ms(tracked.request.maxPauseMs);
     ask.set_expected_events(tracked.request.expectedEvents);
+    ask.set_on_trial(tracked.request.isOnTrial);
     for (const InstanceName &tried : tracked.request.tried) {
         ask.add_tried(tried.value);
     }
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -36,6 +36,8 @@
     std::uint32_t maxPauseMs = 0;
     /// Expected number of events in the answer; 0: unknown.
     std::uint32_t expectedEvents = 0;
+    /// Whether it runs under a trial; see PlacementQuery.
+    bool isOnTrial = false;
 };
 
 /// Pace of an upstream's answer, as observed by the entry VM.
--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -210,6 +210,7 @@
         .cost = ask.cost(),
         .maxPauseMs = static_cast<double>(ask.longest_pause_ms()),
         .expectedEvents = ask.expected_events(),
+        .isOnTrial = ask.on_trial(),
         .deadline = now + std::chrono::milliseconds(ask.answer_in_ms()),
         .tried = {},
         .objectiveAt = now + std::chrono::milliseconds(ask.objective_in_ms()),
@@ -245,6 +246,7 @@
         request = TrackedRequest{.service = request.service,
                                  .promptTokens = placed.prompt_tokens(),
                                  .organisation = {},
+                                 .isOnTrial = placed.on_trial(),
                                  .deadline = {},
                                  .tried = {},
                                  .objectiveAt = {},
@@ -254,7 +256,7 @@
                                  .grant = {},
                                  .refusal = {},
                                  .decisionSentAt = {}};
-        m_pool.acquireSlot(upstream, request.promptTokens, now);
+        acquireSlot(request, now);
     }
     request.stage = Stage::Sent;
     if (placed.early_pace_ms() > 0) {
@@ -308,9 +310,20 @@
     if (!request.prefillDone) {
         m_pool.recordPrefillDone(request.upstream, request.promptTokens);
     }
+    if (request.isOnTrial) {
+        m_pool.recordTrialEnded(request.upstream);
+    }
     m_pool.releaseSlot(request.upstream);
 }
 
+void PlacementServer::acquireSlot(const TrackedRequest &request, TimePoint now)
+{
+    if (request.isOnTrial) {
+        m_pool.recordTrialStarted(request.upstream);
+    }
+    m_pool.acquireSlot(request.upstream, request.promptTokens, now);
+}
+
 void PlacementServer::releaseAll(const VmName &from, const EntryVm &entryVm)
 {
     for (const auto &[id, request] : entryVm.requests) {
@@ -366,6 +379,7 @@
         .maxPauseMs = request.maxPauseMs,
         .expectedEvents = request.expectedEvents,
         .timeToDeadline = request.deadline - now,
+        .isOnTrial = request.isOnTrial,
     };
     const auto found = m_rollouts.find(request.service.value);
     if (found == m_rollouts.end()) {
@@ -392,7 +406,7 @@
     request.upstream = upstream.name;
     request.tokensToRead = m_pool.pendingPromptTokens(upstream.name) + request.promptTokens;
     request.decisionSentAt = now;
-    m_pool.acquireSlot(upstream.name, request.promptTokens, now);
+    acquireSlot(request, now);
     v1::PlacementGrant grant;
     grant.set_id(key.id.value);
     grant.set_upstream(upstream.name.value);
@@ -426,7 +440,7 @@
             m_remoteWantedUntil = now + RemoteListTime;
         }
         if (!placement.upstream) {
-            const bool isRestricted = !request.tried.empty() || m_rollouts.contains(name.value);
+            const bool isRestricted = !request.tried.empty() || request.isOnTrial || m_rollouts.contains(name.value);
             if (!isRestricted) {
                 unplaceableSizes.push_back(size);
             }
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -102,6 +102,7 @@
         std::uint64_t cost = 0;
         double maxPauseMs = 0;
         std::uint32_t expectedEvents = 0;
+        bool isOnTrial = false;
         TimePoint deadline;
         std::set<InstanceName> tried;
         TimePoint objectiveAt;
@@ -148,6 +149,7 @@
     void resendDecision(EntryVm &entryVm, PlacementId id, TimePoint now);
     void handlePlaced(const VmName &from, EntryVm &entryVm, const v1::PlacedRequest &placed, TimePoint now);
     void handleEnded(const v1::EndedRequest &ended, TimePoint now);
+    void acquireSlot(const TrackedRequest &request, TimePoint now);
     void release(const VmName &from, PlacementId id, const TrackedRequest &request);
     void releaseAll(const VmName &from, const EntryVm &entryVm);
     bool isListUsable(TimePoint now) const;
--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -183,6 +183,9 @@
     if (!isUsable(upstream, now) || query.tried.contains(upstream.instance.name)) {
         return false;
     }
+    if (query.isOnTrial && m_trials.contains(upstream.instance.name)) {
+        return false;
+    }
     if (query.versions.target.value.empty()) {
         return true;
     }
@@ -348,6 +351,14 @@
     }
 }
 
+void UpstreamPool::recordTrialEnded(const InstanceName &name)
+{
+    const auto found = m_trials.find(name);
+    if (found != m_trials.end() && --found->second == 0) {
+        m_trials.erase(found);
+    }
+}
+
 std::uint64_t UpstreamPool::pendingPromptTokens(const InstanceName &name) const
 {
     const auto found = m_upstreams.find(name);
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -39,6 +39,8 @@
     std::uint32_t expectedEvents = 0;
     /// Time until the deadline; zero: no deadline.
     Duration timeToDeadline{};
+    /// Whether the request runs under a trial. An upstream runs one such request at a time: if it ends, the others would be taken for the cause as well.
+    bool isOnTrial = false;
 };
 
 /// The chosen upstream, and the predicted time until its answer (a stream's first event).
@@ -101,6 +103,12 @@
     /// Records that the prompt has been processed: the first event arrived, or the attempt ended before it.
     void recordPrefillDone(const InstanceName &name, std::uint32_t promptTokens);
     void releaseSlot(const InstanceName &name);
+    /// Records that a request under a trial was placed at the upstream, and that it has ended.
+    void recordTrialStarted(const InstanceName &name)
+    {
+        ++m_trials[name];
+    }
+    void recordTrialEnded(const InstanceName &name);
     /// Records the pace of an upstream: milliseconds between the events of a stream, or until the end of a plain answer.
     void recordPace(const InstanceName &name, double milliseconds);
     /// Records the pace of a stream's first events, which is used while no other pace is known.
@@ -197,6 +205,8 @@
     std::map<InstanceName, Upstream> m_upstreams;
     /// The upstreams of each service.
     std::map<ServiceName, std::vector<const Upstream *>> m_upstreamsByService;
+    /// Requests under a trial that were placed here and have not ended; no entry for 0.
+    std::map<InstanceName, std::uint32_t> m_trials;
     std::map<ServiceName, FirstEventModel> m_firstEventModels;
     std::map<ServiceName, PauseRatioEstimator> m_pauseRatios;
     RequestRates m_requestRates;
--- a/src/policy/pendingqueue.h
+++ b/src/policy/pendingqueue.h
@@ -30,6 +30,8 @@
     std::uint64_t prefix = 0;
     /// The version that the request is routed to; empty for the service's declared version.
     VersionName version;
+    /// Whether the request runs under a trial. An upstream runs one such request at a time: if it ends, the others would be taken for the cause as well.
+    bool isOnTrial = false;
 };
 
 /// The requests that wait on one entry VM for capacity of one service. The highest tier is served first. Within a tier, capacity is shared
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -30,6 +30,7 @@
         .cost = order.cost,
         .maxPauseMs = order.route->pause_objective_ms(),
         .expectedEvents = order.expectedEvents,
+        .isOnTrial = request.suspectState.trial.has_value(),
     });
     m_requestsByPlacement[request.placementId] = request.localId;
 }
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -310,3 +310,21 @@
     CHECK(grantedSlots(fixture.stepAndDeliver(fixture.scheduler, at(306ms))) == 1);
     CHECK(fixture.acquire(1, pending("committee", 0), at(307ms)));
 }
+
+// Guards against a trial that fails for a fault of its neighbour.
+TEST_CASE("a VM sends no second request under a trial to an upstream that runs one")
+{
+    CellFixture fixture(8);
+    PendingRequest onTrial = pending("on-trial", 0);
+    onTrial.isOnTrial = true;
+    // Without a scheduler the VM uses its share of the slots.
+    fixture.queues[0].add(onTrial);
+    REQUIRE(fixture.pools[0].messages(Drafting, fixture.queues[0], V1, at(1ms)).size() == 1);
+    const TimePoint now = at(1200ms);
+    const std::optional<Slot> slot = fixture.acquire(0, onTrial, now);
+    REQUIRE(slot);
+    CHECK_FALSE(fixture.acquire(0, onTrial, now));
+    CHECK(fixture.acquire(0, pending("draft", 0), now));
+    fixture.pools[0].release(*slot, now);
+    CHECK(fixture.acquire(0, onTrial, now));
+}
--- a/tests/placement/placementservertest.cpp
+++ b/tests/placement/placementservertest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 
 using namespace cumindyke;
 
@@ -55,6 +56,11 @@
         ask.set_objective_in_ms(400);
         ask.set_answer_in_ms(answerInMs);
     }
+    void addTrial(std::uint64_t id)
+    {
+        addAsk(id);
+        state.mutable_asks()->rbegin()->set_on_trial(true);
+    }
     void addPlaced(std::uint64_t id, const std::string &upstream)
     {
         v1::PlacedRequest &placed = *state.add_placed();
@@ -539,3 +545,50 @@
     REQUIRE(grantedTo(Vm1, second) == Ids{2});
     CHECK_FALSE(second.front().second.grants(0).pace_wanted());
 }
+
+// Guards against a trial that fails for a fault of its neighbour: after two such trials, requests that end nothing were refused.
+TEST_CASE("requests under a trial are placed at different upstreams, and wait if each runs one")
+{
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    server.setList({engine("a", 4), engine("b", 4)}, Start);
+    EntryVm one;
+    EntryVm two;
+    one.addTrial(1);
+    two.addTrial(1);
+    server.handleState(Vm1, one.next(), Start);
+    server.handleState(Vm2, two.next(), Start);
+    const auto first = server.advance(Start);
+    REQUIRE(grantedTo(Vm1, first) == Ids{1});
+    REQUIRE(grantedTo(Vm2, first) == Ids{1});
+    std::set<std::string> upstreams;
+    for (const auto &[vm, reply] : first) {
+        upstreams.insert(reply.grants(0).upstream());
+    }
+    CHECK(upstreams.size() == 2);
+
+    one.addTrial(2);
+    one.addAsk(3);
+    server.handleState(Vm1, one.next(), after(1));
+    CHECK(grantedTo(Vm1, server.advance(after(1))) == Ids{3});
+    two.state.clear_asks();
+    server.handleState(Vm2, two.next(), after(2));
+    CHECK(grantedTo(Vm1, server.advance(after(2))) == Ids{2});
+}
+
+// Guards against a takeover that forgets which upstreams run a trial.
+TEST_CASE("a server that takes over places no second trial at an upstream that runs one")
+{
+    PlacementServer server(DataCentreName{"dc-a"}, 0);
+    server.setList({engine("a", 4)}, Start);
+    EntryVm one;
+    EntryVm two;
+    one.addPlaced(1, "a");
+    one.state.mutable_placed(0)->set_on_trial(true);
+    server.handleState(Vm1, one.next(), Start);
+    two.addTrial(1);
+    server.handleState(Vm2, two.next(), after(1));
+    CHECK(grantedTo(Vm2, server.advance(after(1))).empty());
+    one.state.clear_placed();
+    server.handleState(Vm1, one.next(), after(2));
+    CHECK(grantedTo(Vm2, server.advance(after(2))) == Ids{1});
+}
