A change of an organisation's keys names only the keys that differ

Cause: the difference of two route tables has organisations as its smallest part, so that one revoked key sent all keys of its organisation to each VM.

Change: RouteTableChange has changes of organisations: the other fields, the keys added and those removed. The keys of a parsed document are in ascending order now, which the change restores; an organisation whose keys are in no order is still sent whole. The checksum of the whole table stays as it was.

--- a/src/control/routechanges.cpp
+++ b/src/control/routechanges.cpp
@@ -2,6 +2,8 @@
 
 #include "common/hash.h"
 
+#include <algorithm>
+#include <iterator>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -95,6 +97,75 @@
     return sum;
 }
 
+using Keys = Items<std::string>;
+
+bool isAscending(const Keys &keys)
+{
+    return std::ranges::adjacent_find(keys, std::ranges::greater_equal()) == keys.end();
+}
+
+/// Returns the keys that are not among the others, in ascending order; both are in ascending order.
+Keys keysWithout(const Keys &keys, const Keys &others)
+{
+    Keys remaining;
+    std::set_difference(keys.begin(), keys.end(), others.begin(), others.end(), google::protobuf::RepeatedFieldBackInserter(&remaining));
+    return remaining;
+}
+
+/// Returns no value if the organisation is smaller than its change, or if its keys are in no order, which a change could not restore.
+std::optional<v1::OrganisationChange> diffOrganisations(const v1::RoutedOrganisation &before, const v1::RoutedOrganisation &after)
+{
+    const Keys &oldKeys = before.key_sha256();
+    const Keys &newKeys = after.key_sha256();
+    if (!isAscending(oldKeys) || !isAscending(newKeys)) {
+        return {};
+    }
+    v1::OrganisationChange change;
+    *change.mutable_added_keys() = keysWithout(newKeys, oldKeys);
+    *change.mutable_removed_keys() = keysWithout(oldKeys, newKeys);
+    if (change.added_keys_size() + change.removed_keys_size() >= newKeys.size()) {
+        return {};
+    }
+    *change.mutable_organisation() = after;
+    change.mutable_organisation()->clear_key_sha256();
+    return change;
+}
+
+/// Replaces each organisation in the change by the difference to its former version where that is smaller.
+void shrinkOrganisations(const Items<v1::RoutedOrganisation> &before, v1::RouteTableChange &change)
+{
+    Items<v1::RoutedOrganisation> whole;
+    for (v1::RoutedOrganisation &organisation : *change.mutable_organisations()) {
+        const auto former = std::ranges::find(before, organisation.name(), &v1::RoutedOrganisation::name);
+        std::optional<v1::OrganisationChange> difference = former == before.end() ? std::nullopt : diffOrganisations(*former, organisation);
+        if (difference) {
+            *change.add_organisation_changes() = std::move(*difference);
+        } else {
+            *whole.Add() = std::move(organisation);
+        }
+    }
+    change.mutable_organisations()->Swap(&whole);
+}
+
+/// Returns the organisations that the change sets, with all their keys. An organisation that "before" does not have gets the added keys only, which the
+/// checksum of the table reveals.
+Items<v1::RoutedOrganisation> organisationsSetBy(const v1::RouteTableChange &change, const Items<v1::RoutedOrganisation> &before)
+{
+    Items<v1::RoutedOrganisation> organisations = change.organisations();
+    for (const v1::OrganisationChange &difference : change.organisation_changes()) {
+        v1::RoutedOrganisation &organisation = *organisations.Add();
+        organisation = difference.organisation();
+        const auto former = std::ranges::find(before, organisation.name(), &v1::RoutedOrganisation::name);
+        const Keys kept = former == before.end() ? Keys{} : keysWithout(former->key_sha256(), difference.removed_keys());
+        std::merge(kept.begin(),
+                   kept.end(),
+                   difference.added_keys().begin(),
+                   difference.added_keys().end(),
+                   google::protobuf::RepeatedFieldBackInserter(organisation.mutable_key_sha256()));
+    }
+    return organisations;
+}
+
 /// Checksum of the content that does not depend on the order of the items.
 std::uint64_t contentChecksum(const v1::RouteTable &table)
 {
@@ -112,6 +183,7 @@
     if (!comparable) {
         return {};
     }
+    shrinkOrganisations(before.organisations(), change);
     change.set_version(after.version());
     change.set_content_checksum(contentChecksum(after));
     return change;
@@ -123,7 +195,8 @@
     after.set_version(change.version());
     *after.mutable_routes() = itemsAfterChange(before.routes(), change.routes(), change.removed_routes());
     *after.mutable_services() = itemsAfterChange(before.services(), change.services(), change.removed_services());
-    *after.mutable_organisations() = itemsAfterChange(before.organisations(), change.organisations(), change.removed_organisations());
+    *after.mutable_organisations()
+        = itemsAfterChange(before.organisations(), organisationsSetBy(change, before.organisations()), change.removed_organisations());
     if (contentChecksum(after) != change.content_checksum()) {
         return Error{ErrorKind::Invalid, "the change was made for another route table: request the whole table"};
     }
--- a/tests/control/distributionrig.cpp
+++ b/tests/control/distributionrig.cpp
@@ -281,4 +281,30 @@
     return table;
 }
 
+v1::RouteTable keyTable(std::uint64_t version, int organisations, int keysOfEach, int firstKey)
+{
+    constexpr int BytesOfHash = 32;
+    v1::RouteTable table = routeTable(version, 8);
+    for (int number = 0; number < organisations; ++number) {
+        v1::RoutedOrganisation &organisation = *table.add_organisations();
+        organisation.set_name("organisation-" + std::to_string(number));
+        organisation.set_priority(1);
+        // Only the first organisation's keys move on.
+        const int first = number == 0 ? firstKey : 0;
+        for (int key = first; key < first + keysOfEach; ++key) {
+            std::mt19937_64 random(static_cast<std::uint64_t>(number) * 1'000'000 + static_cast<std::uint64_t>(key));
+            std::string hash;
+            for (int byte = 0; byte < BytesOfHash; ++byte) {
+                constexpr std::string_view Digits = "0123456789abcdef";
+                const std::uint64_t drawn = random();
+                hash += Digits[drawn % Digits.size()];
+                hash += Digits[drawn / Digits.size() % Digits.size()];
+            }
+            organisation.add_key_sha256(hash);
+        }
+        std::ranges::sort(*organisation.mutable_key_sha256());
+    }
+    return table;
+}
+
 }
--- a/tests/control/distributionrig.h
+++ b/tests/control/distributionrig.h
@@ -150,4 +150,8 @@
 /// Returns a table with one service and the given number of routes, with names as long as those of operators' tools.
 v1::RouteTable routeTable(std::uint64_t version, int routes);
 
+/// Returns a table with a few routes and organisations with keys of their own. The first organisation's keys are those from "firstKey" on, so tables that
+/// differ in it have most of its keys in common.
+v1::RouteTable keyTable(std::uint64_t version, int organisations, int keysOfEach, int firstKey);
+
 }
--- a/tests/control/largeconfigurationtest.cpp
+++ b/tests/control/largeconfigurationtest.cpp
@@ -41,6 +41,18 @@
     }
 }
 
+// Guards against a revoked key that is accepted for many seconds more, since each VM is sent all keys of its organisation.
+TEST_CASE("a revoked key of an organisation with tens of thousands is out of force in time")
+{
+    DistributionRig rig({});
+    rig.publish(keyTable(1, 2, 20'000, 0));
+    rig.run(std::chrono::seconds(30));
+    rig.publish(keyTable(2, 2, 20'000, 1));
+    rig.run(std::chrono::seconds(5));
+    CHECK(rig.timesInForce().back() <= MaxTimeToInForce);
+    CHECK(rig.peakBufferedByLeader() <= MaxLeaderMessageBytes);
+}
+
 // Guards against VMs that wait for a dead parent in the fan-out tree, and against a leader that sends them all more than its link can carry.
 TEST_CASE("a change of many routes is in force in time below unreachable VMs of the fan-out tree")
 {
@@ -92,6 +104,26 @@
     CHECK(rig.updatePeersOfLeader() <= 7 * FanOut);
 }
 
+// Prints the figures of docs/measurements/control-plane.md; run it by its tag.
+TEST_CASE("time and traffic of distributing a revoked key", "[.measure]")
+{
+    std::cout << "vms keys first_ms p50_ms worst_ms leader_bytes entry_bytes leader_peak_bytes\n";
+    for (const int entryVms : {78, 340}) {
+        for (const int keysOfEach : {100, 5'000, 20'000}) {
+            DistributionRig rig({.entryVms = entryVms});
+            rig.publish(keyTable(1, 2, keysOfEach, 0));
+            rig.run(std::chrono::seconds(60));
+            const Duration firstTime = rig.timesInForce().back();
+            rig.publish(keyTable(2, 2, keysOfEach, 1));
+            rig.run(std::chrono::seconds(20));
+            const std::vector<Duration> times = rig.timesInForce();
+            std::cout << rig.size() << ' ' << 2 * keysOfEach << ' ' << wholeMilliseconds(firstTime) << ' ' << wholeMilliseconds(times[times.size() / 2]) << ' '
+                      << wholeMilliseconds(times.back()) << ' ' << rig.bytesFromLeader() << ' ' << rig.maxBytesFromEntryVm() << ' '
+                      << rig.peakBufferedByLeader() << '\n';
+        }
+    }
+}
+
 // Prints the figures of docs/measurements/control-plane.md; run it by its tag.
 TEST_CASE("time and traffic of distributing a change of routes", "[.measure]")
 {
--- a/tests/control/routehistorytest.cpp
+++ b/tests/control/routehistorytest.cpp
@@ -63,6 +63,42 @@
     }
 }
 
+TEST_CASE("a change of few keys names only these, whatever else changes in the organisation")
+{
+    constexpr int Keys = 100;
+    const v1::RouteTable before = keyTable(1, 3, Keys, 0);
+    v1::RouteTable after = keyTable(2, 3, Keys, 3);
+    after.mutable_organisations(0)->set_rate_per_s(9);
+    after.mutable_organisations()->DeleteSubrange(1, 1);
+    for (const auto &[from, to] : {std::pair(before, after), std::pair(after, before)}) {
+        const auto change = diffRouteTables(from, to);
+        REQUIRE(change);
+        REQUIRE(change->organisation_changes_size() == 1);
+        CHECK(change->organisation_changes(0).added_keys_size() == 3);
+        CHECK(change->organisation_changes(0).removed_keys_size() == 3);
+        CHECK(sorted(valueOf(applyRouteTableChange(from, *change))) == sorted(to));
+    }
+}
+
+// Guards against a change that would restore the keys in another order, which the checksum takes for another table.
+TEST_CASE("an organisation whose keys are in no order is sent whole")
+{
+    const v1::RouteTable before = keyTable(1, 1, 100, 0);
+    v1::RouteTable after = keyTable(2, 1, 100, 1);
+    after.mutable_organisations(0)->mutable_key_sha256()->SwapElements(0, 50);
+    const auto change = diffRouteTables(before, after);
+    REQUIRE(change);
+    CHECK(change->organisations_size() == 1);
+    CHECK(sorted(valueOf(applyRouteTableChange(before, *change))) == sorted(after));
+}
+
+TEST_CASE("a change of keys is refused by a table without the organisation")
+{
+    const auto change = diffRouteTables(keyTable(1, 1, 100, 0), keyTable(2, 1, 100, 1));
+    REQUIRE(change);
+    CHECK_FALSE(ok(applyRouteTableChange(keyTable(1, 0, 100, 0), *change)));
+}
+
 // Guards against routes mixed from two tables when a change reaches a VM with another table.
 TEST_CASE("a change is refused for another table than the one it was made for")
 {
