--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -158,7 +158,7 @@
     const std::vector<std::string> reachable = m_distribution.reachableVms(now);
     for (const std::string &replica : m_options.replicas()) {
         if (std::ranges::find(reachable, replica) != reachable.end()) {
-            replicas.emplace_back(replica);
+            replicas.push_back(VmName{replica});
         }
     }
     return replicas;
