--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -123,8 +123,8 @@
     }
 }
 
-/// A medium update for many VMs is sent by all replicas: through the links of entry VMs alone it would take seconds to reach a fleet that restarted. VMs that
-/// it did not reach get the next one without the other replicas, which may be cut off from them.
+/// An update of some size for many VMs is sent by all replicas: through the links of entry VMs alone it would take seconds to reach a fleet that restarted. VMs
+/// that it did not reach get the next one without the other replicas, which may be cut off from them.
 void Leadership::sendRepair(const HeldState &heldState, const std::vector<std::string> &vms, TimePoint now)
 {
     const v1::ConfigUpdate update = makeRepair(m_state, heldState);
--- a/src/control/routechanges.cpp
+++ b/src/control/routechanges.cpp
@@ -3,7 +3,7 @@
 #include "common/hash.h"
 
 #include <algorithm>
-#include <iterator>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -131,13 +131,26 @@
     return change;
 }
 
+using OrganisationsByName = std::unordered_map<std::string_view, const v1::RoutedOrganisation *>;
+
+OrganisationsByName byName(const Items<v1::RoutedOrganisation> &organisations)
+{
+    OrganisationsByName found;
+    for (const v1::RoutedOrganisation &organisation : organisations) {
+        found.emplace(organisation.name(), &organisation);
+    }
+    return found;
+}
+
 /// Replaces each organisation in the change by the difference to its former version where that is smaller.
 void shrinkOrganisations(const Items<v1::RoutedOrganisation> &before, v1::RouteTableChange &change)
 {
+    const OrganisationsByName formerOrganisations = byName(before);
     Items<v1::RoutedOrganisation> whole;
     for (v1::RoutedOrganisation &organisation : *change.mutable_organisations()) {
-        const auto former = std::ranges::find(before, organisation.name(), &v1::RoutedOrganisation::name);
-        std::optional<v1::OrganisationChange> difference = former == before.end() ? std::nullopt : diffOrganisations(*former, organisation);
+        const auto former = formerOrganisations.find(organisation.name());
+        std::optional<v1::OrganisationChange> difference
+            = former == formerOrganisations.end() ? std::nullopt : diffOrganisations(*former->second, organisation);
         if (difference) {
             *change.add_organisation_changes() = std::move(*difference);
         } else {
@@ -151,12 +164,13 @@
 /// checksum of the table reveals.
 Items<v1::RoutedOrganisation> organisationsSetBy(const v1::RouteTableChange &change, const Items<v1::RoutedOrganisation> &before)
 {
+    const OrganisationsByName formerOrganisations = byName(before);
     Items<v1::RoutedOrganisation> organisations = change.organisations();
     for (const v1::OrganisationChange &difference : change.organisation_changes()) {
         v1::RoutedOrganisation &organisation = *organisations.Add();
         organisation = difference.organisation();
-        const auto former = std::ranges::find(before, organisation.name(), &v1::RoutedOrganisation::name);
-        const Keys kept = former == before.end() ? Keys{} : keysWithout(former->key_sha256(), difference.removed_keys());
+        const auto former = formerOrganisations.find(organisation.name());
+        const Keys kept = former == formerOrganisations.end() ? Keys{} : keysWithout(former->second->key_sha256(), difference.removed_keys());
         std::merge(kept.begin(),
                    kept.end(),
                    difference.added_keys().begin(),
