--- a/src/control/repairs.h
+++ b/src/control/repairs.h
@@ -31,15 +31,15 @@
 /// Sends an update to FanOut of the VMs, which relay it to the others.
 void sendRelayed(const v1::ConfigUpdate &update, const std::vector<std::string> &vms, const SendEnvelope &send);
 
-/// Lets other control replicas send a repair from their own states: the VMs are split evenly over the replicas, in their order. The update itself goes over
-/// none of their links but those to the VMs.
+/// Orders the control replicas, which may include this VM, to send a repair from their own states. The VMs are split evenly over the replicas. An order
+/// holds names of VMs, not the update. "version": that of the newest configuration.
 void sendRepairOrders(const HeldState &heldState,
                       std::uint64_t version,
                       const std::vector<std::string> &vms,
                       const std::vector<VmName> &replicas,
                       const SendEnvelope &send);
 
-/// Carries out an order of the leader. Does nothing if this replica lacks the version: the leader repairs the VMs again by itself.
+/// Sends the repair that the leader ordered. Does nothing if this VM lacks the version, or is no replica: the VMs then get the leader's next repair.
 void carryOutRepairOrder(const v1::RepairOrder &order, const StateMachine &state, const SendEnvelope &send);
 
 }
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -36,7 +36,7 @@
     std::uint32_t maxPauseMs = 0;
     /// Expected number of events in the answer; 0: unknown.
     std::uint32_t expectedEvents = 0;
-    /// Whether it runs under a trial; see PlacementQuery.
+    /// As in PlacementQuery.
     bool isOnTrial = false;
 };
 
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -39,7 +39,7 @@
     std::uint32_t expectedEvents = 0;
     /// Time until the deadline; zero: no deadline.
     Duration timeToDeadline{};
-    /// Whether the request runs under a trial. An upstream runs one such request at a time: if it ends, the others would be taken for the cause as well.
+    /// As in PendingRequest.
     bool isOnTrial = false;
 };
 
--- a/src/policy/pendingqueue.h
+++ b/src/policy/pendingqueue.h
@@ -30,7 +30,8 @@
     std::uint64_t prefix = 0;
     /// The version that the request is routed to; empty for the service's declared version.
     VersionName version;
-    /// Whether the request runs under a trial. An upstream runs one such request at a time: if it ends, the others would be taken for the cause as well.
+    /// Whether the request is a suspect that runs under a trial (see CrashLedger). An upstream runs one of these at a time: if its process ends, the cause is
+    /// known.
     bool isOnTrial = false;
 };
 
