--- a/src/policy/pendingqueue.h
+++ b/src/policy/pendingqueue.h
@@ -30,8 +30,8 @@
     std::uint64_t prefix = 0;
     /// The version that the request is routed to; empty for the service's declared version.
     VersionName version;
-    /// Whether the request is a suspect that runs under a trial (see CrashLedger). An upstream runs one of these at a time: if its process ends, the cause is
-    /// known.
+    /// Whether the request is a suspect that runs under a trial (see CrashLedger). An upstream runs one of these at a time: if its process ends, no
+    /// other request fails its trial with it.
     bool isOnTrial = false;
 };
 
