Tests of entry VMs without a path to any upstream, failing

The tests run entry VMs in one process with real sockets; ProxyOptions::mapAddress cuts single VMs off, by connections that are refused or hang.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -117,7 +117,7 @@
     request.eventSplitter.discardPartial();
     UpstreamRequest upstreamRequest{
         .id = request.parsed.id,
-        .address = to.address,
+        .address = m_options.mapAddress ? m_options.mapAddress(to.address) : to.address,
         .method = request.exchange->method(),
         .target = request.exchange->target(),
         .headers = headersFor(request, to, now),
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -45,6 +45,10 @@
     Duration refusalTime = std::chrono::milliseconds(700);
     /// Address of the placement datagrams; all VMs use the same port. Without it each VM places its own requests.
     std::optional<Address> datagrams;
+    /// Where connections are opened for VMs without a path to the upstreams; all VMs use the same port. Without it none is opened by or for this VM.
+    std::optional<Address> relayAddress;
+    /// Maps an upstream's address to the one that is connected to; none: the same. Tests cut a VM off from its upstreams with it.
+    std::function<Address(const Address &)> mapAddress = {};
     /// Tokens (or requests) that organisations may be admitted beyond their limits over all VMs.
     std::uint64_t limitTolerance = 0;
     std::function<void(v1::EntryTally)> sendTally;
--- /dev/null
+++ b/tests/proxy/pathlosstest.cpp
@@ -0,0 +1,226 @@
+#include "fakeplatform/platformsystem.h"
+#include "platform/instancelist.h"
+#include "platform/platformadapter.h"
+#include "platform/routedocument.h"
+#include "proxy/proxytask.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <set>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+constexpr std::uint16_t RelayPort = 7614;
+
+/// How a cut VM's connections to upstreams fail.
+enum class Cut { None, Refused, Hangs };
+
+/// An address whose connections hang: its queue of connections is full, and nobody accepts.
+class HangingAddress
+{
+public:
+    explicit HangingAddress(const std::string &host)
+        : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in bound{};
+        bound.sin_family = AF_INET;
+        REQUIRE(inet_pton(AF_INET, host.c_str(), &bound.sin_addr) == 1);
+        REQUIRE(bind(m_listener, reinterpret_cast<sockaddr *>(&bound), sizeof bound) == 0);
+        REQUIRE(listen(m_listener, 0) == 0);
+        socklen_t length = sizeof bound;
+        getsockname(m_listener, reinterpret_cast<sockaddr *>(&bound), &length);
+        m_address = Address{.host = host, .port = ntohs(bound.sin_port)};
+        for (int &caller : m_callers) {
+            caller = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            connect(caller, reinterpret_cast<sockaddr *>(&bound), sizeof bound);
+        }
+    }
+    ~HangingAddress()
+    {
+        for (const int caller : m_callers) {
+            close(caller);
+        }
+        close(m_listener);
+    }
+    HangingAddress(const HangingAddress &) = delete;
+    HangingAddress &operator=(const HangingAddress &) = delete;
+
+    const Address &address() const
+    {
+        return m_address;
+    }
+
+private:
+    int m_listener;
+    std::array<int, 2> m_callers{};
+    Address m_address;
+};
+
+/// Entry VMs in this process, with real sockets: each can be cut off from all upstreams while callers and the other VMs reach it.
+class EntryVmTasks
+{
+public:
+    explicit EntryVmTasks(int count, int upstreamCount = 4)
+        : platform(network.host(FirstPlatformHost), "i-1", "desk", upstreamHosts(upstreamCount))
+        , hanging(network.host(FirstPlatformHost - 1))
+        , cuts(count)
+    {
+        auto routes = platform::parseRouteDocument(documentOf(1));
+        REQUIRE(ok(routes));
+        v1::FleetTally fleet;
+        fleet.set_entry_vm_count(static_cast<std::uint32_t>(count));
+        for (int vm = 0; vm < count; ++vm) {
+            v1::PlacementVm &placement = *fleet.add_placement_vms();
+            placement.set_vm(host(vm));
+            placement.set_data_centre("z-a");
+        }
+        const Configuration configuration{
+            .declarations = {},
+            .moves = {},
+            .routes = std::make_shared<const v1::RouteTable>(std::move(valueOf(routes))),
+            .rollouts = {},
+            .evacuated = {},
+            .fleet = std::make_shared<const v1::FleetTally>(fleet),
+            .suspects = {},
+            .cells = {},
+            .admitUntil = EventLoop::now() + std::chrono::hours(1),
+            .leaseUntil = EventLoop::now() + std::chrono::hours(1),
+        };
+        for (int vm = 0; vm < count; ++vm) {
+            cuts[static_cast<std::size_t>(vm)] = Cut::None;
+            auto task = ProxyTask::open(options(vm), metrics);
+            REQUIRE(ok(task));
+            tasks.push_back(std::move(valueOf(task)));
+            tasks.back()->start();
+            tasks.back()->post(configuration);
+        }
+    }
+
+    HttpAnswer request(int vm, const std::string &id, const std::string &target = "/deposits/a") const
+    {
+        return http(Address{.host = host(vm), .port = CallerPort}, "POST", target, callerHeaders(id), id);
+    }
+    bool isServed(int vm, const std::string &id) const
+    {
+        return request(vm, id).status == 200;
+    }
+    int servedCount(int vm, const std::string &prefix, int count) const
+    {
+        int served = 0;
+        for (int i = 0; i < count; ++i) {
+            served += isServed(vm, prefix + std::to_string(i)) ? 1 : 0;
+        }
+        return served;
+    }
+    /// Number of times that upstreams ran a request.
+    std::size_t runs(const std::string &id) const
+    {
+        const std::vector<SeenRequest> seen = platform.seen();
+        return static_cast<std::size_t>(std::ranges::count_if(seen, [&id](const SeenRequest &run) { return run.header("Cumindyke-Request-Id") == id; }));
+    }
+
+    TestNetwork network;
+    FakePlatform platform;
+    HangingAddress hanging;
+    Metrics metrics;
+    std::vector<std::atomic<Cut>> cuts;
+    std::vector<std::unique_ptr<ProxyTask>> tasks;
+
+private:
+    std::string host(int vm) const
+    {
+        return network.host(vm + 1);
+    }
+    std::vector<std::string> upstreamHosts(int count) const
+    {
+        std::vector<std::string> hosts;
+        for (int number = 1; number <= count; ++number) {
+            hosts.push_back(network.host(FirstPlatformHost + number));
+        }
+        return hosts;
+    }
+    Address mapAddress(int vm, const Address &upstream) const
+    {
+        switch (cuts[static_cast<std::size_t>(vm)]) {
+        case Cut::None:
+            return upstream;
+        case Cut::Refused:
+            return Address{.host = upstream.host, .port = 1};
+        case Cut::Hangs:
+            return hanging.address();
+        }
+        return upstream;
+    }
+    ProxyOptions options(int vm)
+    {
+        const Adapter adapter = platform::makeAdapter();
+        return ProxyOptions{
+            .vm = VmName{host(vm)},
+            .pool = UpstreamPoolOptions{.localDataCentre = DataCentreName{"z-a"}},
+            .address = Address{.host = host(vm), .port = CallerPort},
+            .readinessAddress = Address{.host = host(vm), .port = ReadinessPort},
+            .readinessPath = adapter.readinessPath,
+            .headers = adapter.headers,
+            .list = adapter.instanceList(platform.address()),
+            .datagrams = Address{.host = host(vm), .port = PeerPort},
+            .relayAddress = Address{.host = host(vm), .port = RelayPort},
+            .mapAddress = [this, vm](const Address &upstream) { return mapAddress(vm, upstream); },
+            .sendTally = [](const v1::EntryTally &) {},
+            .propose = [](const Proposal &) {},
+        };
+    }
+};
+
+/// Cuts the first VMs off, and returns the share of requests served there when the cut has lasted for a while.
+double servedShareBehindCut(EntryVmTasks &vms, Cut cut, int cutCount)
+{
+    constexpr int Requests = 20;
+    for (int vm = 0; vm < cutCount; ++vm) {
+        REQUIRE(eventually([&] { return vms.isServed(vm, "warm" + std::to_string(vm) + "-" + std::to_string(vms.platform.seen().size())); }));
+        vms.cuts[static_cast<std::size_t>(vm)] = cut;
+    }
+    int served = 0;
+    for (int vm = 0; vm < cutCount; ++vm) {
+        vms.servedCount(vm, "early" + std::to_string(vm) + "-", 2);
+    }
+    for (int vm = 0; vm < cutCount; ++vm) {
+        served += vms.servedCount(vm, "cut" + std::to_string(vm) + "-", Requests);
+    }
+    return static_cast<double>(served) / (cutCount * Requests);
+}
+
+}
+
+// Guards against refusing all callers of a VM whose connections to every upstream are refused.
+TEST_CASE("callers of a VM whose connections to all upstreams are refused are served through another VM")
+{
+    EntryVmTasks vms(2);
+    CHECK(servedShareBehindCut(vms, Cut::Refused, 1) == 1);
+    CHECK(vms.servedCount(1, "other", 20) == 20);
+}
+
+// Guards against refusing all callers of a VM whose connections to every upstream hang.
+TEST_CASE("callers of a VM whose connections to all upstreams hang are served through another VM")
+{
+    EntryVmTasks vms(2);
+    CHECK(servedShareBehindCut(vms, Cut::Hangs, 1) == 1);
+    CHECK(vms.servedCount(1, "other", 20) == 20);
+}
+
+// Guards against a relay that has no path either, and against laying the lost paths of most VMs on the upstreams.
+TEST_CASE("callers are served while most VMs have no path to the upstreams")
+{
+    EntryVmTasks vms(4);
+    CHECK(servedShareBehindCut(vms, Cut::Hangs, 3) == 1);
+    CHECK(vms.servedCount(3, "other", 20) == 20);
+}
