Entry VMs without a path to the upstreams send requests through other VMs

Cause: a VM could only send to upstreams itself, and what it met on its own way counted as the upstreams' failures: two in a row ejected a sound upstream for all VMs of the data centre. The same class: a refused connection of such a VM proved that an upstream's process had ended, so its requests became suspects. Change: PathMonitor tells a lost path from an ended upstream by connections that succeed meanwhile. While the path is lost, another VM opens the connection (RelayServer, HTTP CONNECT at relay_port, one hop) and passes bytes on; the VM that holds the caller keeps the record of attempts, so at most one dispatch stays decided in one place. Requests whose connections hang move at once. A relay without a path answers so at once, one that drains finishes what it relays, and home regions bind the relay. Not under TLS: relayed connections are not authenticated, as datagrams.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -24,8 +24,8 @@
     return vms;
 }
 
-/// Returns nothing under TLS, since datagrams are not authenticated.
-std::optional<Address> datagramAddress(const Settings &settings, std::uint16_t port)
+/// Returns nothing under TLS, since datagrams and relayed connections are not authenticated.
+std::optional<Address> plaintextAddress(const Settings &settings, std::uint16_t port)
 {
     if (settings.tls || port == 0) {
         return {};
@@ -117,7 +117,8 @@
         .list = adapter.instanceList(settings.proxy->upstreamList),
         .requestReadLimit = settings.requestReadLimit,
         // Without datagrams each VM places its own requests.
-        .datagrams = datagramAddress(settings, settings.peerPort),
+        .datagrams = plaintextAddress(settings, settings.peerPort),
+        .relayAddress = plaintextAddress(settings, settings.relayPort),
         .limitTolerance = settings.limitSlack / LimitToleranceDivisor,
         .sendTally = [control = m_controlTask.get()](v1::EntryTally tally) { control->post(TallyUpdate{std::move(tally)}); },
         .propose = [control = m_controlTask.get()](Proposal proposal) { control->post(std::move(proposal)); },
@@ -182,7 +183,7 @@
         .evacuateWithin = std::max<Duration>(settings.evacuateWithin - EvacuationMargin, Duration::zero()),
         .dataCentres = dataCentreNames(settings),
         .replaceReplicaAfter = settings.replaceReplicaAfter,
-        .datagrams = datagramAddress(settings, settings.leasePort),
+        .datagrams = plaintextAddress(settings, settings.leasePort),
         .metrics = DistributionMetrics::of(m_metrics),
         .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
     });
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -117,6 +117,10 @@
         = std::chrono::milliseconds(root.integer("replace_replica_after_ms", settings.replaceReplicaAfter.count(), 1'000, MaxReplaceReplicaAfterMs));
     settings.peerPort = static_cast<std::uint16_t>(root.integer("peer_port", 0, 0, 65'535));
     settings.leasePort = static_cast<std::uint16_t>(root.integer("lease_port", 0, 0, 65'535));
+    settings.relayPort = static_cast<std::uint16_t>(root.integer("relay_port", 0, 0, 65'535));
+    if (settings.relayPort != 0 && (settings.peerPort == 0 || settings.relayPort == settings.peerPort)) {
+        root.reject("relay_port", "needs peer_port and another port than peer_port: set both, or omit relay_port");
+    }
     if (settings.leasePort != 0 && (settings.peerPort == 0 || settings.leasePort == settings.peerPort)) {
         root.reject("lease_port", "needs peer_port and another port than peer_port: set both, or omit lease_port");
     }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -53,6 +53,8 @@
     std::uint16_t peerPort = 0;
     /// UDP port of each VM for heartbeats and leases; 0: they are sent by RPC like all other messages.
     std::uint16_t leasePort = 0;
+    /// TCP port of each VM where it opens connections to upstreams for VMs without a path of their own; 0: none.
+    std::uint16_t relayPort = 0;
     /// Whether replicas with a new data folder may form the first cluster.
     bool formCluster = true;
     /// Number of voters that the log grows to as VMs with disks join; 0: the number of "replicas".
--- a/src/entry/suspecttracker.cpp
+++ b/src/entry/suspecttracker.cpp
@@ -140,7 +140,8 @@
 {
     const TrialId trial = std::exchange(state.trial, {}).value_or(TrialId{});
     const auto handleResult
-        = [this, id, upstream, then, trial, fingerprint = fingerprintOf(content, state), contentHash = content.hash(m_guard.seed())](bool hasEnded) {
+        = [this, id, upstream, then, trial, fingerprint = fingerprintOf(content, state), contentHash = content.hash(m_guard.seed())](bool isRefused) {
+              const bool hasEnded = isRefused && !(m_options.isPathLost && m_options.isPathLost());
               if (hasEnded) {
                   const bool isCounted = m_guard.recordCrash(fingerprint, contentHash, trial, EventLoop::now());
                   m_lostToEndedUpstreams.add();
--- a/src/entry/suspecttracker.h
+++ b/src/entry/suspecttracker.h
@@ -72,6 +72,8 @@
     std::function<void(Proposal)> propose;
     /// Posts the reply to the owning task, which passes it to SuspectTracker::handle().
     std::function<void(SuspectReply)> post;
+    /// Whether this VM has lost its own path to the upstreams, so that a refused connection proves nothing; none: never.
+    std::function<bool()> isPathLost = {};
 };
 
 /// Keeps requests that end the upstreams that run them away from further upstreams, for the requests of one task: finds upstreams that have ended,
--- a/src/proxy/attempts.h
+++ b/src/proxy/attempts.h
@@ -58,6 +58,12 @@
         const bool allowed = !m_mayHaveRun || repeatable;
         return allowed && m_attemptCount < m_maxAttempts ? NextStep::Retry : finalStep(end);
     }
+    /// Takes back a start: not even a connection to the upstream was attempted.
+    void retractStart()
+    {
+        m_inFlight = false;
+        --m_attemptCount;
+    }
     /// Returns the final step of a request that is not retried, even if a retry was permitted.
     NextStep finalStep(AttemptEnd end) const
     {
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -15,8 +15,6 @@
 namespace
 {
 
-/// A connection within a region is established in a few milliseconds, or the upstream is unreachable.
-constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
 /// After this time without data, a stream that another upstream can resume is taken from its upstream.
 constexpr Duration ResumeTimeout = std::chrono::milliseconds(1200);
 /// A larger plain answer is forwarded as it arrives, without waiting for its end.
@@ -104,7 +102,7 @@
     const Duration left = std::max<Duration>(request.parsed.deadline - now, std::chrono::milliseconds(1)) + std::chrono::seconds(1);
     const bool mayResume = request.isResumable() && request.attempts.attemptCount() + 1 < request.parsed.route->max_attempts();
     const Duration progressTimeout = mayResume ? std::min<Duration>(left, ResumeTimeout) : left;
-    return ProgressTimeouts{.connect = ConnectTimeout, .firstByte = progressTimeout, .betweenBytes = progressTimeout};
+    return ProgressTimeouts{.connect = request.relay ? RelayConnectTimeout : ConnectTimeout, .firstByte = progressTimeout, .betweenBytes = progressTimeout};
 }
 
 void ProxyTask::send(ProxyRequest &request, const UpstreamInstance &to, const std::string &inputs, TimePoint now)
@@ -117,7 +115,7 @@
     request.eventSplitter.discardPartial();
     UpstreamRequest upstreamRequest{
         .id = request.parsed.id,
-        .address = m_options.mapAddress ? m_options.mapAddress(to.address) : to.address,
+        .address = connectAddress(to.address),
         .method = request.exchange->method(),
         .target = request.exchange->target(),
         .headers = headersFor(request, to, now),
@@ -125,7 +123,11 @@
         .host = request.exchange->header("Host"),
         .idHeader = m_options.headers.requestId,
         .allowsCloseDelimitedBody = true,
+        .relay = chooseRelay(request, now),
     };
+    if (upstreamRequest.relay) {
+        upstreamRequest.address = to.address;
+    }
     request.call = std::make_unique<UpstreamCall>(m_loop, std::move(upstreamRequest), timeoutsFor(request, now));
     request.attempts.recordStart();
     logChange("proxy",
@@ -135,9 +137,10 @@
                {"version", to.version.value},
                {"waited_ms", std::to_string(wholeMilliseconds(now - request.parsed.arrived))},
                {"rank", std::to_string(request.parsed.rank.value)},
-               {"inputs", inputs}});
+               {"inputs", request.relay ? inputs + " relay=" + request.relay->value : inputs}});
     m_versionCounts[{request.parsed.service.value, to.version.value}].sent += 1;
     const LocalRequestId localId = request.localId;
+    request.call->sent().connect([this, localId] { onSent(localId); });
     request.call->head().connect([this, localId](const AnswerHead &head) { onAnswerHead(localId, head); });
     request.call->data().connect([this, localId](std::string_view bytes) { onAnswerData(localId, bytes); });
     request.call->finished().connect([this, localId] { onAnswerEnd(localId); });
@@ -145,12 +148,18 @@
     request.call->start();
 }
 
-/// Releases the slot, or cancels the placement request. The call's signals may still be running, so it is cancelled here and destroyed from the loop.
+/// Releases the slot, or cancels the placement request.
 void ProxyTask::endCall(ProxyRequest &request, v1::PlacementOutcome outcome, const AnswerPace &pace)
 {
     if (m_requestsByPlacement.erase(request.placementId) > 0) {
         m_placement->ended(request.placementId, outcome, pace);
     }
+    releaseCall(request);
+}
+
+/// The call's signals may still be running, so it is cancelled here and destroyed from the loop.
+void ProxyTask::releaseCall(ProxyRequest &request)
+{
     if (request.call) {
         request.call->cancel();
         m_loop.releaseLater(std::shared_ptr<UpstreamCall>(std::move(request.call)));
@@ -308,8 +317,12 @@
     if (!request) {
         return;
     }
+    if (failure == CallFailure::RelayFailed) {
+        handleRelayFailure(*request);
+        return;
+    }
     if (failure == CallFailure::NotSent) {
-        handleAttemptEnd(*request, AttemptEnd::NotSent, v1::PLACEMENT_FAILED);
+        handleUnsent(*request);
         return;
     }
     if (!request->suspectState.trial) {
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -87,6 +87,8 @@
     /// The current call to the upstream; null while the request waits for a slot.
     std::unique_ptr<UpstreamCall> call;
     UpstreamInstance upstream;
+    /// The VM that opens the connection for the current call; none: it goes to the upstream directly.
+    std::optional<VmName> relay;
     TimePoint sentAt;
     AnswerHead answerHead;
     /// The answer's body, buffered until it is known to be complete.
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -41,12 +41,15 @@
     , m_mailbox(m_loop, [this](ProxyMessage &&message) { std::visit([this](auto &held) { handle(held); }, message); })
     , m_metrics(metrics)
     , m_incarnation(std::random_device{}())
+    , m_relays(m_options.vm, m_options.pool.localDataCentre, m_options.pool.regions)
+    , m_probeTimer(m_loop, [this] { probePath(); })
     , m_holdTimer(m_loop, [this] { releaseHeldRequests(); })
     , m_suspects(m_loop,
                  SuspectTrackerOptions{
                      .vm = m_options.vm,
                      .propose = m_options.propose,
                      .post = [this](SuspectReply reply) { post(std::move(reply)); },
+                     .isPathLost = [this] { return m_path.isLost(); },
                  },
                  metrics)
     , m_cleanUpTimer(m_loop, [this] { cleanUp(); })
@@ -85,7 +88,7 @@
     m_placement = std::move(valueOf(placement));
     m_placement->granted().connect([this](const PlacementGranted &granted) { onGranted(granted); });
     m_placement->refused().connect([this](const PlacementRefused &refused) { onRefused(refused); });
-    return {};
+    return openRelay();
 }
 
 ProxyTask::~ProxyTask()
@@ -136,6 +139,7 @@
     if (configuration.fleet && configuration.fleet != m_fleet) {
         m_fleet = configuration.fleet;
         m_placement->setFleet(*m_fleet);
+        m_relays.setFleet(*m_fleet);
     }
     if (!m_wasReady && mayAdmit(EventLoop::now())) {
         m_wasReady = true;
@@ -164,6 +168,7 @@
     m_drain = std::move(drain);
     m_drainStartedAt = EventLoop::now();
     m_placement->startLeaving();
+    updateRelayAvailability();
     m_drainTimer.startEvery(DrainCheckInterval);
     sendTally();
 }
@@ -328,7 +333,8 @@
 
 void ProxyTask::finishDrainIfDone()
 {
-    if (!m_drain || !m_requests.empty() || EventLoop::now() - m_drainStartedAt < m_options.balancerDetectionTime + m_options.refusalTime) {
+    const bool isBusy = !m_requests.empty() || (m_relayServer && m_relayServer->connectionCount() > 0);
+    if (!m_drain || isBusy || EventLoop::now() - m_drainStartedAt < m_options.balancerDetectionTime + m_options.refusalTime) {
         return;
     }
     const std::function<void()> drained = std::move(m_drain->drained);
--- a/src/upstream/livenesscheck.cpp
+++ b/src/upstream/livenesscheck.cpp
@@ -12,10 +12,10 @@
 namespace cumindyke
 {
 
-LivenessCheck::LivenessCheck(EventLoop &loop, const Address &address, std::function<void(bool)> onResult)
+LivenessCheck::LivenessCheck(EventLoop &loop, const Address &address, std::function<void(Liveness)> onResult)
     : m_connection(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
     , m_onResult(std::move(onResult))
-    , m_timer(loop, [this] { finish(false); })
+    , m_timer(loop, [this] { finish(Liveness::Unknown); })
 {
     m_timer.startOnce(MaxTime);
     sockaddr_in target{};
@@ -37,16 +37,17 @@
 void LivenessCheck::onEvent(bufferevent * /*connection*/, short what, void *self)
 {
     const bool isRefused = (what & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
-    static_cast<LivenessCheck *>(self)->finish(isRefused);
+    const Liveness failure = isRefused ? Liveness::Refuses : Liveness::Unknown;
+    static_cast<LivenessCheck *>(self)->finish((what & BEV_EVENT_CONNECTED) != 0 ? Liveness::Answers : failure);
 }
 
-void LivenessCheck::finish(bool hasEnded)
+void LivenessCheck::finish(Liveness liveness)
 {
     m_timer.stop();
     bufferevent_setcb(m_connection, nullptr, nullptr, nullptr, nullptr);
-    const std::function<void(bool)> onResult = std::exchange(m_onResult, {});
+    const std::function<void(Liveness)> onResult = std::exchange(m_onResult, {});
     if (onResult) {
-        onResult(hasEnded);
+        onResult(liveness);
     }
 }
 
--- a/src/upstream/livenesschecks.cpp
+++ b/src/upstream/livenesschecks.cpp
@@ -18,7 +18,8 @@
 void LivenessChecks::start(const std::string &upstream)
 {
     Pending &pending = *m_pending[upstream];
-    pending.check = std::make_unique<LivenessCheck>(m_loop, pending.address, [this, upstream](bool hasEnded) { finish(upstream, hasEnded); });
+    pending.check
+        = std::make_unique<LivenessCheck>(m_loop, pending.address, [this, upstream](Liveness liveness) { finish(upstream, liveness == Liveness::Refuses); });
 }
 
 void LivenessChecks::finish(const std::string &upstream, bool hasEnded)
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr int MaxHeaderBytes = 64 << 10;
+/// The relay's answer if it has a path to the upstreams, but could not connect to this one.
+constexpr int StatusUpstreamUnreachable = 504;
 
 evhttp_cmd_type libeventCommand(const std::string &method)
 {
@@ -63,15 +65,24 @@
     void start();
     void close();
     void setPaused(bool paused);
+    bool isSent() const
+    {
+        return m_anyByteSent;
+    }
 
+    sigc::signal<void> m_sentSignal;
     sigc::signal<void, const AnswerHead &> m_headSignal;
     sigc::signal<void, std::string_view> m_dataSignal;
     sigc::signal<void> m_finishedSignal;
     sigc::signal<void, CallFailure> m_failedSignal;
 
 private:
-    enum class Phase { Connecting, AwaitingHead, ReadingBody };
+    enum class Phase { ConnectingThroughRelay, Connecting, AwaitingHead, ReadingBody };
 
+    void requestConnection();
+    void sendRequest();
+    CallFailure failureBeforeSending() const;
+    static void onRelayAnswer(evhttp_request *request, void *self);
     static void onSent(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
     static int onHead(evhttp_request *request, void *self);
     static void onData(evhttp_request *request, void *self);
@@ -97,12 +108,50 @@
 
 void UpstreamCall::Private::start()
 {
-    m_connection = evhttp_connection_base_new(m_loop.base(), nullptr, m_request.address.host.c_str(), m_request.address.port);
+    const Address &address = m_request.relay.value_or(m_request.address);
+    m_connection = evhttp_connection_base_new(m_loop.base(), nullptr, address.host.c_str(), address.port);
     evhttp_connection_set_max_headers_size(m_connection, MaxHeaderBytes);
     // Every phase has its own timeout; libevent's would end a paused call.
     evhttp_connection_set_timeout(m_connection, 24 * 3600);
     evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)), &Private::onSent, this);
+    m_timer.startOnce(m_timeouts.connect);
+    if (m_request.relay) {
+        requestConnection();
+    } else {
+        sendRequest();
+    }
+}
+
+/// Asks the relay to connect to the upstream (RFC 9110, 9.3.6). Afterwards the connection is used as if it went to the upstream.
+void UpstreamCall::Private::requestConnection()
+{
+    m_phase = Phase::ConnectingThroughRelay;
+    evhttp_request *request = evhttp_request_new(&Private::onRelayAnswer, this);
+    const std::string target = toString(m_request.address);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", target.c_str());
+    const auto self = shared_from_this();
+    if (evhttp_make_request(m_connection, request, EVHTTP_REQ_CONNECT, target.c_str()) != 0 && !m_closed) {
+        fail(CallFailure::RelayFailed);
+    }
+}
 
+void UpstreamCall::Private::onRelayAnswer(evhttp_request *request, void *self)
+{
+    const auto call = static_cast<Private *>(self)->shared_from_this();
+    if (call->m_closed) {
+        return;
+    }
+    const int status = request ? evhttp_request_get_response_code(request) : 0;
+    if (status == HTTP_OK) {
+        call->m_phase = Phase::Connecting;
+        call->sendRequest();
+    } else {
+        call->fail(status == StatusUpstreamUnreachable ? CallFailure::NotSent : CallFailure::RelayFailed);
+    }
+}
+
+void UpstreamCall::Private::sendRequest()
+{
     evhttp_request *request = evhttp_request_new(&Private::onEnd, this);
     evhttp_request_set_header_cb(request, &Private::onHead);
     evhttp_request_set_chunked_cb(request, &Private::onData);
@@ -116,10 +165,9 @@
     if (!m_request.body.empty()) {
         evbuffer_add(evhttp_request_get_output_buffer(request), m_request.body.data(), m_request.body.size());
     }
-    m_timer.startOnce(m_timeouts.connect);
     const auto self = shared_from_this();
     if (evhttp_make_request(m_connection, request, libeventCommand(m_request.method), m_request.target.c_str()) != 0 && !m_closed) {
-        fail(m_anyByteSent ? CallFailure::Lost : CallFailure::NotSent);
+        fail(m_anyByteSent ? CallFailure::Lost : failureBeforeSending());
     }
 }
 
@@ -153,13 +201,14 @@
 void UpstreamCall::Private::onSent(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
 {
     auto *call = static_cast<Private *>(self);
-    if (info->n_deleted == 0 || call->m_anyByteSent) {
+    if (info->n_deleted == 0 || call->m_anyByteSent || call->m_phase == Phase::ConnectingThroughRelay) {
         return;
     }
     call->m_anyByteSent = true;
     if (call->m_phase == Phase::Connecting && !call->m_closed) {
         call->m_phase = Phase::AwaitingHead;
         call->m_timer.startOnce(call->m_timeouts.firstByte);
+        call->m_sentSignal.emit();
     }
 }
 
@@ -218,7 +267,7 @@
 {
     const bool hasResponse = request && evhttp_request_get_response_code(request) != 0;
     if (!hasResponse) {
-        fail(m_anyByteSent ? CallFailure::Lost : CallFailure::NotSent);
+        fail(m_anyByteSent ? CallFailure::Lost : failureBeforeSending());
         return;
     }
     if (!m_bodyIsDelimited && !m_request.allowsCloseDelimitedBody) {
@@ -232,10 +281,15 @@
 void UpstreamCall::Private::onTimeout()
 {
     if (!m_closed) {
-        fail(m_anyByteSent ? CallFailure::TimedOut : CallFailure::NotSent);
+        fail(m_anyByteSent ? CallFailure::TimedOut : failureBeforeSending());
     }
 }
 
+CallFailure UpstreamCall::Private::failureBeforeSending() const
+{
+    return m_request.relay ? CallFailure::RelayFailed : CallFailure::NotSent;
+}
+
 void UpstreamCall::Private::fail(CallFailure failure)
 {
     const auto self = shared_from_this();
@@ -268,6 +322,16 @@
     d->setPaused(paused);
 }
 
+bool UpstreamCall::isSent() const
+{
+    return d->isSent();
+}
+
+sigc::signal<void> &UpstreamCall::sent()
+{
+    return d->m_sentSignal;
+}
+
 sigc::signal<void, const AnswerHead &> &UpstreamCall::head()
 {
     return d->m_headSignal;
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -39,6 +40,8 @@
     std::string idHeader = "X-Request-Id";
     /// Accepts an answer without a length as complete when its connection is closed in order, not by a reset.
     bool allowsCloseDelimitedBody = false;
+    /// A VM that opens the connection instead and passes the bytes on (RelayServer); none: the connection goes to the upstream directly.
+    std::optional<Address> relay = {};
 };
 
 struct AnswerHead
@@ -51,6 +54,7 @@
 /// Why a call got no complete answer.
 enum class CallFailure {
     NotSent, ///< no byte of the request left this process, so the upstream can't have run it
+    RelayFailed, ///< as NotSent, but the relay is to blame: nothing is known of the upstream
     Lost, ///< the connection was closed before the end of the answer
     TimedOut, ///< no progress within the timeout
     MismatchedId, ///< the answer has the id of another request
@@ -82,6 +86,10 @@
     /// Pauses or resumes reading, to match a caller that reads slowly.
     void setPaused(bool paused);
 
+    /// Whether any byte of the request has left this process.
+    bool isSent() const;
+    /// The first byte of the request has left this process.
+    sigc::signal<void> &sent();
     sigc::signal<void, const AnswerHead &> &head();
     sigc::signal<void, std::string_view> &data();
     sigc::signal<void> &finished();
--- a/tests/proxy/pathlosstest.cpp
+++ b/tests/proxy/pathlosstest.cpp
@@ -224,3 +224,30 @@
     CHECK(servedShareBehindCut(vms, Cut::Hangs, 3) == 1);
     CHECK(vms.servedCount(3, "other", 20) == 20);
 }
+
+// Guards against a stream that is broken or a request that runs twice on its way through another VM.
+TEST_CASE("a stream through another VM comes whole, and each request runs once")
+{
+    EntryVmTasks vms(2);
+    REQUIRE(servedShareBehindCut(vms, Cut::Refused, 1) == 1);
+    const HttpAnswer stream = vms.request(0, "s-1", "/drafts/stream");
+    CHECK(stream.status == 200);
+    CHECK(stream.body.find("part 3") != std::string::npos);
+    CHECK(vms.runs("s-1") == 1);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(vms.runs("cut0-" + std::to_string(i)) == 1);
+    }
+}
+
+// Guards against requests that still take the way through another VM when the path is back.
+TEST_CASE("a VM sends requests itself again when its path is back")
+{
+    EntryVmTasks vms(2);
+    REQUIRE(servedShareBehindCut(vms, Cut::Hangs, 1) == 1);
+    vms.cuts[0] = Cut::None;
+    const auto relayedCount = [&] { return vms.metrics.counter("cumindyke_relayed_connections_total", "", {}).value(); };
+    CHECK(eventually([&] {
+        const double before = relayedCount();
+        return vms.servedCount(0, "back" + std::to_string(vms.platform.seen().size()), 5) == 5 && relayedCount() == before;
+    }));
+}
--- /dev/null
+++ b/tests/proxy/relayservertest.cpp
@@ -0,0 +1,130 @@
+#include "proxy/relayserver.h"
+
+#include "entry/httpserver.h"
+#include "support/processes.h"
+#include "support/rawconnection.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+/// A relay, and an upstream that answers "/whole" with a body and breaks "/broken" off.
+class Relay
+{
+public:
+    explicit Relay(bool isAvailable = true)
+    {
+        auto door = HttpServer::listen(m_loop, Address{.host = network.host(2), .port = 0}, std::chrono::seconds(5));
+        REQUIRE(ok(door));
+        m_upstream = std::move(valueOf(door));
+        upstream = Address{.host = network.host(2), .port = m_upstream->port()};
+        m_upstream->arrived().connect([this](const std::shared_ptr<Exchange> &exchange) { answer(exchange); });
+        address = Address{.host = network.host(1), .port = 7614};
+        auto relay = RelayServer::listen(m_loop, RelayServerOptions{.address = address, .connectTimeout = std::chrono::seconds(1)}, m_metrics);
+        REQUIRE(ok(relay));
+        m_relay = std::move(valueOf(relay));
+        m_relay->setAvailable(isAvailable);
+        m_thread = std::thread([this] { m_loop.run(); });
+    }
+    ~Relay()
+    {
+        m_loop.stop();
+        m_thread.join();
+    }
+    Relay(const Relay &) = delete;
+    Relay &operator=(const Relay &) = delete;
+
+    /// Sends a request through the relay.
+    HttpAnswer request(const std::string &target, const Address &to) const
+    {
+        HttpAnswer received;
+        EventLoop loop;
+        UpstreamCall call(
+            loop, UpstreamRequest{.id = RequestId{"r"}, .address = to, .method = "GET", .target = target, .headers = {}, .body = {}, .relay = address}, {});
+        call.head().connect([&](const AnswerHead &head) { received.status = head.status; });
+        call.data().connect([&](std::string_view bytes) { received.body += bytes; });
+        call.finished().connect([&] { loop.stop(); });
+        call.failed().connect([&](CallFailure failure) {
+            received.failure = failure;
+            loop.stop();
+        });
+        call.start();
+        loop.run();
+        return received;
+    }
+
+    TestNetwork network;
+    Address address;
+    Address upstream;
+
+private:
+    void answer(const std::shared_ptr<Exchange> &exchange)
+    {
+        if (exchange->path() != "/broken") {
+            exchange->reply(200, "text/plain", std::string(300'000, 'x'));
+            return;
+        }
+        exchange->startStream(200, "text/plain");
+        exchange->streamData("part");
+        m_broken = exchange;
+        m_timer.startOnce(std::chrono::milliseconds(20));
+    }
+
+    EventLoop m_loop;
+    Metrics m_metrics;
+    std::unique_ptr<HttpServer> m_upstream;
+    std::unique_ptr<RelayServer> m_relay;
+    std::shared_ptr<Exchange> m_broken;
+    Timer m_timer{m_loop, [this] { m_broken->abort(); }};
+    std::thread m_thread;
+};
+
+}
+
+TEST_CASE("an answer comes whole through a relay")
+{
+    Relay relay;
+    const HttpAnswer answer = relay.request("/whole", relay.upstream);
+    CHECK(answer.status == 200);
+    CHECK(answer.body.size() == 300'000);
+    CHECK_FALSE(answer.failure);
+}
+
+// Guards against an answer that is broken off at the upstream and looks complete behind the relay.
+TEST_CASE("an answer that is broken off is broken off behind a relay too")
+{
+    Relay relay;
+    const HttpAnswer answer = relay.request("/broken", relay.upstream);
+    CHECK(answer.status == 200);
+    CHECK(answer.failure == CallFailure::Lost);
+}
+
+// Guards against laying a relay's failure on the upstream, and the upstream's on the relay.
+TEST_CASE("a relay tells an upstream that it can't reach from one that it may not connect to")
+{
+    const Relay relay;
+    CHECK(relay.request("/whole", Address{.host = relay.network.host(3), .port = 1}).failure == CallFailure::NotSent);
+    const Relay unavailable(false);
+    CHECK(unavailable.request("/whole", unavailable.upstream).failure == CallFailure::RelayFailed);
+}
+
+// Guards against a relay that is used for anything but connections, or kept busy by a request that never ends.
+TEST_CASE("a relay refuses what is no request for a connection to an address")
+{
+    Relay relay;
+    for (const char *request : {"GET / HTTP/1.1\r\n\r\n", "CONNECT upstream:80 HTTP/1.1\r\n\r\n", "CONNECT \r\n\r\n", "\r\n\r\n"}) {
+        RawConnection connection(relay.address);
+        connection.send(request);
+        CHECK(connection.readAll().starts_with("HTTP/1.1 503"));
+    }
+    RawConnection connection(relay.address);
+    connection.send(std::string(5000, 'x'));
+    CHECK(connection.readAll().starts_with("HTTP/1.1 503"));
+}
