Tests of upstreams that ask for a pause or leave, failing

What was seen: an upstream that answered 503 with Retry-After got requests from the same VM 100 ms later (rule BUDGET), and one that says in its answers that it is leaving got requests until the platform's list showed it. With real processes: 28 refusals in 2.5 s where 4 are allowed, 171 requests after the first answers that name the leaving.

--- a/tests/fakeplatform/fakeplatform.cpp
+++ b/tests/fakeplatform/fakeplatform.cpp
@@ -115,6 +115,26 @@
     m_requestLimit = limit;
 }
 
+void FakePlatform::setRefusing(const std::string &instance, const HeaderList &headers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_refusingInstance = instance;
+    m_refusalHeaders = headers;
+}
+
+void FakePlatform::setAnswerHeaders(const std::string &instance, const HeaderList &headers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_instanceWithHeaders = instance;
+    m_answerHeaders = headers;
+}
+
+std::vector<TimePoint> FakePlatform::refusals() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_refusals;
+}
+
 void FakePlatform::setColdRate(std::size_t perSecond)
 {
     const std::lock_guard lock(m_mutex);
@@ -243,9 +263,27 @@
     exchange.reply(200, "application/json", list.dump());
 }
 
+bool FakePlatform::refuse(const std::string &instance, Exchange &exchange)
+{
+    const std::lock_guard lock(m_mutex);
+    if (instance != m_refusingInstance) {
+        return false;
+    }
+    m_refusals.push_back(EventLoop::now());
+    exchange.addHeader("Cumindyke-Not-Executed", "1");
+    for (const auto &[name, value] : m_refusalHeaders) {
+        exchange.addHeader(name, value);
+    }
+    exchange.reply(503, "text/plain", "full\n");
+    return true;
+}
+
 void FakePlatform::replyUpstreamRequest(const std::string &instance, const std::shared_ptr<Exchange> &exchange)
 {
     exchange->addHeader("Cumindyke-Request-Id", exchange->header("Cumindyke-Request-Id"));
+    if (refuse(instance, *exchange)) {
+        return;
+    }
     if (endsWith(exchange->path(), "/full")) {
         exchange->addHeader("Cumindyke-Not-Executed", "1");
         exchange->reply(503, "text/plain", "full\n");
@@ -259,6 +297,9 @@
     exchange->addHeader("Cumindyke-Runner-Seal", "seal-of-" + instance);
     {
         const std::lock_guard lock(m_mutex);
+        for (const auto &[name, value] : instance == m_instanceWithHeaders ? m_answerHeaders : HeaderList{}) {
+            exchange->addHeader(name, value);
+        }
         if (!m_requestLimit.empty()) {
             exchange->addHeader("Server-Limit", m_requestLimit);
         }
--- a/tests/fakeplatform/fakeplatform.h
+++ b/tests/fakeplatform/fakeplatform.h
@@ -3,6 +3,7 @@
 #include "common/eventloop.h"
 #include "common/mailbox.h"
 #include "entry/httpserver.h"
+#include "upstream/upstreamcall.h"
 
 #include <deque>
 #include <functional>
@@ -61,6 +62,13 @@
     /// From now on the upstreams with addresses of their own are cold, which the list does not show yet: a process ends that gets more requests than this
     /// within a second.
     void setColdRate(std::size_t perSecond);
+    /// From now on one upstream with an address of its own refuses all requests without running them, and adds these headers; all run requests again without
+    /// a name.
+    void setRefusing(const std::string &instance, const HeaderList &headers = {});
+    /// From now on the answers of one upstream to requests that ran have these headers too.
+    void setAnswerHeaders(const std::string &instance, const HeaderList &headers);
+    /// When the refusing upstream refused requests.
+    std::vector<TimePoint> refusals() const;
     /// The names of the upstreams in a data centre.
     std::vector<std::string> upstreamsIn(const std::string &dataCentre) const;
     /// Number of upstream processes that a request has ended.
@@ -86,6 +94,7 @@
 
     void handleRequest(const std::shared_ptr<Exchange> &exchange);
     void replyList(Exchange &exchange) const;
+    bool refuse(const std::string &instance, Exchange &exchange);
     void replyUpstreamRequest(const std::string &instance, const std::shared_ptr<Exchange> &exchange);
     void start(Upstream &upstream);
     void end(Upstream &upstream);
@@ -103,6 +112,11 @@
     std::string m_state = "ready";
     std::string m_requestLimit;
     std::optional<std::size_t> m_coldRate;
+    std::string m_refusingInstance;
+    HeaderList m_refusalHeaders;
+    std::vector<TimePoint> m_refusals;
+    std::string m_instanceWithHeaders;
+    HeaderList m_answerHeaders;
     std::vector<std::unique_ptr<Upstream>> m_upstreams;
     int m_endedCount = 0;
     std::thread m_thread;
--- /dev/null
+++ b/tests/platform/signalstest.cpp
@@ -0,0 +1,89 @@
+#include "fakeplatform/platformsystem.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+constexpr int Upstreams = 3;
+
+/// Sends requests to all entry VMs for this time, one after the other from four callers, and returns how many were served.
+int sendFor(const System &system, const std::string &idPrefix, Duration time)
+{
+    std::atomic<int> served = 0;
+    std::vector<std::thread> callers;
+    const TimePoint end = EventLoop::now() + time;
+    for (int caller = 0; caller < 4; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (int sent = 0; EventLoop::now() < end; ++sent) {
+                const std::string id = idPrefix + std::to_string(caller) + "-" + std::to_string(sent);
+                served += http(system.callerAddress(ControlVms + 1 + caller % EntryVms), "POST", "/deposits/a", callerHeaders(id), id).status == 200 ? 1 : 0;
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    return served;
+}
+
+std::size_t runsAt(const System &system, const std::string &upstream)
+{
+    const std::vector<SeenRequest> seen = system.platform.seen();
+    return static_cast<std::size_t>(std::ranges::count(seen, upstream, &SeenRequest::upstream));
+}
+
+/// Starts the system and serves requests at each upstream; returns the name of the first upstream.
+std::string startServing(System &system)
+{
+    REQUIRE(system.publish(documentOf(1)));
+    REQUIRE(system.waitUntilReady());
+    const std::vector<std::string> upstreams = system.platform.upstreamsIn("z-a");
+    int round = 0;
+    REQUIRE(eventually([&] {
+        sendFor(system, "warm" + std::to_string(round++) + "-", std::chrono::milliseconds(200));
+        return std::ranges::all_of(upstreams, [&](const std::string &upstream) { return runsAt(system, upstream) > 0; });
+    }));
+    return upstreams.front();
+}
+
+}
+
+// Guards against an upstream that asks for a pause and gets further requests from the same VM.
+TEST_CASE("process: an upstream that asks for a pause gets no request from that VM until the pause is over")
+{
+    System system({}, Upstreams);
+    const std::string pausing = startServing(system);
+    system.platform.setRefusing(pausing, {{"Retry-After", "4"}});
+    sendFor(system, "pause", std::chrono::milliseconds(2500));
+    CHECK(system.platform.refusals().size() > 0);
+    // Each VM learns it by its own first requests.
+    CHECK(system.platform.refusals().size() <= 2 * EntryVms);
+    system.platform.setRefusing({});
+    const std::size_t runs = runsAt(system, pausing);
+    int round = 0;
+    CHECK(eventually([&] {
+        sendFor(system, "resumed" + std::to_string(round++) + "-", std::chrono::milliseconds(200));
+        return runsAt(system, pausing) > runs;
+    }));
+}
+
+// Guards against new requests to an upstream that says in its answers that it is leaving, before the platform's list shows it.
+TEST_CASE("process: an upstream that says in an answer that it is leaving gets no new request")
+{
+    System system({}, Upstreams);
+    const std::string leaving = startServing(system);
+    system.platform.setAnswerHeaders(leaving, {{"Server-Leaving", "1"}});
+    sendFor(system, "told", std::chrono::milliseconds(500));
+    const std::size_t runs = runsAt(system, leaving);
+    CHECK(sendFor(system, "later", std::chrono::milliseconds(1500)) > 20);
+    CHECK(runsAt(system, leaving) == runs);
+}
