--- a/tests/platform/signalstest.cpp
+++ b/tests/platform/signalstest.cpp
@@ -55,6 +55,17 @@
     return upstreams.front();
 }
 
+/// The largest number of times within a second.
+std::size_t mostInOneSecond(const std::vector<TimePoint> &times)
+{
+    std::size_t most = 0;
+    for (auto first = times.begin(); first != times.end(); ++first) {
+        const auto last = std::ranges::lower_bound(times, *first + std::chrono::seconds(1));
+        most = std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+}
+
 }
 
 // Guards against an upstream that asks for a pause and gets further requests from the same VM.
@@ -87,3 +98,14 @@
     CHECK(sendFor(system, "later", std::chrono::milliseconds(1500)) > 20);
     CHECK(runsAt(system, leaving) == runs);
 }
+
+// Guards against a brittle upstream that crashes since it has to refuse more requests in a second than it survives.
+TEST_CASE("process: a brittle upstream refuses no more requests in any second than it survives")
+{
+    System system({}, Upstreams);
+    const std::string brittle = startServing(system);
+    system.platform.setRefusing(brittle, {{"Server-Brittle", "3"}});
+    sendFor(system, "brittle", std::chrono::milliseconds(3000));
+    CHECK(system.platform.refusals().size() > 1);
+    CHECK(mostInOneSecond(system.platform.refusals()) <= 3);
+}
