An upstream's request for a pause is kept, and its word that it leaves is obeyed

Cause: nothing read Retry-After of an upstream's answer, nor Server-Leaving; the one reaction to any refusal was an ejection of 100 ms. The class, as with request limits before: what an upstream says of itself in an answer was passed on, and nobody acted on it. Change: the headers are parsed in one place (answersignals), malformed values as the cautious case. The VM that was told keeps the signals and sends nothing against them, whatever it is granted; its placement server leaves the upstream out for that VM, or for all if it leaves. Signals reach each further server, belong to one process of the upstream, and reach the VM that relayed the connection, since that is the one the upstream sees.

--- a/src/placement/placementclient.cpp
+++ b/src/placement/placementclient.cpp
@@ -111,6 +111,7 @@
     state.mutable_ended()->Add(m_endedRequests.begin(), m_endedRequests.end());
     m_endedRequests.clear();
     m_namedLimits.write(state, m_confirmedSequence, now);
+    m_signals.write(state, m_confirmedSequence, now);
     std::size_t written = 0;
     for (auto &[id, tracked] : m_requests) {
         if (++written > MaxRequestsPerState) {
@@ -140,6 +141,7 @@
 {
     m_confirmedSequence = 0;
     m_namedLimits.resetConfirmed();
+    m_signals.resetConfirmed();
     for (auto &[id, tracked] : m_requests) {
         tracked.firstSentInState = 0;
     }
@@ -231,7 +233,8 @@
                               .service = tracked.request.service,
                               .address = valueOf(address),
                               .dataCentre = DataCentreName{grant.data_centre()},
-                              .version = VersionName{grant.version()}};
+                              .version = VersionName{grant.version()},
+                              .startedAtMs = grant.started_at_ms()};
     return PlacementGranted{.id = found->first,
                             .upstream = std::move(upstream),
                             .inputs = describeInputs(grant, from, m_namedLimits.find(tracked.upstream)),
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -2,6 +2,7 @@
 
 #include "placement/namedlimits.h"
 #include "placement/placementtypes.h"
+#include "placement/upstreamsignals.h"
 
 #include "placement.pb.h"
 
@@ -109,6 +110,15 @@
     {
         return m_namedLimits.record(upstream, perSecond, now);
     }
+    /// Records what upstreams told this VM.
+    UpstreamSignals &signals()
+    {
+        return m_signals;
+    }
+    const UpstreamSignals &signals() const
+    {
+        return m_signals;
+    }
     /// Stops tracking the request: its attempt ended, or it needs no slot any more.
     void ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace);
 
@@ -162,6 +172,7 @@
     std::size_t m_waitingCount = 0;
     std::vector<v1::EndedRequest> m_endedRequests;
     NamedLimits m_namedLimits;
+    UpstreamSignals m_signals;
     /// The server that confirmed states of this VM, and the newest state it confirmed.
     VmName m_confirmingServer;
     std::uint64_t m_confirmedSequence = 0;
--- a/src/placement/placementdecisions.cpp
+++ b/src/placement/placementdecisions.cpp
@@ -47,7 +47,7 @@
 
 }
 
-PlacementQuery PlacementServer::queryFor(const TrackedRequest &request, TimePoint now)
+PlacementQuery PlacementServer::queryFor(const EntryVm &entryVm, const TrackedRequest &request, TimePoint now)
 {
     return PlacementQuery{
         .service = request.service,
@@ -59,12 +59,13 @@
         .timeToDeadline = request.deadline - now,
         .isOnTrial = request.isOnTrial,
         .homeRegions = request.homeRegions,
+        .pauses = &entryVm.pauses,
     };
 }
 
-Placement PlacementServer::place(const TrackedRequest &request, TimePoint now) const
+Placement PlacementServer::place(const EntryVm &entryVm, const TrackedRequest &request, TimePoint now) const
 {
-    PlacementQuery query = queryFor(request, now);
+    PlacementQuery query = queryFor(entryVm, request, now);
     const auto found = m_rollouts.find(request.service.value);
     if (found == m_rollouts.end()) {
         return m_pool.choose(query, now);
@@ -97,6 +98,7 @@
     grant.set_address(toString(upstream.address));
     grant.set_version(upstream.version.value);
     grant.set_data_centre(upstream.dataCentre.value);
+    grant.set_started_at_ms(upstream.startedAtMs);
     grant.set_tokens_to_read(request.tokensToRead);
     grant.set_in_flight(m_pool.inFlight(upstream.name));
     grant.set_predicted_ms(wireMilliseconds(placement.predictedTime));
@@ -115,17 +117,19 @@
             m_remoteWantedUntil = now + RemoteListTime;
             return;
         }
-        TrackedRequest &request = m_entryVms[key.vm].requests[key.id];
+        EntryVm &entryVm = m_entryVms[key.vm];
+        TrackedRequest &request = entryVm.requests[key.id];
         const RequestSize size{.promptTokens = request.promptTokens, .expectedEvents = request.expectedEvents};
         if (std::ranges::any_of(unplaceableSizes, [&size](const RequestSize &unplaceable) { return size.isAsLargeAs(unplaceable); })) {
             continue;
         }
-        const Placement placement = place(request, now);
+        const Placement placement = place(entryVm, request, now);
         if (placement.remoteMayHelp) {
             m_remoteWantedUntil = now + RemoteListTime;
         }
         if (!placement.upstream) {
-            const bool isRestricted = !request.tried.empty() || request.isOnTrial || request.homeRegions || m_rollouts.contains(name.value);
+            const bool isRestricted
+                = !request.tried.empty() || !entryVm.pauses.empty() || request.isOnTrial || request.homeRegions || m_rollouts.contains(name.value);
             if (!isRestricted) {
                 unplaceableSizes.push_back(size);
             }
@@ -156,8 +160,10 @@
         EntryVm &entryVm = m_entryVms[key.vm];
         TrackedRequest &request = entryVm.requests[key.id];
         m_limits.refund(request.organisation, request.cost);
-        const v1::PlacementRefusalReason reason = refusalReason(m_pool.obstacleFor(queryFor(request, now)));
-        refuse(entryVm, key.id, request, reason, retryAfterOverload(service, now), now);
+        const PlacementQuery query = queryFor(entryVm, request, now);
+        const v1::PlacementRefusalReason reason = refusalReason(m_pool.obstacleFor(query));
+        const Duration retryAfter = std::max(retryAfterOverload(service, now), m_pool.timeUntilUnpaused(query, now));
+        refuse(entryVm, key.id, request, reason, retryAfter, now);
     }
 }
 
--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -111,6 +111,9 @@
         const std::optional<double> perSecond = limit.has_per_second() ? std::optional(limit.per_second()) : std::nullopt;
         m_pool.recordRequestLimit(InstanceName{limit.upstream()}, perSecond, now - std::chrono::milliseconds(limit.age_ms()), now);
     }
+    for (const v1::UpstreamSignal &signal : state.signals()) {
+        handleSignal(entryVm, signal, now);
+    }
     for (const v1::EndedRequest &ended : state.ended()) {
         handleEnded(entryVm, ended, now);
     }
@@ -137,6 +140,19 @@
     });
 }
 
+/// A pause binds the VM that was asked for it; that a process is leaving concerns all VMs.
+void PlacementServer::handleSignal(EntryVm &entryVm, const v1::UpstreamSignal &signal, TimePoint now)
+{
+    const UpstreamProcess upstream{.name = InstanceName{signal.upstream()}, .startedAtMs = signal.started_at_ms()};
+    std::erase_if(entryVm.pauses, [now](const auto &pair) { return pair.second <= now; });
+    if (signal.pause_ms() > 0) {
+        entryVm.pauses[upstream] = now + std::chrono::milliseconds(signal.pause_ms());
+    }
+    if (signal.leaving()) {
+        m_pool.recordLeaving(upstream);
+    }
+}
+
 /// The VM's requests are now counted by the server that it uses instead. If they stayed counted here until the VM timed out, each would occupy two
 /// slots: for more than a second after each change of servers, requests waited and were refused although engines had free slots.
 void PlacementServer::handleDeparture(const VmName &from, const v1::EntryState &state)
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -135,6 +135,8 @@
         TimePoint lastReceivedAt;
         TimePoint lastReplyAt;
         std::map<PlacementId, TrackedRequest> requests;
+        /// Until when upstreams want no request from this VM.
+        std::map<UpstreamProcess, TimePoint> pauses;
         /// The reply that is being built.
         v1::PlacementReply nextReply;
     };
@@ -166,10 +168,11 @@
     void refuseExpired(Service &service, TimePoint now);
     void refuse(EntryVm &entryVm, PlacementId id, TrackedRequest &request, v1::PlacementRefusalReason reason, Duration retryAfter, TimePoint now);
     void updateCoverage(TimePoint now);
-    static PlacementQuery queryFor(const TrackedRequest &request, TimePoint now);
-    Placement place(const TrackedRequest &request, TimePoint now) const;
+    void handleSignal(EntryVm &entryVm, const v1::UpstreamSignal &signal, TimePoint now);
+    static PlacementQuery queryFor(const EntryVm &entryVm, const TrackedRequest &request, TimePoint now);
+    Placement place(const EntryVm &entryVm, const TrackedRequest &request, TimePoint now) const;
     void grant(const RequestKey &key, TrackedRequest &request, const Placement &placement, TimePoint now);
-    Duration retryAfterOverload(Service &service, TimePoint now);
+    static Duration retryAfterOverload(Service &service, TimePoint now);
 
     const DataCentreName m_localDataCentre;
     UpstreamPool m_pool;
--- a/src/placement/upstreamchoice.cpp
+++ b/src/placement/upstreamchoice.cpp
@@ -37,7 +37,7 @@
     // A limited upstream is left to the placement server of its own data centre, which alone can keep to the limit.
     const bool isLeftToOthers = upstream.isRemote && (upstream.rates->named.isLimited() || (upstream.isCold && upstream.coldRate > 0));
     const bool isEvacuated = m_evacuated.contains(upstream.instance.dataCentre);
-    return !isStale && !isLeftToOthers && !isEvacuated && !upstream.instance.draining && now >= upstream.ejectedUntil;
+    return !isStale && !isLeftToOthers && !isEvacuated && !upstream.instance.draining && !upstream.isLeaving && now >= upstream.ejectedUntil;
 }
 
 bool UpstreamPool::isInRegions(const Upstream &upstream, const PlacementQuery &query) const
@@ -87,6 +87,9 @@
     if (!isUsable(upstream, now) || query.tried.contains(upstream.instance.name) || !isInRegions(upstream, query)) {
         return false;
     }
+    if (isPaused(upstream, query, now)) {
+        return false;
+    }
     if (query.isOnTrial && m_trials.contains(upstream.instance.name)) {
         return false;
     }
@@ -96,6 +99,31 @@
     return (upstream.instance.version == query.versions.target) == query.versions.toTarget;
 }
 
+bool UpstreamPool::isPaused(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const
+{
+    if (!query.pauses || query.pauses->empty()) {
+        return false;
+    }
+    const auto pause = query.pauses->find(upstream.process());
+    return pause != query.pauses->end() && now < pause->second;
+}
+
+Duration UpstreamPool::timeUntilUnpaused(const PlacementQuery &query, TimePoint now) const
+{
+    std::optional<TimePoint> soonest;
+    for (const Upstream *upstream : upstreamsOf(query.service)) {
+        if (!isUsable(*upstream, now) || !isInRegions(*upstream, query)) {
+            continue;
+        }
+        if (!isPaused(*upstream, query, now)) {
+            return Duration::zero();
+        }
+        const TimePoint end = query.pauses->at(upstream->process());
+        soonest = std::min(soonest.value_or(end), end);
+    }
+    return soonest ? *soonest - now : Duration::zero();
+}
+
 double UpstreamPool::fastestPace(const ServiceName &service) const
 {
     double fastestPaceMs = std::numeric_limits<double>::max();
--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -330,6 +330,14 @@
     }
 }
 
+void UpstreamPool::recordLeaving(const UpstreamProcess &process)
+{
+    Upstream *upstream = find(process.name);
+    if (upstream && upstream->process() == process) {
+        upstream->isLeaving = true;
+    }
+}
+
 void UpstreamPool::recordMisdirection(const InstanceName &name, TimePoint now)
 {
     if (Upstream *upstream = find(name)) {
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -4,6 +4,7 @@
 #include "placement/pauseratioestimator.h"
 #include "placement/placementtypes.h"
 #include "placement/requestrates.h"
+#include "placement/upstreamsignals.h"
 
 #include "control.pb.h"
 
@@ -43,6 +44,8 @@
     bool isOnTrial = false;
     /// The regions whose upstreams may run the request; none: all.
     std::optional<std::set<RegionName>> homeRegions;
+    /// Until when upstreams want no request from the entry VM; null: none.
+    const std::map<UpstreamProcess, TimePoint> *pauses = nullptr;
 };
 
 /// The chosen upstream, and the predicted time until its answer (a stream's first event).
@@ -121,6 +124,8 @@
         NotAtHome, ///< none is in the request's home regions, or those are evacuated
     };
     Obstacle obstacleFor(const PlacementQuery &query) const;
+    /// Time until the first of the service's upstreams takes requests of the entry VM again; zero if one does now.
+    Duration timeUntilUnpaused(const PlacementQuery &query, TimePoint now) const;
     /// Records that this server begins to place requests: it does not know what its predecessor granted last.
     void startServing(TimePoint now)
     {
@@ -165,6 +170,9 @@
     /// Records that another process has the upstream's address.
     void recordMisdirection(const InstanceName &name, TimePoint now);
 
+    /// Records that the process is leaving, whatever the list shows.
+    void recordLeaving(const UpstreamProcess &process);
+
     /// Known number of requests at the upstream.
     std::uint32_t inFlight(const InstanceName &name) const;
     /// Writes the loads granted here that changed since the last notice, and a rotating slice of the others. For a backup, which receives few
@@ -220,6 +228,13 @@
         TimePoint lastGrantedAt{};
         int consecutiveFailures = 0;
         TimePoint ejectedUntil{};
+        /// The process has said that it is leaving.
+        bool isLeaving = false;
+
+        UpstreamProcess process() const
+        {
+            return UpstreamProcess{.name = instance.name, .startedAtMs = instance.startedAtMs};
+        }
     };
 
     struct ReceivedLoad
@@ -249,6 +264,7 @@
     void addLoad(const InstanceName &name, const Load &load, int sign);
     void expireUnreported(Peer &peer);
     bool isEligible(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
+    bool isPaused(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
     double fastestPace(const ServiceName &service) const;
     bool hasFreeSlot(const Upstream &upstream, TimePoint now) const;
     bool wouldExceedMaxPause(const Upstream &upstream, const PlacementQuery &query, double fastestPaceMs) const;
--- a/src/proxy/placementhost.cpp
+++ b/src/proxy/placementhost.cpp
@@ -103,6 +103,44 @@
     return hasChanged;
 }
 
+bool PlacementHost::recordSignals(const UpstreamProcess &upstream, const AnswerSignals &signals)
+{
+    const TimePoint now = EventLoop::now();
+    bool hasChanged = signals.pause && m_client.signals().recordPause(upstream, *signals.pause, now);
+    hasChanged = (signals.isLeaving && m_client.signals().recordLeaving(upstream, now)) || hasChanged;
+    hasChanged = (signals.refusalLimit && m_client.signals().recordRefusalLimit(upstream, *signals.refusalLimit, now)) || hasChanged;
+    if (hasChanged) {
+        scheduleState();
+    }
+    return hasChanged;
+}
+
+void PlacementHost::sendSignals(const VmName &relay, const UpstreamProcess &upstream, const AnswerSignals &signals)
+{
+    v1::PlacementDatagram datagram;
+    v1::UpstreamSignal &message = *datagram.mutable_relayed_signal();
+    message.set_upstream(upstream.name.value);
+    message.set_started_at_ms(upstream.startedAtMs);
+    message.set_pause_ms(wireMilliseconds(signals.pause.value_or(Duration::zero())));
+    message.set_leaving(signals.isLeaving);
+    if (signals.refusalLimit) {
+        message.set_refusal_limit(*signals.refusalLimit);
+    }
+    send(relay, std::move(datagram));
+}
+
+void PlacementHost::handleRelayedSignal(const v1::UpstreamSignal &message)
+{
+    AnswerSignals signals{.isLeaving = message.leaving()};
+    if (message.pause_ms() > 0) {
+        signals.pause = std::chrono::milliseconds(message.pause_ms());
+    }
+    if (message.has_refusal_limit()) {
+        signals.refusalLimit = message.refusal_limit();
+    }
+    recordSignals(UpstreamProcess{.name = InstanceName{message.upstream()}, .startedAtMs = message.started_at_ms()}, signals);
+}
+
 void PlacementHost::ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace)
 {
     m_client.ended(id, outcome, pace);
@@ -223,6 +261,9 @@
     case v1::PlacementDatagram::kNotice:
         m_server.handleNotice(from, datagram.notice(), EventLoop::now());
         break;
+    case v1::PlacementDatagram::kRelayedSignal:
+        handleRelayedSignal(datagram.relayed_signal());
+        break;
     case v1::PlacementDatagram::BODY_NOT_SET:
         break;
     }
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -5,6 +5,7 @@
 #include "placement/placementclient.h"
 #include "placement/placementserver.h"
 #include "proxy/instancelistreader.h"
+#include "upstream/answersignals.h"
 
 #include <memory>
 #include <optional>
@@ -41,6 +42,15 @@
     void recordFirstEvent(PlacementId id, Duration after);
     void recordEarlyPace(PlacementId id, double paceMs);
     bool recordRequestLimit(const InstanceName &upstream, std::optional<double> perSecond);
+    /// Records what an upstream said to this VM in an answer; returns whether it is new.
+    bool recordSignals(const UpstreamProcess &upstream, const AnswerSignals &signals);
+    /// Tells a VM that relayed the connection what the upstream said to it.
+    void sendSignals(const VmName &relay, const UpstreamProcess &upstream, const AnswerSignals &signals);
+    /// See UpstreamSignals.
+    bool isHeld(const UpstreamProcess &upstream) const
+    {
+        return m_client.signals().isHeld(upstream, EventLoop::now());
+    }
     void ended(PlacementId id, v1::PlacementOutcome outcome, const AnswerPace &pace);
     /// Emitted for the requests of this VM.
     sigc::signal<void, const PlacementGranted &> &granted()
@@ -68,6 +78,7 @@
     void handleDatagram(const std::string &host, std::string_view bytes);
     void handleState(const VmName &from, const v1::EntryState &state);
     void handleReply(const VmName &from, const v1::PlacementReply &reply);
+    void handleRelayedSignal(const v1::UpstreamSignal &message);
     void send(const VmName &to, v1::PlacementDatagram &&datagram);
     void sendBytes(const VmName &to, const std::string &bytes);
     std::string serialize(v1::PlacementDatagram &&datagram) const;
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -204,6 +204,31 @@
     }
 }
 
+/// An upstream means the VM that it sees: the one that relays the connection, if there is one.
+void ProxyTask::recordSignals(const ProxyRequest &request, const AnswerHead &head)
+{
+    const std::string *echoed = headerOf(head, m_options.headers.requestId);
+    if (head.status == StatusMisdirected || !echoed || *echoed != request.parsed.id.value) {
+        return;
+    }
+    const AnswerSignals signals = parseAnswerSignals(head, m_options.headers.signals);
+    const UpstreamProcess upstream{.name = request.upstream.name, .startedAtMs = request.upstream.startedAtMs};
+    if (!m_placement->recordSignals(upstream, signals)) {
+        return;
+    }
+    if (request.relay) {
+        m_placement->sendSignals(*request.relay, upstream, signals);
+    }
+    logChange("proxy",
+              "upstream-signal",
+              {{"id", request.parsed.id.value},
+               {"upstream", upstream.name.value},
+               {"pause_ms", std::to_string(wholeMilliseconds(signals.pause.value_or(Duration::zero())))},
+               {"leaving", signals.isLeaving ? "yes" : "no"},
+               {"refusal_limit", signals.refusalLimit ? std::to_string(*signals.refusalLimit) : "none"},
+               {"valid", signals.hasInvalid ? "no" : "yes"}});
+}
+
 void ProxyTask::onAnswerHead(LocalRequestId localId, const AnswerHead &head)
 {
     ProxyRequest *request = find(localId);
@@ -213,6 +238,7 @@
     const TimePoint now = EventLoop::now();
     request->answerHead = head;
     recordRequestLimit(*request, head);
+    recordSignals(*request, head);
     if (isNotRun(head)) {
         handleAttemptEnd(*request, AttemptEnd::RefusedNotRun, head.status == StatusMisdirected ? v1::PLACEMENT_MISDIRECTED : v1::PLACEMENT_REFUSED);
         return;
--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -87,6 +87,10 @@
 void ProxyTask::resend(ProxyRequest &request)
 {
     releaseCall(request);
+    if (isHeld(request.upstream)) {
+        handleAttemptEnd(request, AttemptEnd::NotSent, v1::PLACEMENT_CANCELLED);
+        return;
+    }
     request.attempts.retractStart();
     send(request, request.upstream, {}, EventLoop::now());
 }
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -77,7 +77,7 @@
         // It became a suspect while it waited for the slot.
         endCall(*request, v1::PLACEMENT_CANCELLED);
         requestPlacementOrRefuse(*request, EventLoop::now());
-    } else if (request && !mayRunAt(*request, granted.upstream.dataCentre)) {
+    } else if (request && (!mayRunAt(*request, granted.upstream.dataCentre) || isHeld(granted.upstream))) {
         returnGrant(*request, granted.upstream, EventLoop::now());
     } else if (request) {
         request->paceWanted = granted.paceWanted;
@@ -98,6 +98,12 @@
     return region != m_options.pool.regions.end() && request.parsed.homeRegions->contains(region->second);
 }
 
+/// The grant was under way when the upstream asked for a pause, or said that it is leaving.
+bool ProxyTask::isHeld(const UpstreamInstance &upstream) const
+{
+    return m_placement->isHeld(UpstreamProcess{.name = upstream.name, .startedAtMs = upstream.startedAtMs});
+}
+
 void ProxyTask::returnGrant(ProxyRequest &request, const UpstreamInstance &upstream, TimePoint now)
 {
     logChange("proxy", "grant-returned", {{"id", request.parsed.id.value}, {"upstream", upstream.name.value}, {"data_centre", upstream.dataCentre.value}});
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -136,6 +136,7 @@
     void requestPlacement(ProxyRequest &request);
     void onGranted(const PlacementGranted &granted);
     bool mayRunAt(const ProxyRequest &request, const DataCentreName &dataCentre) const;
+    bool isHeld(const UpstreamInstance &upstream) const;
     void returnGrant(ProxyRequest &request, const UpstreamInstance &upstream, TimePoint now);
     void onRefused(const PlacementRefused &refused);
     void refuseOverLimit(ProxyRequest &request, const ExhaustedLimit &limit);
@@ -149,6 +150,7 @@
     void onAnswerEnd(LocalRequestId localId);
     void onCallFailed(LocalRequestId localId, CallFailure failure);
     void recordRequestLimit(const ProxyRequest &request, const AnswerHead &head);
+    void recordSignals(const ProxyRequest &request, const AnswerHead &head);
     bool isAnswerToRequest(const ProxyRequest &request, const AnswerHead &head) const;
     bool isNotRun(const AnswerHead &head) const;
     void handleAttemptEnd(ProxyRequest &request, AttemptEnd end, v1::PlacementOutcome outcome);
--- a/src/proxy/proxytypes.h
+++ b/src/proxy/proxytypes.h
@@ -3,6 +3,7 @@
 #include "common/result.h"
 #include "common/types.h"
 #include "placement/placementtypes.h"
+#include "upstream/answersignals.h"
 
 #include <cstdint>
 #include <functional>
@@ -57,6 +58,8 @@
     std::string notRun;
     /// On an answer: requests a second that the upstream takes from all VMs together.
     std::string requestLimit;
+    /// On an answer: what the upstream says of itself.
+    SignalHeaders signals;
     /// "PROMPT,MAXIMUM OUTPUT" in tokens.
     std::string tokenCounts;
     /// Number of tokens that the caller expects in the answer.
--- a/src/upstream/requestlimit.cpp
+++ b/src/upstream/requestlimit.cpp
@@ -1,26 +1,13 @@
 #include "upstream/requestlimit.h"
 
+#include "upstream/decimal.h"
+
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <strings.h>
 
 namespace cumindyke
 {
 
-namespace
-{
-
-std::optional<double> parseDecimal(std::string_view text)
-{
-    double number = 0;
-    const auto [end, errorCode] = std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
-    const bool isWhole = errorCode == std::errc() && end == text.data() + text.size();
-    return isWhole && std::isfinite(number) && number >= 0 ? std::optional(number) : std::nullopt;
-}
-
-}
-
 Result<std::optional<double>> parseRequestLimit(const HeaderList &headers, std::string_view name)
 {
     std::optional<double> lowest;
