Brittle upstreams are not filled by several servers, and get no request for over a second after a refusal

Change: while its answers name the limit, and 3 s after, a server uses its share of the slots, and one refusal ejects the upstream for 1.2 s.

--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -140,7 +140,7 @@
     });
 }
 
-/// A pause binds the VM that was asked for it; that a process is leaving concerns all VMs.
+/// A pause binds the VM that was asked for it; that a process is leaving or brittle concerns all VMs.
 void PlacementServer::handleSignal(EntryVm &entryVm, const v1::UpstreamSignal &signal, TimePoint now)
 {
     const UpstreamProcess upstream{.name = InstanceName{signal.upstream()}, .startedAtMs = signal.started_at_ms()};
@@ -151,6 +151,9 @@
     if (signal.leaving()) {
         m_pool.recordLeaving(upstream);
     }
+    if (signal.has_refusal_limit()) {
+        m_pool.recordBrittle(upstream, now);
+    }
 }
 
 /// The VM's requests are now counted by the server that it uses instead. If they stayed counted here until the VM timed out, each would occupy two
--- a/src/placement/upstreamchoice.cpp
+++ b/src/placement/upstreamchoice.cpp
@@ -148,13 +148,21 @@
     return firstEventMs > 0 ? firstEventMs * (1 + LoadWeight * load) : paceMs * (1 + load);
 }
 
+/// The slots of a brittle upstream are shared by all servers that place requests: if each of them filled it, it would refuse, and crash.
+std::uint32_t UpstreamPool::usableSlots(const Upstream &upstream, TimePoint now) const
+{
+    const std::uint32_t slots = upstream.instance.slots;
+    return now < upstream.brittleUntil ? std::max<std::uint32_t>(1, static_cast<std::uint32_t>(slots * m_requestShare)) : slots;
+}
+
 /// An upstream without a measured pace counts as the fastest, so that it gets requests. If it were filled before it was measured and were the
 /// slowest, its answers would be late, and it would hold requests that others could have served.
 bool UpstreamPool::hasFreeSlot(const Upstream &upstream, TimePoint now) const
 {
     const std::uint32_t requests = upstream.ownLoad.requests + upstream.peerLoad.requests;
     const bool isUnmeasured = upstream.paceMs <= 0 && m_firstEventModels.contains(upstream.instance.service);
-    if (requests >= (isUnmeasured ? std::min(MaxRequestsOnUnmeasured, upstream.instance.slots) : upstream.instance.slots)) {
+    const std::uint32_t slots = usableSlots(upstream, now);
+    if (requests >= (isUnmeasured ? std::min(MaxRequestsOnUnmeasured, slots) : slots)) {
         return false;
     }
     return upstream.rates->named.maySend(m_requestShare, now) && mayGrantWhileCold(upstream, now);
--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -26,6 +26,10 @@
 /// A single failure may be chance; this many in a row eject an upstream.
 constexpr int FailuresBeforeEjection = 2;
 constexpr Duration RefusalEjectionTime = std::chrono::milliseconds(100);
+/// A brittle upstream counts its refusals over a second.
+constexpr Duration BrittleEjectionTime = std::chrono::milliseconds(1200);
+/// Brittle upstreams say so in all their answers.
+constexpr Duration BrittleTime = std::chrono::seconds(3);
 /// The platform's list shows the new owner of an address within this time.
 constexpr Duration MisdirectionEjectionTime = std::chrono::seconds(3);
 
@@ -326,7 +330,8 @@
 void UpstreamPool::recordRefusal(const InstanceName &name, TimePoint now)
 {
     if (Upstream *upstream = find(name)) {
-        upstream->ejectedUntil = std::max(upstream->ejectedUntil, now + RefusalEjectionTime);
+        const Duration time = now < upstream->brittleUntil ? BrittleEjectionTime : RefusalEjectionTime;
+        upstream->ejectedUntil = std::max(upstream->ejectedUntil, now + time);
     }
 }
 
@@ -338,6 +343,14 @@
     }
 }
 
+void UpstreamPool::recordBrittle(const UpstreamProcess &process, TimePoint now)
+{
+    Upstream *upstream = find(process.name);
+    if (upstream && upstream->process() == process) {
+        upstream->brittleUntil = now + BrittleTime;
+    }
+}
+
 void UpstreamPool::recordMisdirection(const InstanceName &name, TimePoint now)
 {
     if (Upstream *upstream = find(name)) {
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -172,6 +172,8 @@
 
     /// Records that the process is leaving, whatever the list shows.
     void recordLeaving(const UpstreamProcess &process);
+    /// Records that the process crashes if it has to refuse some requests in a second.
+    void recordBrittle(const UpstreamProcess &process, TimePoint now);
 
     /// Known number of requests at the upstream.
     std::uint32_t inFlight(const InstanceName &name) const;
@@ -230,6 +232,8 @@
         TimePoint ejectedUntil{};
         /// The process has said that it is leaving.
         bool isLeaving = false;
+        /// It has said lately that it crashes after some refusals.
+        TimePoint brittleUntil{};
 
         UpstreamProcess process() const
         {
@@ -266,6 +270,7 @@
     bool isEligible(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
     bool isPaused(const Upstream &upstream, const PlacementQuery &query, TimePoint now) const;
     double fastestPace(const ServiceName &service) const;
+    std::uint32_t usableSlots(const Upstream &upstream, TimePoint now) const;
     bool hasFreeSlot(const Upstream &upstream, TimePoint now) const;
     bool wouldExceedMaxPause(const Upstream &upstream, const PlacementQuery &query, double fastestPaceMs) const;
     bool wouldFinishInTime(const Upstream &upstream, const PlacementQuery &query, double firstEventMs, double fastestPaceMs) const;
--- a/tests/placement/upstreamsignalstest.cpp
+++ b/tests/placement/upstreamsignalstest.cpp
@@ -134,3 +134,44 @@
     signals.resetConfirmed();
     CHECK(writtenAt(4, 3) == 2000);
 }
+
+// Guards against several servers that each fill a brittle upstream, so that it refuses and crashes.
+TEST_CASE("a brittle upstream's slots are shared by the servers, and one refusal keeps it unused for over a second")
+{
+    PlacementServer server = serverWith({upstream("a")});
+    v1::FleetTally fleet;
+    for (const char *vm : {"10.0.0.1", "10.0.0.2"}) {
+        fleet.add_placement_vms()->set_vm(vm);
+        fleet.mutable_placement_vms()->rbegin()->set_data_centre("dc-a");
+    }
+    server.setFleet(fleet);
+    EntryVm told{.vm = Vm1, .signals = {}};
+    told.signals.recordRefusalLimit(ProcessA, 3, Start);
+    v1::EntryState state;
+    state.set_incarnation(7);
+    state.set_sequence(1);
+    told.signals.write(state, 0, Start);
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        v1::PlacementAsk &ask = *state.add_asks();
+        ask.set_id(id);
+        ask.set_service("desk");
+        ask.set_objective_in_ms(200);
+        ask.set_answer_in_ms(2000);
+    }
+    server.handleState(Vm1, state, Start);
+    const auto replies = server.advance(Start);
+    REQUIRE(replies.size() == 1);
+    CHECK(replies.front().second.grants_size() == 2);
+
+    v1::EntryState ended;
+    ended.set_incarnation(7);
+    ended.set_sequence(2);
+    v1::EndedRequest &refused = *ended.add_ended();
+    refused.set_id(1);
+    refused.set_upstream("a");
+    refused.set_outcome(v1::PLACEMENT_REFUSED);
+    server.handleState(Vm1, ended, after(10));
+    EntryVm later{.vm = Vm1, .signals = {}, .sequence = 2};
+    CHECK(later.ask(server, after(1000)).empty());
+    CHECK(later.ask(server, after(1300)) == "a");
+}
