An upstream that a single VM can't reach stays in use for the others

Change: a failed connection is an outcome of its own. The VM leaves the upstream alone for 0.25 s, twice as long with each further failure, up to 4 s; the placement server ejects the upstream when a second VM can't reach it either, without a success in between.

--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -115,7 +115,7 @@
         handleSignal(entryVm, signal, now);
     }
     for (const v1::EndedRequest &ended : state.ended()) {
-        handleEnded(entryVm, ended, now);
+        handleEnded(from, entryVm, ended, now);
     }
     std::vector<std::uint64_t> listedIds(state.unchanged().begin(), state.unchanged().end());
     for (const v1::PlacedRequest &placed : state.placed()) {
@@ -285,7 +285,7 @@
     }
 }
 
-void PlacementServer::handleEnded(const EntryVm &entryVm, const v1::EndedRequest &ended, TimePoint now)
+void PlacementServer::handleEnded(const VmName &from, const EntryVm &entryVm, const v1::EndedRequest &ended, TimePoint now)
 {
     const auto request = entryVm.requests.find(PlacementId{ended.id()});
     const InstanceName upstream{ended.upstream()};
@@ -303,6 +303,9 @@
     case v1::PLACEMENT_FAILED:
         m_pool.recordFailure(upstream, now);
         break;
+    case v1::PLACEMENT_UNREACHABLE:
+        m_pool.recordUnreachable(upstream, from, now);
+        break;
     case v1::PLACEMENT_REFUSED:
         m_pool.recordRefusal(upstream, now);
         break;
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -159,7 +159,7 @@
     TrackedRequest makeRequest(const v1::PlacementAsk &ask, TimePoint now) const;
     void resendDecision(EntryVm &entryVm, PlacementId id, TimePoint now);
     void handlePlaced(const VmName &from, EntryVm &entryVm, const v1::PlacedRequest &placed, TimePoint now);
-    void handleEnded(const EntryVm &entryVm, const v1::EndedRequest &ended, TimePoint now);
+    void handleEnded(const VmName &from, const EntryVm &entryVm, const v1::EndedRequest &ended, TimePoint now);
     void acquireSlot(const TrackedRequest &request, TimePoint now);
     void release(const VmName &from, PlacementId id, const TrackedRequest &request);
     void releaseAll(const VmName &from, const EntryVm &entryVm);
--- a/src/placement/upstreamchoice.cpp
+++ b/src/placement/upstreamchoice.cpp
@@ -104,7 +104,7 @@
     if (!query.pauses || query.pauses->empty()) {
         return false;
     }
-    const auto pause = query.pauses->find(upstream.process());
+    const auto pause = query.pauses->find(processOf(upstream.instance));
     return pause != query.pauses->end() && now < pause->second;
 }
 
@@ -118,7 +118,7 @@
         if (!isPaused(*upstream, query, now)) {
             return Duration::zero();
         }
-        const TimePoint end = query.pauses->at(upstream->process());
+        const TimePoint end = query.pauses->at(processOf(upstream->instance));
         soonest = std::min(soonest.value_or(end), end);
     }
     return soonest ? *soonest - now : Duration::zero();
--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -327,6 +327,19 @@
     }
 }
 
+void UpstreamPool::recordUnreachable(const InstanceName &name, const VmName &vm, TimePoint now)
+{
+    Upstream *upstream = find(name);
+    if (!upstream) {
+        return;
+    }
+    const bool isRepeated = upstream->consecutiveFailures > 0 && upstream->unreachableFrom == vm;
+    upstream->unreachableFrom = vm;
+    if (!isRepeated) {
+        recordFailure(name, now);
+    }
+}
+
 void UpstreamPool::recordRefusal(const InstanceName &name, TimePoint now)
 {
     if (Upstream *upstream = find(name)) {
@@ -338,7 +351,7 @@
 void UpstreamPool::recordLeaving(const UpstreamProcess &process)
 {
     Upstream *upstream = find(process.name);
-    if (upstream && upstream->process() == process) {
+    if (upstream && processOf(upstream->instance) == process) {
         upstream->isLeaving = true;
     }
 }
@@ -346,7 +359,7 @@
 void UpstreamPool::recordBrittle(const UpstreamProcess &process, TimePoint now)
 {
     Upstream *upstream = find(process.name);
-    if (upstream && upstream->process() == process) {
+    if (upstream && processOf(upstream->instance) == process) {
         upstream->brittleUntil = now + BrittleTime;
     }
 }
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -165,6 +165,9 @@
     void recordSuccess(const InstanceName &name);
     /// Records a failed request or connection. The upstream is ejected after several failures in a row, longer with each further one.
     void recordFailure(const InstanceName &name, TimePoint now);
+    /// Records that an entry VM could not connect to the upstream. The upstream is ejected only after failures of several VMs without a success in between:
+    /// a single VM may have lost its own path.
+    void recordUnreachable(const InstanceName &name, const VmName &vm, TimePoint now);
     /// Records that the upstream was full or draining and refused a request: it is ejected briefly, without counting a failure.
     void recordRefusal(const InstanceName &name, TimePoint now);
     /// Records that another process has the upstream's address.
@@ -230,15 +233,12 @@
         TimePoint lastGrantedAt{};
         int consecutiveFailures = 0;
         TimePoint ejectedUntil{};
+        /// The VM that failed to connect last.
+        VmName unreachableFrom;
         /// The process has said that it is leaving.
         bool isLeaving = false;
         /// It has said lately that it crashes after some refusals.
         TimePoint brittleUntil{};
-
-        UpstreamProcess process() const
-        {
-            return UpstreamProcess{.name = instance.name, .startedAtMs = instance.startedAtMs};
-        }
     };
 
     struct ReceivedLoad
--- a/src/placement/upstreamsignals.cpp
+++ b/src/placement/upstreamsignals.cpp
@@ -29,6 +29,20 @@
     return markChanged(signals, isLater);
 }
 
+void UpstreamSignals::recordUnreachable(const UpstreamProcess &upstream, TimePoint now)
+{
+    Signals &signals = signalsOf(upstream, now);
+    signals.unreachableTime = std::clamp<Duration>(2 * signals.unreachableTime, MinUnreachableTime, MaxUnreachableTime);
+    recordPause(upstream, signals.unreachableTime, now);
+}
+
+void UpstreamSignals::recordReached(const UpstreamProcess &upstream)
+{
+    if (const auto found = m_signals.find(upstream); found != m_signals.end()) {
+        found->second.unreachableTime = {};
+    }
+}
+
 bool UpstreamSignals::recordLeaving(const UpstreamProcess &upstream, TimePoint now)
 {
     Signals &signals = signalsOf(upstream, now);
@@ -59,7 +73,8 @@
 {
     std::erase_if(m_signals, [now](const auto &pair) {
         const Signals &signals = pair.second;
-        return now >= signals.pausedUntil && now >= signals.leavingUntil && now - signals.limitReportedAt >= 2 * RepeatTime;
+        // A process that is tried again and still can't be reached is left alone for longer than before.
+        return now >= signals.pausedUntil + signals.unreachableTime && now >= signals.leavingUntil && now - signals.limitReportedAt >= 2 * RepeatTime;
     });
     for (auto &[upstream, signals] : m_signals) {
         if (signals.firstSentInState > 0 && signals.firstSentInState <= confirmedSequence) {
--- a/src/placement/upstreamsignals.h
+++ b/src/placement/upstreamsignals.h
@@ -20,6 +20,11 @@
     auto operator<=>(const UpstreamProcess &) const = default;
 };
 
+inline UpstreamProcess processOf(const UpstreamInstance &instance)
+{
+    return UpstreamProcess{.name = instance.name, .startedAtMs = instance.startedAtMs};
+}
+
 /// What upstreams told one entry VM that they bear from now on: pauses, that they leave, and how many refusals they survive. Kept by the VM, which never
 /// sends against it whatever its placement server grants, and written into its states until the server has confirmed them. Pure: time is an argument.
 class UpstreamSignals
@@ -27,6 +32,9 @@
 public:
     /// Records a pause. Returns whether it ends later than the one before.
     bool recordPause(const UpstreamProcess &upstream, Duration pause, TimePoint now);
+    /// Records that this VM could not connect to the process: it is left alone for a while, longer with each further failure in a row.
+    void recordUnreachable(const UpstreamProcess &upstream, TimePoint now);
+    void recordReached(const UpstreamProcess &upstream);
     /// Records that the process is leaving. Returns whether that is new.
     bool recordLeaving(const UpstreamProcess &upstream, TimePoint now);
     /// Records how many refusals in a second the process survives. Returns whether that has changed.
@@ -41,6 +49,8 @@
 private:
     /// The least recently recorded is dropped beyond this number.
     static constexpr std::size_t MaxUpstreams = 1024;
+    static constexpr Duration MinUnreachableTime = std::chrono::milliseconds(250);
+    static constexpr Duration MaxUnreachableTime = std::chrono::seconds(4);
     /// Longer than any process takes to leave.
     static constexpr Duration LeavingTime = std::chrono::minutes(10);
     /// An unchanged refusal limit is reported again after this time; servers forget it after PlacementServer's own time.
@@ -49,6 +59,7 @@
     struct Signals
     {
         TimePoint pausedUntil{};
+        Duration unreachableTime{};
         TimePoint leavingUntil{};
         std::optional<double> refusalLimit;
         TimePoint limitReportedAt{};
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -44,6 +44,15 @@
     bool recordRequestLimit(const InstanceName &upstream, std::optional<double> perSecond);
     /// Records what an upstream said to this VM in an answer; returns whether it is new.
     bool recordSignals(const UpstreamProcess &upstream, const AnswerSignals &signals);
+    /// See UpstreamSignals.
+    void recordUnreachable(const UpstreamProcess &upstream)
+    {
+        m_client.signals().recordUnreachable(upstream, EventLoop::now());
+    }
+    void recordReached(const UpstreamProcess &upstream)
+    {
+        m_client.signals().recordReached(upstream);
+    }
     /// Tells a VM that relayed the connection what the upstream said to it.
     void sendSignals(const VmName &relay, const UpstreamProcess &upstream, const AnswerSignals &signals);
     /// See UpstreamSignals.
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -212,7 +212,7 @@
         return;
     }
     const AnswerSignals signals = parseAnswerSignals(head, m_options.headers.signals);
-    const UpstreamProcess upstream{.name = request.upstream.name, .startedAtMs = request.upstream.startedAtMs};
+    const UpstreamProcess upstream = processOf(request.upstream);
     if (!m_placement->recordSignals(upstream, signals)) {
         return;
     }
--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -52,6 +52,7 @@
     const ProxyRequest *request = find(localId);
     if (request && !request->relay) {
         recordConnected(request->upstream.address);
+        m_placement->recordReached(processOf(request->upstream));
     }
 }
 
@@ -60,14 +61,17 @@
 {
     releaseCall(request);
     if (request.relay) {
-        handleAttemptEnd(request, AttemptEnd::NotSent, v1::PLACEMENT_FAILED);
+        handleAttemptEnd(request, AttemptEnd::NotSent, v1::PLACEMENT_UNREACHABLE);
         return;
     }
     recordConnectFailure(request.upstream.address, request.sentAt);
     if (mayUseRelay(request)) {
         resend(request);
+    } else if (m_path.isLost()) {
+        handleAttemptEnd(request, AttemptEnd::NotSent, v1::PLACEMENT_CANCELLED);
     } else {
-        handleAttemptEnd(request, AttemptEnd::NotSent, m_path.isLost() ? v1::PLACEMENT_CANCELLED : v1::PLACEMENT_FAILED);
+        m_placement->recordUnreachable(processOf(request.upstream));
+        handleAttemptEnd(request, AttemptEnd::NotSent, v1::PLACEMENT_UNREACHABLE);
     }
 }
 
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -101,7 +101,7 @@
 /// The grant was under way when the upstream asked for a pause, or said that it is leaving.
 bool ProxyTask::isHeld(const UpstreamInstance &upstream) const
 {
-    return m_placement->isHeld(UpstreamProcess{.name = upstream.name, .startedAtMs = upstream.startedAtMs});
+    return m_placement->isHeld(processOf(upstream));
 }
 
 void ProxyTask::returnGrant(ProxyRequest &request, const UpstreamInstance &upstream, TimePoint now)
--- a/tests/placement/upstreampooltest.cpp
+++ b/tests/placement/upstreampooltest.cpp
@@ -395,3 +395,16 @@
     CHECK(pool.choose(AnyDraft, Start).remoteMayHelp);
     CHECK_FALSE(pool.choose(AnyDraft, Start).upstream);
 }
+
+// Guards against a sound upstream that is ejected for all VMs since a single one has lost its own path.
+TEST_CASE("an upstream is ejected when several VMs can't reach it, not when one can't")
+{
+    UpstreamPool pool({.localDataCentre = LocalDataCentre});
+    pool.setList({instance("a")});
+    for (int failure = 0; failure < 5; ++failure) {
+        pool.recordUnreachable(InstanceName{"a"}, VmName{"10.0.0.1"}, Start);
+    }
+    CHECK(chosen(pool, Start) == "a");
+    pool.recordUnreachable(InstanceName{"a"}, VmName{"10.0.0.2"}, Start);
+    CHECK(chosen(pool, Start).empty());
+}
