A cancelled call to an upstream never sends its request

Cause: a call that is cancelled, or whose connection timed out, frees its connection after the callback in progress. If the connection had just been established, its event was already due, and libevent wrote the request although it counted as not sent; it was then sent again on another path. Change: a closed call takes its connection's callbacks away, so nothing is written after it.

--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -178,6 +178,12 @@
     }
     m_closed = true;
     m_timer.stop();
+    if (m_connection) {
+        // Until the connection is freed, an event that is already due could still open it or write the request.
+        bufferevent *connection = evhttp_connection_get_bufferevent(m_connection);
+        bufferevent_disable(connection, EV_READ | EV_WRITE);
+        bufferevent_setcb(connection, nullptr, nullptr, nullptr, nullptr);
+    }
     // The loop keeps the reference until the current callback has returned; releasing the last one frees the connection.
     m_loop.releaseLater(shared_from_this());
 }
