Requests that end while a VM's path is lost don't end its process

Cause: when the path is lost, the requests whose connections are being opened are sent again; one that ends at this, since its upstream pauses and it has used up its attempts, was erased from the map in iteration. Change: their ids are collected first. Evidence: a test loses the path again and again under 48 callers; each request is answered and none runs twice.

--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -127,8 +127,16 @@
     m_metrics.counter("cumindyke_lost_paths_total", "Times this VM lost its path to all upstreams", {}).add();
     updateRelayAvailability();
     m_probeTimer.startOnce(Duration::zero());
+    std::vector<LocalRequestId> connecting;
     for (const auto &[localId, request] : m_requests) {
-        if (request->call && !request->call->isSent() && !request->relay && mayUseRelay(*request)) {
+        if (request->call && !request->call->isSent() && !request->relay) {
+            connecting.push_back(localId);
+        }
+    }
+    // A request may end when it is sent again.
+    for (const LocalRequestId localId : connecting) {
+        ProxyRequest *request = find(localId);
+        if (request && request->call && mayUseRelay(*request)) {
             resend(*request);
         }
     }
--- a/tests/proxy/pathlosstest.cpp
+++ b/tests/proxy/pathlosstest.cpp
@@ -11,8 +11,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
+#include <map>
 #include <set>
+#include <thread>
 
 using namespace cumindyke;
 using namespace cumindyke::test;
@@ -23,7 +26,7 @@
 constexpr std::uint16_t RelayPort = 7614;
 
 /// How a cut VM's connections to upstreams fail.
-enum class Cut { None, Refused, Hangs };
+enum class Cut { None, Refused, Hangs, PartlyRefused };
 
 /// An address whose connections hang: its queue of connections is full, and nobody accepts.
 class HangingAddress
@@ -158,6 +161,8 @@
             return Address{.host = upstream.host, .port = 1};
         case Cut::Hangs:
             return hanging.address();
+        case Cut::PartlyRefused:
+            return upstream.host == network.host(FirstPlatformHost + 1) ? upstream : Address{.host = upstream.host, .port = 1};
         }
         return upstream;
     }
@@ -251,3 +256,37 @@
         return vms.servedCount(0, "back" + std::to_string(vms.platform.seen().size()), 5) == 5 && relayedCount() == before;
     }));
 }
+
+// Guards against a crash when a request ends while the others are moved to another path.
+TEST_CASE("a VM that loses its path again and again under load answers every request, and runs none twice")
+{
+    constexpr int Callers = 48;
+    constexpr int Changes = 8;
+    EntryVmTasks vms(3, 12);
+    REQUIRE(eventually([&] { return vms.isServed(0, "warm" + std::to_string(vms.platform.seen().size())); }));
+    std::atomic<bool> isOver = false;
+    std::atomic<int> unanswered = 0;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (int sent = 0; !isOver; ++sent) {
+                const std::string id = "load" + std::to_string(caller) + "-" + std::to_string(sent);
+                unanswered += vms.request(0, id).status == 0 ? 1 : 0;
+            }
+        });
+    }
+    for (int change = 0; change < Changes; ++change) {
+        constexpr std::array Cuts{Cut::PartlyRefused, Cut::Hangs, Cut::PartlyRefused, Cut::None};
+        vms.cuts[0] = Cuts[static_cast<std::size_t>(change) % Cuts.size()];
+        std::this_thread::sleep_for(std::chrono::milliseconds(change % 2 == 0 ? 750 : 350));
+    }
+    isOver = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    CHECK(unanswered == 0);
+    std::map<std::string, int> runs;
+    for (const SeenRequest &run : vms.platform.seen()) {
+        CHECK(++runs[run.header("Cumindyke-Request-Id")] == 1);
+    }
+}
