A VM that has lost its paths to most upstreams sends to these through other VMs

Change: PathMonitor keeps the outcome of the last attempt at each upstream for 4 s. When four or more are lost, and more than are reached, these are reached through other VMs, and probed in turn; the others directly.

--- a/src/proxy/pathmonitor.h
+++ b/src/proxy/pathmonitor.h
@@ -2,7 +2,7 @@
 
 #include "common/types.h"
 
-#include <algorithm>
+#include <map>
 #include <vector>
 
 namespace cumindyke
@@ -14,7 +14,7 @@
     TimedOut, ///< nothing answered
 };
 
-/// Whether this VM itself has lost its network path to the upstreams, as opposed to an upstream that has ended. Pure: time is an argument.
+/// Whether this VM itself has lost its network path to the upstreams, or to most of them, as opposed to upstreams that have ended. Pure: time is an argument.
 ///
 /// Guards against laying a VM's own lost path on the upstreams: it would eject sound upstreams for the VMs that reach them, and refuse its own callers
 /// although other VMs could send their requests.
@@ -23,53 +23,48 @@
 public:
     /// Records a connection to an upstream that this VM opened itself.
     void recordConnected(const Address &upstream, TimePoint now);
-    /// Records a failed attempt that began at "startedAt". One that overlaps with a successful connection says nothing about the path.
-    void recordFailure(const Address &upstream, ConnectFailure failure, TimePoint startedAt);
-    /// Whether requests should be sent through another VM.
-    bool isLost() const
+    /// Records a failed attempt that began at "startedAt". One that overlaps with a successful connection is no sign that all paths are lost.
+    void recordFailure(const Address &upstream, ConnectFailure failure, TimePoint startedAt, TimePoint now);
+    /// Whether the paths to all upstreams, or to most of those that were tried lately, are lost.
+    bool isLost(TimePoint now) const
     {
-        return m_weight >= LostWeight;
-    }
-    /// Upstreams that were reached lately, the latest first; if there are none, the first that was not. A connection to any of them proves that the path is
-    /// back.
-    const std::vector<Address> &probeTargets() const
-    {
-        return m_probeTargets;
+        return isAllLost() || isMostLost(now);
     }
+    /// Whether requests to this upstream should be sent through another VM.
+    bool isLostTo(const Address &upstream, TimePoint now) const;
+    /// Upstreams to connect to in order to find out whether the path is back.
+    std::vector<Address> probeTargets(TimePoint now) const;
 
 private:
     /// An upstream that has just ended refuses too, so one refusal is no proof; a timeout outlasts many connections of a busy VM.
     static constexpr int RefusedWeight = 1;
     static constexpr int TimedOutWeight = 2;
     static constexpr int LostWeight = 2;
+    /// More upstreams than usually end together.
+    static constexpr std::size_t MinLostUpstreams = 4;
     static constexpr std::size_t MaxProbeTargets = 3;
+    /// The outcome of an older attempt says nothing.
+    static constexpr Duration OutcomeLifetime = std::chrono::seconds(4);
 
-    int m_weight = 0;
-    TimePoint m_connectedAt{};
-    std::vector<Address> m_probeTargets;
-};
+    struct Outcome
+    {
+        bool isConnected = false;
+        TimePoint at{};
+    };
 
-inline void PathMonitor::recordConnected(const Address &upstream, TimePoint now)
-{
-    m_weight = 0;
-    m_connectedAt = now;
-    if (!m_probeTargets.empty() && m_probeTargets.front() == upstream) {
-        return;
+    bool isAllLost() const
+    {
+        return m_weight >= LostWeight;
     }
-    std::erase(m_probeTargets, upstream);
-    m_probeTargets.insert(m_probeTargets.begin(), upstream);
-    m_probeTargets.resize(std::min(m_probeTargets.size(), MaxProbeTargets));
-}
+    bool isMostLost(TimePoint now) const;
+    void recordOutcome(const Address &upstream, bool isConnected, TimePoint now);
 
-inline void PathMonitor::recordFailure(const Address &upstream, ConnectFailure failure, TimePoint startedAt)
-{
-    if (startedAt < m_connectedAt) {
-        return;
-    }
-    m_weight = std::min(m_weight + (failure == ConnectFailure::Refused ? RefusedWeight : TimedOutWeight), LostWeight);
-    if (m_probeTargets.empty()) {
-        m_probeTargets.push_back(upstream);
-    }
-}
+    int m_weight = 0;
+    TimePoint m_connectedAt{};
+    /// Of the last attempt at each upstream.
+    std::map<Address, Outcome> m_outcomes;
+    /// Reached last; a probe target when no outcome is left.
+    Address m_lastReached;
+};
 
 }
--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -4,6 +4,8 @@
 
 #include "common/log.h"
 
+#include <utility>
+
 namespace cumindyke
 {
 
@@ -67,7 +69,7 @@
     recordConnectFailure(request.upstream.address, request.sentAt);
     if (mayUseRelay(request)) {
         resend(request);
-    } else if (m_path.isLost()) {
+    } else if (m_path.isLostTo(request.upstream.address, EventLoop::now())) {
         handleAttemptEnd(request, AttemptEnd::NotSent, v1::PLACEMENT_CANCELLED);
     } else {
         m_placement->recordUnreachable(processOf(request.upstream));
@@ -77,7 +79,8 @@
 
 bool ProxyTask::mayUseRelay(const ProxyRequest &request) const
 {
-    return m_relayServer && m_path.isLost() && m_relays.hasUsable(request.parsed.homeRegions, EventLoop::now());
+    const TimePoint now = EventLoop::now();
+    return m_relayServer && m_path.isLostTo(request.upstream.address, now) && m_relays.hasUsable(request.parsed.homeRegions, now);
 }
 
 void ProxyTask::handleRelayFailure(ProxyRequest &request)
@@ -101,22 +104,30 @@
 
 void ProxyTask::recordConnected(const Address &upstream)
 {
-    const bool wasLost = m_path.isLost();
     m_path.recordConnected(upstream, EventLoop::now());
-    if (wasLost) {
-        m_probeTimer.startOnce(Duration::zero());
-        updateRelayAvailability();
-        logChange("proxy", "path-regained", {{"upstream", toString(upstream)}});
-    }
+    updatePath(upstream);
 }
 
 void ProxyTask::recordConnectFailure(const Address &upstream, TimePoint startedAt)
 {
-    const bool wasLost = m_path.isLost();
-    const bool hasTimedOut = EventLoop::now() - startedAt >= ConnectTimeout;
-    m_path.recordFailure(upstream, hasTimedOut ? ConnectFailure::TimedOut : ConnectFailure::Refused, startedAt);
-    if (!wasLost && m_path.isLost()) {
+    const TimePoint now = EventLoop::now();
+    const bool hasTimedOut = now - startedAt >= ConnectTimeout;
+    m_path.recordFailure(upstream, hasTimedOut ? ConnectFailure::TimedOut : ConnectFailure::Refused, startedAt, now);
+    updatePath(upstream);
+}
+
+void ProxyTask::updatePath(const Address &lastTried)
+{
+    const bool isLost = m_path.isLost(EventLoop::now());
+    if (std::exchange(m_isPathLost, isLost) == isLost) {
+        return;
+    }
+    updateRelayAvailability();
+    m_probeTimer.startOnce(Duration::zero());
+    if (isLost) {
         handlePathLost();
+    } else {
+        logChange("proxy", "path-regained", {{"upstream", toString(lastTried)}});
     }
 }
 
@@ -125,8 +136,6 @@
 {
     logWarning("proxy", "path-lost", {{"requests", std::to_string(m_requests.size())}});
     m_metrics.counter("cumindyke_lost_paths_total", "Times this VM lost its path to all upstreams", {}).add();
-    updateRelayAvailability();
-    m_probeTimer.startOnce(Duration::zero());
     std::vector<LocalRequestId> connecting;
     for (const auto &[localId, request] : m_requests) {
         if (request->call && !request->call->isSent() && !request->relay) {
@@ -145,20 +154,23 @@
 void ProxyTask::updateRelayAvailability()
 {
     if (m_relayServer) {
-        m_relayServer->setAvailable(!m_drain && !m_path.isLost());
+        m_relayServer->setAvailable(!m_drain && !m_isPathLost);
     }
 }
 
 void ProxyTask::probePath()
 {
     m_pathProbes.clear();
-    if (!m_path.isLost()) {
+    if (!m_isPathLost) {
         return;
     }
-    for (const Address &target : m_path.probeTargets()) {
-        const auto onResult = [this, target](Liveness liveness) {
+    const TimePoint now = EventLoop::now();
+    for (const Address &target : m_path.probeTargets(now)) {
+        const auto onResult = [this, target, now](Liveness liveness) {
             if (liveness == Liveness::Answers) {
                 recordConnected(target);
+            } else {
+                recordConnectFailure(target, now);
             }
         };
         m_pathProbes.push_back(std::make_shared<LivenessCheck>(m_loop, connectAddress(target), onResult));
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -49,7 +49,7 @@
                      .vm = m_options.vm,
                      .propose = m_options.propose,
                      .post = [this](SuspectReply reply) { post(std::move(reply)); },
-                     .isPathLost = [this] { return m_path.isLost(); },
+                     .isPathLost = [this] { return m_path.isLost(EventLoop::now()); },
                  },
                  metrics)
     , m_cleanUpTimer(m_loop, [this] { cleanUp(); })
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -175,6 +175,7 @@
     void resend(ProxyRequest &request);
     void recordConnected(const Address &upstream);
     void recordConnectFailure(const Address &upstream, TimePoint startedAt);
+    void updatePath(const Address &lastTried);
     void handlePathLost();
     void probePath();
     void updateRelayAvailability();
@@ -205,6 +206,7 @@
     std::unique_ptr<HttpServer> m_readinessDoor;
     std::unique_ptr<PlacementHost> m_placement;
     PathMonitor m_path;
+    bool m_isPathLost = false;
     RelayChoice m_relays;
     /// Null without a relay address.
     std::unique_ptr<RelayServer> m_relayServer;
--- a/tests/proxy/pathmonitortest.cpp
+++ b/tests/proxy/pathmonitortest.cpp
@@ -44,34 +44,53 @@
 {
     PathMonitor path;
     path.recordConnected(One, after(10));
-    path.recordFailure(Two, ConnectFailure::TimedOut, after(0));
-    path.recordFailure(Two, ConnectFailure::Refused, after(20));
-    CHECK_FALSE(path.isLost());
+    path.recordFailure(Two, ConnectFailure::TimedOut, after(0), after(15));
+    path.recordFailure(Two, ConnectFailure::Refused, after(20), after(21));
+    CHECK_FALSE(path.isLost(after(21)));
     path.recordConnected(One, after(30));
-    path.recordFailure(Two, ConnectFailure::Refused, after(40));
-    CHECK_FALSE(path.isLost());
+    path.recordFailure(Two, ConnectFailure::Refused, after(40), after(41));
+    CHECK_FALSE(path.isLost(after(41)));
 }
 
 TEST_CASE("a path is lost after a timeout, or two refusals, without any connection, until the next connection")
 {
     PathMonitor path;
     path.recordConnected(One, after(0));
-    path.recordFailure(One, ConnectFailure::TimedOut, after(10));
-    CHECK(path.isLost());
-    CHECK(path.probeTargets() == std::vector{One});
+    path.recordFailure(Two, ConnectFailure::TimedOut, after(10), after(310));
+    CHECK(path.isLostTo(One, after(310)));
+    CHECK(path.probeTargets(after(310)) == std::vector{One, Two});
     path.recordConnected(One, after(400));
-    CHECK_FALSE(path.isLost());
-    path.recordFailure(One, ConnectFailure::Refused, after(500));
-    path.recordFailure(Two, ConnectFailure::Refused, after(501));
-    CHECK(path.isLost());
+    CHECK_FALSE(path.isLost(after(400)));
+    path.recordFailure(One, ConnectFailure::Refused, after(500), after(500));
+    path.recordFailure(Two, ConnectFailure::Refused, after(501), after(501));
+    CHECK(path.isLost(after(501)));
 }
 
 TEST_CASE("a VM that has never reached an upstream probes the one that it failed to reach")
 {
     PathMonitor path;
-    path.recordFailure(Two, ConnectFailure::TimedOut, after(0));
-    CHECK(path.isLost());
-    CHECK(path.probeTargets() == std::vector{Two});
+    path.recordFailure(Two, ConnectFailure::TimedOut, after(0), after(300));
+    CHECK(path.isLost(after(300)));
+    CHECK(path.probeTargets(after(300)) == std::vector{Two});
+}
+
+// Guards against refusing the callers of a VM that still reaches one upstream of many.
+TEST_CASE("a VM that reaches few of many upstreams sends to the others through another VM")
+{
+    const auto upstream = [](int number) { return Address{.host = "10.0.9." + std::to_string(number), .port = 80}; };
+    PathMonitor path;
+    for (int number = 2; number <= 5; ++number) {
+        path.recordConnected(One, after(number * 10));
+        CHECK_FALSE(path.isLost(after(number * 10)));
+        path.recordFailure(upstream(number), ConnectFailure::Refused, after(0), after(number * 10));
+    }
+    CHECK(path.isLostTo(upstream(2), after(60)));
+    CHECK_FALSE(path.isLostTo(One, after(60)));
+    CHECK(path.probeTargets(after(60)) == std::vector{upstream(2), upstream(3), upstream(4)});
+    for (int number = 2; number <= 3; ++number) {
+        path.recordConnected(upstream(number), after(70));
+    }
+    CHECK_FALSE(path.isLost(after(70)));
 }
 
 // Guards against one relay that gets all requests, and against traffic between data centres while a local relay works.
