--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-/// Interval of the attempts to reach an upstream directly while the path is lost.
-constexpr Duration ProbeInterval = std::chrono::milliseconds(250);
+/// Interval of the attempts to reach upstreams directly while the path is lost; each attempt ends before the next.
+constexpr Duration ProbeInterval = LivenessCheck::MaxTime + std::chrono::milliseconds(50);
 
 }
 
