A stream is taken from a silent upstream after 1.7 s

Cause: a sound upstream may say nothing for a second or so, and a resumable stream was begun a second time at another one after 1.2 s. Change: 1.7 s; callers leave a stream after two.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -16,7 +16,7 @@
 {
 
 /// After this time without data, a stream that another upstream can resume is taken from its upstream.
-constexpr Duration ResumeTimeout = std::chrono::milliseconds(1200);
+constexpr Duration ResumeTimeout = std::chrono::milliseconds(1700);
 /// A larger plain answer is forwarded as it arrives, without waiting for its end.
 constexpr std::size_t MaxBufferedBytes = 256 << 10;
 constexpr Duration RetryAfterRefusal = std::chrono::milliseconds(200);
--- a/tests/fakeplatform/fakeplatform.cpp
+++ b/tests/fakeplatform/fakeplatform.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr int Events = 3;
+constexpr Duration EventInterval = std::chrono::milliseconds(100);
+constexpr Duration SlowEventInterval = std::chrono::milliseconds(1400);
 /// From the start of a crashing request's run to the end of the process.
 constexpr Duration TimeToCrash = std::chrono::milliseconds(30);
 
@@ -34,12 +36,12 @@
 /// A streamed answer, sent one event at a time.
 struct FakePlatform::Stream
 {
-    Stream(EventLoop &loop, std::string streamUpstream, std::shared_ptr<Exchange> streamExchange)
+    Stream(EventLoop &loop, std::string streamUpstream, std::shared_ptr<Exchange> streamExchange, Duration interval)
         : upstream(std::move(streamUpstream))
         , exchange(std::move(streamExchange))
         , timer(loop, [this] { next(); })
     {
-        timer.startEvery(std::chrono::milliseconds(100));
+        timer.startEvery(interval);
     }
 
     void next()
@@ -304,9 +306,10 @@
             exchange->addHeader("Server-Limit", m_requestLimit);
         }
     }
-    if (endsWith(exchange->path(), "/stream")) {
+    const bool isSlow = endsWith(exchange->path(), "/slow-stream");
+    if (isSlow || endsWith(exchange->path(), "/stream")) {
         exchange->startStream(200, "text/event-stream");
-        m_streams.push_back(std::make_unique<Stream>(m_loop, instance, exchange));
+        m_streams.push_back(std::make_unique<Stream>(m_loop, instance, exchange, isSlow ? SlowEventInterval : EventInterval));
         return;
     }
     exchange->reply(200, "text/plain", "ran " + exchange->target() + " " + exchange->body());
--- a/tests/fakeplatform/fakeplatform.h
+++ b/tests/fakeplatform/fakeplatform.h
@@ -31,9 +31,9 @@
 };
 
 /// A fake of the users' platform for tests with real daemons: serves the list of upstreams, and upstreams that answer every path according to the
-/// platform's protocol. A path that ends with "/stream" is answered with three events, 100 ms apart; one that ends with "/full" is refused without
-/// running. A request whose body is CrashingBody ends the process of an upstream with its own address: its sockets are closed, and a successor with
-/// another name starts at the address after RestartDelay.
+/// platform's protocol. A path that ends with "/stream" is answered with three events, 100 ms apart, "/slow-stream" 1.4 s apart; one that ends with "/full" is
+/// refused without running. A request whose body is CrashingBody ends the process of an upstream with its own address: its sockets are closed, and a successor
+/// with another name starts at the address after RestartDelay.
 class FakePlatform
 {
 public:
--- a/tests/platform/signalstest.cpp
+++ b/tests/platform/signalstest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <atomic>
 #include <thread>
@@ -109,3 +111,25 @@
     CHECK(system.platform.refusals().size() > 1);
     CHECK(mostInOneSecond(system.platform.refusals()) <= 3);
 }
+
+// Guards against a second run of a stream whose sound upstream says nothing for a second or so.
+TEST_CASE("process: a stream whose upstream falls silent for over a second runs once and comes whole")
+{
+    System system({}, Upstreams);
+    nlohmann::json document = nlohmann::json::parse(documentOf(1));
+    document["routes"][1]["streamResume"] = true;
+    document["routes"][1]["maxAttempts"] = 2;
+    document["routes"][1]["timeoutMs"] = 10'000;
+    REQUIRE(system.publish(document.dump()));
+    REQUIRE(system.waitUntilReady());
+    HttpAnswer answer;
+    int round = 0;
+    REQUIRE(eventually([&] {
+        HeaderList headers = callerHeaders("silent" + std::to_string(round++));
+        headers[2].second = "9000";
+        answer = http(system.callerAddress(), "POST", "/drafts/slow-stream", headers, "draft");
+        return answer.status == 200;
+    }));
+    CHECK(answer.body.find("part 3") != std::string::npos);
+    CHECK(system.platform.seen().size() == 1);
+}
