--- a/tests/platform/signalstest.cpp
+++ b/tests/platform/signalstest.cpp
@@ -77,7 +77,7 @@
     const std::string pausing = startServing(system);
     system.platform.setRefusing(pausing, {{"Retry-After", "4"}});
     sendFor(system, "pause", std::chrono::milliseconds(2500));
-    CHECK(system.platform.refusals().size() > 0);
+    CHECK_FALSE(system.platform.refusals().empty());
     // Each VM learns it by its own first requests.
     CHECK(system.platform.refusals().size() <= 2 * EntryVms);
     system.platform.setRefusing({});
--- a/tests/proxy/pathlosstest.cpp
+++ b/tests/proxy/pathlosstest.cpp
@@ -45,7 +45,7 @@
         m_address = Address{.host = host, .port = ntohs(bound.sin_port)};
         for (int &caller : m_callers) {
             caller = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            connect(caller, reinterpret_cast<sockaddr *>(&bound), sizeof bound);
+            static_cast<void>(connect(caller, reinterpret_cast<sockaddr *>(&bound), sizeof bound));
         }
     }
     ~HangingAddress()
