The front door keeps the pause that an upstream asks for

Cause: the same as on the routed path: Retry-After of a refusal was not read, and the upstream was probed after half a second. Change: the ejection lasts at least as long as the pause; a pause named in the middle of an ejection makes it longer. Evidence: the decision test fails without it. The front door knows no relay, and no word of leaving in answers: it reads the platform's list and reports.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -39,9 +39,9 @@
     dispatchAllQueued(now);
 }
 
-void Dispatcher::onUpstreamRefused(const UpstreamName &upstream, TimePoint now)
+void Dispatcher::onUpstreamRefused(const UpstreamName &upstream, TimePoint now, Duration pause)
 {
-    m_availability.recordRefusal(upstream, now);
+    m_availability.recordRefusal(upstream, now, pause);
     refreshAvailability(now);
 }
 
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -41,7 +41,7 @@
     void dispatchQueued(const ServiceName &service, TimePoint now);
     void dispatchAllQueued(TimePoint now);
     /// Records that an upstream refused a request without running it, or can't be reached.
-    void onUpstreamRefused(const UpstreamName &upstream, TimePoint now);
+    void onUpstreamRefused(const UpstreamName &upstream, TimePoint now, Duration pause = {});
     /// Records that an upstream accepted a request.
     void onUpstreamAccepted(const UpstreamName &upstream, TimePoint now);
     /// Sets the upstreams that take no new work because they will stop.
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -435,7 +435,7 @@
         finish(id, EventLoop::now() <= active->request.deadline ? RequestEnd::OnTime : RequestEnd::Late);
         break;
     case AttemptResult::Kind::NotRun:
-        onAttemptNotRun(*active);
+        onAttemptNotRun(*active, result.pause);
         break;
     case AttemptResult::Kind::Failed:
         m_suspects.recordAnswer(id, active->content(), active->suspectState);
@@ -448,13 +448,13 @@
 }
 
 /// Queues the request again: an attempt proved not to have run is the only one that may be followed by another attempt.
-void EntryTask::onAttemptNotRun(ActiveRequest &active)
+void EntryTask::onAttemptNotRun(ActiveRequest &active, Duration pause)
 {
     const TimePoint now = EventLoop::now();
     releaseSlot(active);
     if (active.lifecycle.upstream()) {
         m_history.write("proved-not-run", active.request.id, now, {{"upstream", active.lifecycle.upstream()->value}});
-        m_dispatcher.onUpstreamRefused(*active.lifecycle.upstream(), now);
+        m_dispatcher.onUpstreamRefused(*active.lifecycle.upstream(), now, pause);
     }
     active.lifecycle.markNotRun();
     if (active.lifecycle.notRunDispatches() >= MaxNotRunDispatches) {
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -107,7 +107,7 @@
     void refuseSuspect(const RequestId &id, const SuspectRefusal &refusal);
     void dispatch(const RequestId &id, const Slot &slot, const Upstream &upstream);
     void onAttemptEnded(const RequestId &id, const AttemptResult &result);
-    void onAttemptNotRun(ActiveRequest &active);
+    void onAttemptNotRun(ActiveRequest &active, Duration pause);
     void onCallerDisconnected(const RequestId &id);
     void abandon(const RequestId &id, const Error &error);
     void abandonWithOutcome(const RequestId &id, const Error &error, RunOutcome outcome);
--- a/src/entry/upstreamattempt.cpp
+++ b/src/entry/upstreamattempt.cpp
@@ -1,6 +1,7 @@
 #include "entry/upstreamattempt.h"
 
 #include "entry/headers.h"
+#include "upstream/answersignals.h"
 
 #include <algorithm>
 
@@ -225,7 +226,8 @@
     if (m_stream) {
         m_counters.duplicateEvents.add(static_cast<double>(m_stream->duplicateCount()));
     }
-    m_ended.emit(AttemptResult{.kind = kind, .status = m_head.status, .failureBody = m_failureBody});
+    const AnswerSignals signals = parseAnswerSignals(m_head, SignalHeaders{.pause = "Retry-After", .leaving = {}, .refusalLimit = {}});
+    m_ended.emit(AttemptResult{.kind = kind, .status = m_head.status, .failureBody = m_failureBody, .pause = signals.pause.value_or(Duration::zero())});
 }
 
 }
--- a/src/entry/upstreamattempt.h
+++ b/src/entry/upstreamattempt.h
@@ -27,6 +27,8 @@
     int status = 0;
     /// The beginning of the body of the upstream's error answer, for the caller.
     std::string failureBody;
+    /// For how long the upstream asked for no further request; zero: it did not.
+    Duration pause{};
 };
 
 /// Metrics shared by all attempts of a VM.
--- a/src/upstream/availability.cpp
+++ b/src/upstream/availability.cpp
@@ -15,16 +15,17 @@
 
 }
 
-void Availability::recordRefusal(const UpstreamName &upstream, TimePoint now)
+void Availability::recordRefusal(const UpstreamName &upstream, TimePoint now, Duration pause)
 {
     Ejection &ejection = m_ejections[upstream];
     // Requests that were sent together are refused together and count as one refusal.
     if (!ejection.isProbing && now < ejection.ejectedUntil) {
+        ejection.ejectedUntil = std::max(ejection.ejectedUntil, now + pause);
         return;
     }
     ejection.isProbing = false;
     ejection.ejectionTime = ejection.ejectionTime == Duration::zero() ? MinEjectionTime : std::min(ejection.ejectionTime * 2, MaxEjectionTime);
-    ejection.ejectedUntil = now + ejection.ejectionTime;
+    ejection.ejectedUntil = now + std::max(ejection.ejectionTime, pause);
 }
 
 void Availability::recordAcceptance(const UpstreamName &upstream)
--- a/src/upstream/availability.h
+++ b/src/upstream/availability.h
@@ -18,8 +18,9 @@
 class Availability
 {
 public:
-    /// Records that the upstream refused a request without running it, or that no connection to it could be made.
-    void recordRefusal(const UpstreamName &upstream, TimePoint now);
+    /// Records that the upstream refused a request without running it, or that no connection to it could be made. "pause": for how long it asked for no
+    /// further request; zero: it did not.
+    void recordRefusal(const UpstreamName &upstream, TimePoint now, Duration pause = {});
     /// Records that the upstream accepted a request.
     void recordAcceptance(const UpstreamName &upstream);
     /// Records that a request is sent to the upstream. If it is a probe, no other request follows until its result or ProbeTimeout.
--- a/tests/upstream/availabilitytest.cpp
+++ b/tests/upstream/availabilitytest.cpp
@@ -56,3 +56,16 @@
     availability.setDraining({});
     CHECK(availability.isUsable(Runner, Start));
 }
+
+// Guards against a probe in the middle of a pause that the upstream asked for.
+TEST_CASE("an upstream that asks for a pause gets no work until it is over, whatever its ejection time")
+{
+    Availability availability;
+    availability.recordRefusal(Runner, Start, 4s);
+    CHECK_FALSE(availability.isUsable(Runner, Start + 3999ms));
+    CHECK(availability.isUsable(Runner, Start + 4s));
+    availability.recordAcceptance(Runner);
+    availability.recordRefusal(Runner, Start);
+    availability.recordRefusal(Runner, Start + 100ms, 2s);
+    CHECK_FALSE(availability.isUsable(Runner, Start + 2099ms));
+}
