A brittle upstream is left to the placement server of its own data centre

Cause: servers of several data centres can grant the same free slot, since each knows the others' grants some milliseconds late; what is too much is refused, and a brittle upstream crashes after some refusals. Change: as limited and cold upstreams, it gets requests from its own data centre's server only. Evidence: the decision test grants it without the check.

--- a/src/placement/upstreamchoice.cpp
+++ b/src/placement/upstreamchoice.cpp
@@ -34,8 +34,9 @@
 bool UpstreamPool::isUsable(const Upstream &upstream, TimePoint now) const
 {
     const bool isStale = m_listInParts && upstream.isRemote && m_listReadable && now - upstream.lastListedAt > MaxListAge;
-    // A limited upstream is left to the placement server of its own data centre, which alone can keep to the limit.
-    const bool isLeftToOthers = upstream.isRemote && (upstream.rates->named.isLimited() || (upstream.isCold && upstream.coldRate > 0));
+    // A limited upstream is left to the placement server of its own data centre, which alone can keep to the limit, or to the slots of a brittle one.
+    const bool isLimited = upstream.rates->named.isLimited() || (upstream.isCold && upstream.coldRate > 0) || now < upstream.brittleUntil;
+    const bool isLeftToOthers = upstream.isRemote && isLimited;
     const bool isEvacuated = m_evacuated.contains(upstream.instance.dataCentre);
     return !isStale && !isLeftToOthers && !isEvacuated && !upstream.instance.draining && !upstream.isLeaving && now >= upstream.ejectedUntil;
 }
--- a/tests/placement/upstreamsignalstest.cpp
+++ b/tests/placement/upstreamsignalstest.cpp
@@ -175,3 +175,17 @@
     CHECK(later.ask(server, after(1000)).empty());
     CHECK(later.ask(server, after(1300)) == "a");
 }
+
+// Guards against servers of several data centres that grant the same slot of a brittle upstream, since their notices are some milliseconds old.
+TEST_CASE("a brittle upstream is left to the placement server of its own data centre")
+{
+    UpstreamInstance remote = upstream("a");
+    remote.dataCentre = DataCentreName{"dc-b"};
+    PlacementServer server = serverWith({remote});
+    EntryVm told{.vm = Vm1, .signals = {}};
+    CHECK(told.ask(server, Start) == "a");
+    told.signals.recordRefusalLimit(ProcessA, 3, Start);
+    CHECK(told.ask(server, Start).empty());
+    server.setList({remote}, after(3500));
+    CHECK(EntryVm{.vm = Vm2, .signals = {}}.ask(server, after(3500)) == "a");
+}
