A VM whose failed connections are out of date takes its paths for sound again

Cause: whether most paths are lost was decided anew at connections only, so a VM without requests would have refused to relay for as long as it had none. Change: each round of probes decides it too. Evidence: the decision test covers the expiry of outcomes; the idle VM itself is by reading.

--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -127,7 +127,7 @@
     if (isLost) {
         handlePathLost();
     } else {
-        logChange("proxy", "path-regained", {{"upstream", toString(lastTried)}});
+        logChange("proxy", "path-regained", {{"upstream", lastTried.host.empty() ? "" : toString(lastTried)}});
     }
 }
 
@@ -161,6 +161,8 @@
 void ProxyTask::probePath()
 {
     m_pathProbes.clear();
+    // Outcomes expire, also on a VM that gets no requests.
+    updatePath({});
     if (!m_isPathLost) {
         return;
     }
--- a/tests/proxy/pathmonitortest.cpp
+++ b/tests/proxy/pathmonitortest.cpp
@@ -87,6 +87,8 @@
     CHECK(path.isLostTo(upstream(2), after(60)));
     CHECK_FALSE(path.isLostTo(One, after(60)));
     CHECK(path.probeTargets(after(60)) == std::vector{upstream(2), upstream(3), upstream(4)});
+    CHECK(path.isLost(after(4020)));
+    CHECK_FALSE(path.isLost(after(4100)));
     for (int number = 2; number <= 3; ++number) {
         path.recordConnected(upstream(number), after(70));
     }
