--- a/src/placement/upstreamsignals.h
+++ b/src/placement/upstreamsignals.h
@@ -53,7 +53,7 @@
     static constexpr Duration MaxUnreachableTime = std::chrono::seconds(4);
     /// Longer than any process takes to leave.
     static constexpr Duration LeavingTime = std::chrono::minutes(10);
-    /// An unchanged refusal limit is reported again after this time; servers forget it after PlacementServer's own time.
+    /// An unchanged refusal limit is reported again after this time, before servers forget it.
     static constexpr Duration RepeatTime = std::chrono::seconds(1);
 
     struct Signals
--- a/tests/daemon/settingstest.cpp
+++ b/tests/daemon/settingstest.cpp
@@ -35,6 +35,15 @@
     CHECK(problemOf(std::string("vm = \"vm-1\"\nreplicas = [\"vm-3\"]\n") + Peers).find("neither this VM nor a peer") != std::string::npos);
 }
 
+// Guards against a relay that can't bind its address, beside the server of the other VMs' calls.
+TEST_CASE("relay_port requires peer_port and a different port")
+{
+    const std::string byAddress = "vm = \"127.0.0.1\"\npeer_port = 7600\n";
+    CHECK(problemOf(byAddress + "relay_port = 7601\n").empty());
+    CHECK(problemOf(byAddress + "relay_port = 7600\n").find("another port") != std::string::npos);
+    CHECK(problemOf("relay_port = 7601\n").find("needs peer_port") != std::string::npos);
+}
+
 // Guards against one socket for placement and lease datagrams, where each receiver would drop the other's messages.
 TEST_CASE("lease_port requires peer_port and a different port")
 {
--- a/tests/fakeplatform/platformsystem.h
+++ b/tests/fakeplatform/platformsystem.h
@@ -93,8 +93,9 @@
         }
         const bool isControl = vm <= ControlVms;
         std::string text = "vm = \"" + host + "\"\ndata_centre = \"z-a\"\nrpc_address = \"" + host + ":" + std::to_string(PeerPort)
-            + "\"\npeer_port = " + std::to_string(PeerPort) + "\nlease_port = " + std::to_string(LeasePort) + "\nreplicas = [" + replicas
-            + "]\nkeep_admitting_ms = 1800\n" + extraSettings + "data_folder = \"" + (isControl ? folder.file("data" + std::to_string(vm)) : "") + "\"\n";
+            + "\"\npeer_port = " + std::to_string(PeerPort) + "\nlease_port = " + std::to_string(LeasePort) + "\nrelay_port = " + std::to_string(LeasePort)
+            + "\nreplicas = [" + replicas + "]\nkeep_admitting_ms = 1800\n" + extraSettings + "data_folder = \""
+            + (isControl ? folder.file("data" + std::to_string(vm)) : "") + "\"\n";
         if (isControl) {
             return text + "operator_api = \"" + toString(operatorAddress(vm)) + "\"\n" + extraTables;
         }
