A sound path costs no count of all upstreams at each request

Cause: whether most paths are lost was decided at each connection by a walk over the outcomes of all upstreams, so a request's cost grew with their number; outcomes of upstreams that are gone stayed until the next failure. Change: lost and reached upstreams are kept apart; nothing is counted while fewer than four are lost, and the table of reached ones is bounded. The decision tests are unchanged and pass; the cost was found by reading, not measured.

--- a/src/proxy/pathmonitor.cpp
+++ b/src/proxy/pathmonitor.cpp
@@ -10,52 +10,52 @@
     m_weight = 0;
     m_connectedAt = now;
     m_lastReached = upstream;
-    recordOutcome(upstream, true, now);
+    m_lost.erase(upstream);
+    m_reached[upstream] = now;
+    if (m_reached.size() > MaxReached) {
+        removeOutdated(now);
+    }
 }
 
 void PathMonitor::recordFailure(const Address &upstream, ConnectFailure failure, TimePoint startedAt, TimePoint now)
 {
-    recordOutcome(upstream, false, now);
+    m_reached.erase(upstream);
+    m_lost[upstream] = now;
+    removeOutdated(now);
     if (startedAt >= m_connectedAt) {
         m_weight = std::min(m_weight + (failure == ConnectFailure::Refused ? RefusedWeight : TimedOutWeight), LostWeight);
     }
 }
 
-void PathMonitor::recordOutcome(const Address &upstream, bool isConnected, TimePoint now)
+void PathMonitor::removeOutdated(TimePoint now)
 {
-    if (!isConnected) {
-        std::erase_if(m_outcomes, [now](const auto &pair) { return now - pair.second.at > OutcomeLifetime; });
-    }
-    m_outcomes[upstream] = Outcome{.isConnected = isConnected, .at = now};
+    const auto isOutdated = [now](const auto &pair) { return now - pair.second > OutcomeLifetime; };
+    std::erase_if(m_lost, isOutdated);
+    std::erase_if(m_reached, isOutdated);
 }
 
 bool PathMonitor::isMostLost(TimePoint now) const
 {
-    std::size_t lost = 0;
-    std::size_t connected = 0;
-    for (const auto &[upstream, outcome] : m_outcomes) {
-        if (now - outcome.at <= OutcomeLifetime) {
-            (outcome.isConnected ? connected : lost) += 1;
-        }
+    // Nearly always true; then nothing is counted at a request.
+    if (m_lost.size() < MinLostUpstreams) {
+        return false;
     }
-    return lost >= MinLostUpstreams && lost > connected;
+    const auto isRecent = [now](const auto &pair) { return now - pair.second <= OutcomeLifetime; };
+    const auto lost = static_cast<std::size_t>(std::ranges::count_if(m_lost, isRecent));
+    return lost >= MinLostUpstreams && lost > static_cast<std::size_t>(std::ranges::count_if(m_reached, isRecent));
 }
 
 bool PathMonitor::isLostTo(const Address &upstream, TimePoint now) const
 {
-    if (isAllLost()) {
-        return true;
-    }
-    const auto outcome = m_outcomes.find(upstream);
-    return outcome != m_outcomes.end() && !outcome->second.isConnected && isMostLost(now);
+    return isAllLost() || (m_lost.contains(upstream) && isMostLost(now));
 }
 
 std::vector<Address> PathMonitor::probeTargets(TimePoint now) const
 {
     std::vector<std::pair<TimePoint, Address>> lost;
-    for (const auto &[upstream, outcome] : m_outcomes) {
-        if (!outcome.isConnected && now - outcome.at <= OutcomeLifetime) {
-            lost.emplace_back(outcome.at, upstream);
+    for (const auto &[upstream, at] : m_lost) {
+        if (now - at <= OutcomeLifetime) {
+            lost.emplace_back(at, upstream);
         }
     }
     // The probe renews an outcome, so the oldest first are probed in turn.
--- a/src/proxy/pathmonitor.h
+++ b/src/proxy/pathmonitor.h
@@ -43,26 +43,23 @@
     /// More upstreams than usually end together.
     static constexpr std::size_t MinLostUpstreams = 4;
     static constexpr std::size_t MaxProbeTargets = 3;
+    /// Outdated outcomes are removed beyond this number, or at the next failure.
+    static constexpr std::size_t MaxReached = 4096;
     /// The outcome of an older attempt says nothing.
     static constexpr Duration OutcomeLifetime = std::chrono::seconds(4);
 
-    struct Outcome
-    {
-        bool isConnected = false;
-        TimePoint at{};
-    };
-
     bool isAllLost() const
     {
         return m_weight >= LostWeight;
     }
     bool isMostLost(TimePoint now) const;
-    void recordOutcome(const Address &upstream, bool isConnected, TimePoint now);
+    void removeOutdated(TimePoint now);
 
     int m_weight = 0;
     TimePoint m_connectedAt{};
-    /// Of the last attempt at each upstream.
-    std::map<Address, Outcome> m_outcomes;
+    /// When the last attempt at each upstream failed, or succeeded: an upstream is in one of them at most.
+    std::map<Address, TimePoint> m_lost;
+    std::map<Address, TimePoint> m_reached;
     /// Reached last; a probe target when no outcome is left.
     Address m_lastReached;
 };
