A pause that is over no longer slows the placement of its VM's requests

Cause: a VM's pauses were removed at its next signal only; while any is kept, sizes that fit nowhere are tried again for each of its waiting requests. Change: they expire with the server's other state. Found by reading; decision tests pass.

--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -144,7 +144,6 @@
 void PlacementServer::handleSignal(EntryVm &entryVm, const v1::UpstreamSignal &signal, TimePoint now)
 {
     const UpstreamProcess upstream{.name = InstanceName{signal.upstream()}, .startedAtMs = signal.started_at_ms()};
-    std::erase_if(entryVm.pauses, [now](const auto &pair) { return pair.second <= now; });
     if (signal.pause_ms() > 0) {
         entryVm.pauses[upstream] = now + std::chrono::milliseconds(signal.pause_ms());
     }
@@ -354,6 +353,9 @@
 void PlacementServer::expireTimedOut(TimePoint now)
 {
     m_pool.expireTimedOut(now);
+    for (auto &[vm, entryVm] : m_entryVms) {
+        std::erase_if(entryVm.pauses, [now](const auto &pair) { return pair.second <= now; });
+    }
     std::erase_if(m_entryVms, [&](const auto &pair) {
         const bool isTimedOut = now - pair.second.lastReceivedAt > EntryVmTimeout;
         if (isTimedOut) {
