--- a/src/proxy/relayserver.cpp
+++ b/src/proxy/relayserver.cpp
@@ -1,6 +1,7 @@
 #include "proxy/relayserver.h"
 
 #include "common/address.h"
+#include "upstream/upstreamcall.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -216,7 +217,7 @@
 {
     m_server.m_connectFailed.emit(m_target, m_connectStartedAt);
     // If this VM turns out to have no path itself, the upstream is not to blame.
-    refuse(m_server.m_available ? StatusUnreachable : StatusNoRelay);
+    refuse(m_server.m_available ? StatusUpstreamUnreachable : StatusNoRelay);
 }
 
 void RelayServer::Tunnel::onTimeout()
--- a/src/proxy/relayserver.h
+++ b/src/proxy/relayserver.h
@@ -17,12 +17,10 @@
 namespace cumindyke
 {
 
-/// What a relay answers to a VM that asks for a connection.
+/// What a relay answers to a VM that asks for a connection, beside StatusUpstreamUnreachable.
 constexpr int StatusConnected = 200;
 /// This VM has no path itself, shuts down or is full: the other VM uses another relay.
 constexpr int StatusNoRelay = 503;
-/// The upstream could not be reached from here.
-constexpr int StatusUnreachable = 504;
 
 struct RelayServerOptions
 {
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -16,8 +16,6 @@
 {
 
 constexpr int MaxHeaderBytes = 64 << 10;
-/// The relay's answer if it has a path to the upstreams, but could not connect to this one.
-constexpr int StatusUpstreamUnreachable = 504;
 
 evhttp_cmd_type libeventCommand(const std::string &method)
 {
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -23,6 +23,9 @@
 
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
+/// A relay's answer if it has a path to the upstreams, but could not connect to this one.
+constexpr int StatusUpstreamUnreachable = 504;
+
 /// An HTTP request to an upstream.
 struct UpstreamRequest
 {
