A request that ends upstreams is reported while its VM takes its paths for lost

Cause: a refused connection proved no end of an upstream while the VM's path counted as lost, and several ended upstreams look like a lost path. The check came with the relay; a request that ends upstreams could have reached more of them. Change: in that state a VM with a path is asked whether it reaches the upstream (RelayCheck); if it does not either, the upstream has ended. Without any other VM the refusal counts, as before the relay.

--- a/src/entry/suspecttracker.cpp
+++ b/src/entry/suspecttracker.cpp
@@ -140,8 +140,7 @@
 {
     const TrialId trial = std::exchange(state.trial, {}).value_or(TrialId{});
     const auto handleResult
-        = [this, id, upstream, then, trial, fingerprint = fingerprintOf(content, state), contentHash = content.hash(m_guard.seed())](bool isRefused) {
-              const bool hasEnded = isRefused && !(m_options.isPathLost && m_options.isPathLost());
+        = [this, id, upstream, then, trial, fingerprint = fingerprintOf(content, state), contentHash = content.hash(m_guard.seed())](bool hasEnded) {
               if (hasEnded) {
                   const bool isCounted = m_guard.recordCrash(fingerprint, contentHash, trial, EventLoop::now());
                   m_lostToEndedUpstreams.add();
@@ -160,7 +159,14 @@
                   then();
               }
           };
-    m_livenessChecks.check(upstream, address, handleResult);
+    const auto handleLiveness = [this, address, handleResult](bool isRefused) {
+        if (isRefused && m_options.confirmEnded) {
+            m_options.confirmEnded(address, handleResult);
+        } else {
+            handleResult(isRefused);
+        }
+    };
+    m_livenessChecks.check(upstream, m_options.mapAddress ? m_options.mapAddress(address) : address, handleLiveness);
 }
 
 void SuspectTracker::recordAnswer(const RequestId &id, const RequestContent &content, SuspectState &state)
--- a/src/entry/suspecttracker.h
+++ b/src/entry/suspecttracker.h
@@ -72,8 +72,10 @@
     std::function<void(Proposal)> propose;
     /// Posts the reply to the owning task, which passes it to SuspectTracker::handle().
     std::function<void(SuspectReply)> post;
-    /// Whether this VM has lost its own path to the upstreams, so that a refused connection proves nothing; none: never.
-    std::function<bool()> isPathLost = {};
+    /// Maps an upstream's address to the one that is connected to; none: the same.
+    std::function<Address(const Address &)> mapAddress = {};
+    /// Finds out whether an upstream that refused a connection has ended, and not this VM lost its own path to it; none: it has.
+    std::function<void(const Address &upstream, std::function<void(bool hasEnded)>)> confirmEnded = {};
 };
 
 /// Keeps requests that end the upstreams that run them away from further upstreams, for the requests of one task: finds upstreams that have ended,
--- a/src/proxy/proxycrashes.cpp
+++ b/src/proxy/proxycrashes.cpp
@@ -9,8 +9,7 @@
 
 void ProxyTask::checkUpstreamEnded(ProxyRequest &request, const std::function<void()> &then)
 {
-    m_suspects.checkUpstreamEnded(
-        request.parsed.id, request.content(), request.suspectState, request.upstream.name.value, connectAddress(request.upstream.address), then);
+    m_suspects.checkUpstreamEnded(request.parsed.id, request.content(), request.suspectState, request.upstream.name.value, request.upstream.address, then);
 }
 
 /// A further attempt waits for the result of the check: without it a request that ends upstreams would end two for each of its copies.
--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -158,6 +158,25 @@
     }
 }
 
+/// Ended upstreams refuse connections like a lost path does. While they can't be told apart here, a VM with a path decides; without any the refusal counts.
+void ProxyTask::confirmEnded(const Address &upstream, std::function<void(bool)> then)
+{
+    const TimePoint now = EventLoop::now();
+    const std::optional<VmName> relay = m_relayServer && m_isPathLost ? m_relays.next({}, now) : std::nullopt;
+    if (!relay) {
+        then(true);
+        return;
+    }
+    const std::uint64_t key = m_nextLocalId++;
+    const auto onResult = [this, key, then = std::move(then)](int status) {
+        m_loop.releaseLater(m_relayChecks[key]);
+        m_relayChecks.erase(key);
+        then(status == StatusUpstreamUnreachable);
+    };
+    const Address relayAddress{.host = relay->value, .port = m_options.relayAddress->port};
+    m_relayChecks[key] = std::make_shared<RelayCheck>(m_loop, relayAddress, upstream, RelayConnectTimeout, onResult);
+}
+
 void ProxyTask::probePath()
 {
     m_pathProbes.clear();
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -49,7 +49,8 @@
                      .vm = m_options.vm,
                      .propose = m_options.propose,
                      .post = [this](SuspectReply reply) { post(std::move(reply)); },
-                     .isPathLost = [this] { return m_path.isLost(EventLoop::now()); },
+                     .mapAddress = m_options.mapAddress,
+                     .confirmEnded = [this](const Address &upstream, std::function<void(bool)> then) { confirmEnded(upstream, std::move(then)); },
                  },
                  metrics)
     , m_cleanUpTimer(m_loop, [this] { cleanUp(); })
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -9,6 +9,7 @@
 #include "proxy/pathmonitor.h"
 #include "proxy/placementhost.h"
 #include "proxy/proxyrequest.h"
+#include "proxy/relaycheck.h"
 #include "proxy/relaychoice.h"
 #include "proxy/relayserver.h"
 #include "proxy/requestparser.h"
@@ -179,6 +180,7 @@
     void handlePathLost();
     void probePath();
     void updateRelayAvailability();
+    void confirmEnded(const Address &upstream, std::function<void(bool)> then);
 
     // Answers to callers.
     void forwardHead(ProxyRequest &request);
@@ -211,6 +213,7 @@
     /// Null without a relay address.
     std::unique_ptr<RelayServer> m_relayServer;
     std::vector<std::shared_ptr<LivenessCheck>> m_pathProbes;
+    std::map<std::uint64_t, std::shared_ptr<RelayCheck>> m_relayChecks;
     Timer m_probeTimer;
     std::shared_ptr<const RouteIndex> m_routes;
     /// The upstreams of these data centres get no new requests.
--- a/tests/proxy/pathlosstest.cpp
+++ b/tests/proxy/pathlosstest.cpp
@@ -14,6 +14,7 @@
 #include <array>
 #include <atomic>
 #include <map>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -111,7 +112,11 @@
 
     HttpAnswer request(int vm, const std::string &id, const std::string &target = "/deposits/a") const
     {
-        return http(Address{.host = host(vm), .port = CallerPort}, "POST", target, callerHeaders(id), id);
+        return http(callerAddress(vm), "POST", target, callerHeaders(id), id);
+    }
+    Address callerAddress(int vm) const
+    {
+        return Address{.host = host(vm), .port = CallerPort};
     }
     bool isServed(int vm, const std::string &id) const
     {
@@ -132,6 +137,14 @@
         return static_cast<std::size_t>(std::ranges::count_if(seen, [&id](const SeenRequest &run) { return run.header("Cumindyke-Request-Id") == id; }));
     }
 
+    /// Whether an entry VM has reported that an upstream ended while it ran the request.
+    bool isReported(const std::string &target, const std::string &body) const
+    {
+        const RequestContent content{.organisation = "ensemble", .method = "POST", .host = "desk.example", .target = target, .body = body};
+        const std::lock_guard lock(m_mutex);
+        return m_reported.contains(content.fingerprint().value);
+    }
+
     TestNetwork network;
     FakePlatform platform;
     HangingAddress hanging;
@@ -140,6 +153,13 @@
     std::vector<std::unique_ptr<ProxyTask>> tasks;
 
 private:
+    void recordReports(const Proposal &proposal)
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const v1::CrashReport &crash : proposal.command.suspects().crashes()) {
+            m_reported.insert(crash.fingerprint());
+        }
+    }
     std::string host(int vm) const
     {
         return network.host(vm + 1);
@@ -181,9 +201,12 @@
             .relayAddress = Address{.host = host(vm), .port = RelayPort},
             .mapAddress = [this, vm](const Address &upstream) { return mapAddress(vm, upstream); },
             .sendTally = [](const v1::EntryTally &) {},
-            .propose = [](const Proposal &) {},
+            .propose = [this](const Proposal &proposal) { recordReports(proposal); },
         };
     }
+
+    mutable std::mutex m_mutex;
+    std::set<std::uint64_t> m_reported;
 };
 
 /// Cuts the first VMs off, and returns the share of requests served there when the cut has lasted for a while.
@@ -290,3 +313,35 @@
         CHECK(++runs[run.header("Cumindyke-Request-Id")] == 1);
     }
 }
+
+// Guards against a request that ends upstream after upstream since the VM takes the ended ones for a lost path.
+TEST_CASE("each request that ends an upstream is reported, however many upstreams have just ended")
+{
+    constexpr int Crashes = 8;
+    constexpr int Callers = 6;
+    EntryVmTasks vms(2, 10);
+    REQUIRE(eventually([&] { return vms.isServed(0, "warm" + std::to_string(vms.platform.seen().size())); }));
+    std::atomic<bool> isOver = false;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (int sent = 0; !isOver; ++sent) {
+                vms.request(0, "load" + std::to_string(caller) + "-" + std::to_string(sent));
+            }
+        });
+    }
+    for (int crash = 0; crash < Crashes; ++crash) {
+        const std::string target = "/deposits/crash" + std::to_string(crash);
+        const int endedBefore = vms.platform.endedCount();
+        http(vms.callerAddress(0), "POST", target, callerHeaders("crash" + std::to_string(crash)), FakePlatform::CrashingBody);
+        if (vms.platform.endedCount() > endedBefore) {
+            CAPTURE(crash);
+            CHECK(eventually([&] { return vms.isReported(target, FakePlatform::CrashingBody); }, std::chrono::seconds(2)));
+        }
+    }
+    isOver = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    CHECK(vms.platform.endedCount() > Crashes / 2);
+}
