An upstream that was slow once is measured again

Cause: the placement server chooses the upstream that is predicted to answer first, by the pace of its last answers. An upstream whose last answers were slow gets no request while the others have room, so its pace is never measured again, however fast it is by now.

Change: 15 s after the last grant an upstream of the server's own data centre counts as the fastest for one request, and its next answer replaces the old pace. Deadlines and pauses still use the measured pace.

Result: the new test of the pool failed before ("a" instead of "b" 30 s later).

--- a/src/placement/upstreamchoice.cpp
+++ b/src/placement/upstreamchoice.cpp
@@ -134,11 +134,16 @@
     return fastestPaceMs == std::numeric_limits<double>::max() ? 1 : fastestPaceMs;
 }
 
+/// An upstream that was slow once would otherwise get no request, and never be measured again, as long as the others have room. Those of another data
+/// centre are measured there.
+bool UpstreamPool::isPaceExpired(const Upstream &upstream, TimePoint now) const
+{
+    return !upstream.isRemote && upstream.paceExpiresAt && now >= *upstream.paceExpiresAt;
+}
+
 /// An engine processes the prompts that arrived before this one first. A plain upstream slows down as it fills.
-double UpstreamPool::predictedMs(const Upstream &upstream, std::uint32_t promptTokens, double fastestPaceMs) const
+double UpstreamPool::predictedMs(const Upstream &upstream, double paceMs, std::uint32_t promptTokens, double fastestPaceMs) const
 {
-    // An upstream without a measured pace counts as the fastest, so that it gets requests.
-    const double paceMs = upstream.paceMs > 0 ? upstream.paceMs : fastestPaceMs;
     const double load = static_cast<double>(upstream.ownLoad.requests + upstream.peerLoad.requests) / upstream.instance.slots;
     const auto model = m_firstEventModels.find(upstream.instance.service);
     if (promptTokens == 0 || model == m_firstEventModels.end()) {
@@ -218,11 +223,14 @@
         if (!hasFreeSlot(upstream, now) || !isEligible(upstream, query, now) || wouldExceedMaxPause(upstream, query, fastestPaceMs)) {
             continue;
         }
-        const double responseMs = predictedMs(upstream, query.promptTokens, fastestPaceMs);
+        // An upstream without a measured pace counts as the fastest, so that it gets requests.
+        const double paceMs = upstream.paceMs > 0 ? upstream.paceMs : fastestPaceMs;
+        const double responseMs = predictedMs(upstream, paceMs, query.promptTokens, fastestPaceMs);
         if (mustFinishInTime && !wouldFinishInTime(upstream, query, responseMs, fastestPaceMs)) {
             continue;
         }
-        const double score = responseMs * (upstream.isRemote ? RemotePenalty : 1);
+        const double scoredMs = isPaceExpired(upstream, now) ? predictedMs(upstream, fastestPaceMs, query.promptTokens, fastestPaceMs) : responseMs;
+        const double score = scoredMs * (upstream.isRemote ? RemotePenalty : 1);
         if (score < bestScore) {
             bestScore = score;
             bestMs = responseMs;
--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t MaxNoticesWithoutLoad = 100;
 /// Weight of the newest observation: about the last ten count.
 constexpr double PaceWeight = 0.1;
+/// An upstream that is slow for good gets one request in this time, beside those for which the others have no room.
+constexpr Duration MaxPaceAge = std::chrono::seconds(15);
 constexpr Duration MinEjectionTime = std::chrono::milliseconds(200);
 constexpr Duration MaxEjectionTime = std::chrono::seconds(4);
 /// A single failure may be chance; this many in a row eject an upstream.
@@ -192,6 +194,7 @@
             // Adopts the pace measured by the peer, so that a server that has just taken over need not send requests to slow upstreams to
             // measure them.
             upstream->paceMs = load.pace_ms();
+            upstream->paceExpiresAt = now + MaxPaceAge;
         }
     }
     expireUnreported(peer);
@@ -223,6 +226,8 @@
     if (Upstream *upstream = find(name)) {
         ++upstream->granted;
         upstream->lastGrantedAt = now;
+        upstream->isOldPace = upstream->isOldPace || isPaceExpired(*upstream, now);
+        upstream->paceExpiresAt = now + MaxPaceAge;
         ++upstream->ownLoad.requests;
         upstream->ownLoad.tokens += promptTokens;
     }
@@ -278,8 +283,9 @@
 void UpstreamPool::recordPace(const InstanceName &name, double milliseconds)
 {
     if (Upstream *upstream = find(name)) {
-        const bool isFirst = upstream->paceMs == 0 || (upstream->isColdPace && !upstream->isCold);
+        const bool isFirst = upstream->paceMs == 0 || upstream->isOldPace || (upstream->isColdPace && !upstream->isCold);
         upstream->paceMs = isFirst ? milliseconds : (1 - PaceWeight) * upstream->paceMs + PaceWeight * milliseconds;
+        upstream->isOldPace = false;
         upstream->isColdPace = upstream->isCold;
     }
 }
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -221,6 +221,10 @@
         /// Requests a second that it bears while cold; 0: any number.
         double coldRate = 0;
         double paceMs = 0;
+        /// From then on the pace is too old to keep requests away; none: no request was granted here.
+        std::optional<TimePoint> paceExpiresAt;
+        /// Measured long ago: replaced by the next measurement.
+        bool isOldPace = false;
         /// The process has started lately and may be slower than it will be.
         bool isCold = false;
         TimePoint coldUntil{};
@@ -275,7 +279,8 @@
     bool wouldExceedMaxPause(const Upstream &upstream, const PlacementQuery &query, double fastestPaceMs) const;
     bool wouldFinishInTime(const Upstream &upstream, const PlacementQuery &query, double firstEventMs, double fastestPaceMs) const;
     bool anyWouldFinishInTime(const PlacementQuery &query, double fastestPaceMs, TimePoint now) const;
-    double predictedMs(const Upstream &upstream, std::uint32_t promptTokens, double fastestPaceMs) const;
+    double predictedMs(const Upstream &upstream, double paceMs, std::uint32_t promptTokens, double fastestPaceMs) const;
+    bool isPaceExpired(const Upstream &upstream, TimePoint now) const;
     const std::vector<const Upstream *> &upstreamsOf(const ServiceName &service) const;
     Upstream *find(const InstanceName &name);
 
--- a/tests/placement/upstreampooltest.cpp
+++ b/tests/placement/upstreampooltest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace cumindyke;
 
@@ -111,6 +112,39 @@
     CHECK(chosen(pool, Start) == "far");
 }
 
+// Guards against an upstream that is measured while it is slow and gets no request ever after, since the others always have room.
+TEST_CASE("an upstream that was slow gets a request again, and its next answer counts as its pace")
+{
+    UpstreamPool pool({.localDataCentre = LocalDataCentre});
+    pool.setList({instance("a"), instance("b")});
+    for (const auto &[name, paceMs] : std::map<std::string, double>{{"a", 5}, {"b", 100}}) {
+        pool.acquireSlot(InstanceName{name}, 0, Start);
+        pool.releaseSlot(InstanceName{name});
+        pool.recordPace(InstanceName{name}, paceMs);
+    }
+    const auto chosenBesideOne = [&](TimePoint now) {
+        pool.acquireSlot(InstanceName{"a"}, 0, now);
+        std::string name = chosen(pool, now);
+        pool.releaseSlot(InstanceName{"a"});
+        return name;
+    };
+    CHECK(chosenBesideOne(Start + std::chrono::seconds(10)) == "a");
+    const TimePoint later = Start + std::chrono::seconds(30);
+    REQUIRE(chosenBesideOne(later) == "b");
+    pool.acquireSlot(InstanceName{"b"}, 0, later);
+    pool.releaseSlot(InstanceName{"b"});
+    SECTION("still slow: no further request for a while")
+    {
+        pool.recordPace(InstanceName{"b"}, 100);
+        CHECK(chosenBesideOne(later + std::chrono::seconds(10)) == "a");
+    }
+    SECTION("no longer slow: requests as the others")
+    {
+        pool.recordPace(InstanceName{"b"}, 5);
+        CHECK(chosenBesideOne(later + std::chrono::seconds(1)) == "b");
+    }
+}
+
 TEST_CASE("a long prompt goes to the engine with fewer pending prompt tokens")
 {
     UpstreamPool pool({.localDataCentre = LocalDataCentre});
