A brittle upstream that has refused gets one request at a time until it serves one

After its rest of 1.2 s a brittle upstream got as many requests at once as it has slots, all of which it may refuse.

Change: after a refusal each grant rests the upstream for 1.2 s, until it has served a request. The stand-in's upstream names its limit in answers first, and lists 3 slots; the bound of 3 in any second stays.

--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -230,6 +230,10 @@
         upstream->paceExpiresAt = now + MaxPaceAge;
         ++upstream->ownLoad.requests;
         upstream->ownLoad.tokens += promptTokens;
+        if (upstream->hasRefused && now < upstream->brittleUntil) {
+            // This request shows whether it has room again.
+            upstream->ejectedUntil = std::max(upstream->ejectedUntil, now + BrittleEjectionTime);
+        }
     }
 }
 
@@ -317,6 +321,7 @@
 {
     if (Upstream *upstream = find(name)) {
         upstream->consecutiveFailures = 0;
+        upstream->hasRefused = false;
     }
 }
 
@@ -349,6 +354,7 @@
 void UpstreamPool::recordRefusal(const InstanceName &name, TimePoint now)
 {
     if (Upstream *upstream = find(name)) {
+        upstream->hasRefused = true;
         const Duration time = now < upstream->brittleUntil ? BrittleEjectionTime : RefusalEjectionTime;
         upstream->ejectedUntil = std::max(upstream->ejectedUntil, now + time);
     }
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -243,6 +243,8 @@
         bool isLeaving = false;
         /// It has said lately that it crashes after some refusals.
         TimePoint brittleUntil{};
+        /// Its last answer was a refusal.
+        bool hasRefused = false;
     };
 
     struct ReceivedLoad
--- a/tests/fakeplatform/fakeplatform.h
+++ b/tests/fakeplatform/fakeplatform.h
@@ -57,6 +57,8 @@
     }
     std::vector<SeenRequest> seen() const;
     void setState(const std::string &state);
+    /// From now on the list gives each upstream this many slots.
+    void setSlots(int slots);
     /// From now on the upstreams' answers name this limit of requests a second; empty: none.
     void setRequestLimit(const std::string &limit);
     /// From now on the upstreams with addresses of their own are cold, which the list does not show yet: a process ends that gets more requests than this
@@ -110,6 +112,7 @@
     mutable std::mutex m_mutex;
     std::vector<SeenRequest> m_seen;
     std::string m_state = "ready";
+    int m_slots = 4;
     std::string m_requestLimit;
     std::optional<std::size_t> m_coldRate;
     std::string m_refusingInstance;
--- a/tests/placement/upstreamsignalstest.cpp
+++ b/tests/placement/upstreamsignalstest.cpp
@@ -176,6 +176,31 @@
     CHECK(later.ask(server, after(1300)) == "a");
 }
 
+// Guards against a brittle upstream that crashes after its rest, since several requests are refused at once.
+TEST_CASE("a brittle upstream that has refused gets one request at a time until it has served one")
+{
+    UpstreamPool pool({.localDataCentre = DataCentreName{"dc-a"}});
+    pool.setList({upstream("a")}, Start);
+    pool.recordBrittle(ProcessA, Start);
+    const auto mayGrant = [&](TimePoint now) {
+        const bool isChosen = pool.choose(PlacementQuery{.service = ServiceName{"desk"}, .versions = {}, .promptTokens = 0, .tried = {}}, now).upstream;
+        if (isChosen) {
+            pool.acquireSlot(InstanceName{"a"}, 0, now);
+        }
+        return isChosen;
+    };
+    REQUIRE(mayGrant(Start));
+    pool.releaseSlot(InstanceName{"a"});
+    pool.recordRefusal(InstanceName{"a"}, Start);
+    REQUIRE(mayGrant(after(1300)));
+    CHECK_FALSE(mayGrant(after(1301)));
+    pool.recordBrittle(ProcessA, after(1400));
+    CHECK(mayGrant(after(2600)));
+    pool.recordSuccess(InstanceName{"a"});
+    CHECK(mayGrant(after(4000)));
+    CHECK(mayGrant(after(4001)));
+}
+
 // Guards against servers of several data centres that grant the same slot of a brittle upstream, since their notices are some milliseconds old.
 TEST_CASE("a brittle upstream is left to the placement server of its own data centre")
 {
--- a/tests/platform/signalstest.cpp
+++ b/tests/platform/signalstest.cpp
@@ -110,7 +110,12 @@
 TEST_CASE("process: a brittle upstream refuses no more requests in any second than it survives")
 {
     System system({}, Upstreams);
+    // It says so in its answers before it refuses; all its slots may be in use when it begins to.
+    system.platform.setSlots(3);
     const std::string brittle = startServing(system);
+    system.platform.setAnswerHeaders(brittle, {{"Server-Brittle", "3"}});
+    const std::size_t runs = runsAt(system, brittle);
+    REQUIRE(sendUntil(system, "told", [&] { return runsAt(system, brittle) > runs; }));
     system.platform.setRefusing(brittle, {{"Server-Brittle", "3"}});
     REQUIRE(sendUntil(system, "refused", [&] { return system.platform.refusals().size() > 1; }));
     sendFor(system, "brittle", std::chrono::milliseconds(3000));
