Tests: a relay's shutdown, and what ends a connection between VMs

Cause: that a VM which shuts down finishes what it relays, and that TCP_USER_TIMEOUT is set by gRPC alone, stood in the postmortem by reading.

Change: a stream through a relay that shuts down comes whole, and the relay ends after it; callers are served while one of two relays shuts down; a connection between VMs has a TCP_USER_TIMEOUT of 2 s and sends no keep-alive probes of TCP, so nothing is cut short by it.

--- a/tests/peer/peertransporttest.cpp
+++ b/tests/peer/peertransporttest.cpp
@@ -5,12 +5,69 @@
 
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <atomic>
 #include <thread>
+#include <vector>
 
 using namespace cumindyke;
 using namespace cumindyke::test;
 
+namespace
+{
+
+bool isConnectedTo(int descriptor, const Address &address)
+{
+    // gRPC maps IPv4 addresses into IPv6.
+    sockaddr_in6 peer{};
+    socklen_t length = sizeof peer;
+    in6_addr host{};
+    return getpeername(descriptor, reinterpret_cast<sockaddr *>(&peer), &length) == 0 && peer.sin6_family == AF_INET6
+        && inet_pton(AF_INET6, ("::ffff:" + address.host).c_str(), &host) == 1 && IN6_ARE_ADDR_EQUAL(&host, &peer.sin6_addr)
+        && ntohs(peer.sin6_port) == address.port;
+}
+
+/// An option of the connections of this process to this address.
+std::vector<int> optionOfConnectionsTo(const Address &address, int level, int option)
+{
+    constexpr int MaxDescriptor = 1024;
+    std::vector<int> values;
+    for (int descriptor = 0; descriptor < MaxDescriptor; ++descriptor) {
+        if (!isConnectedTo(descriptor, address)) {
+            continue;
+        }
+        int value = 0;
+        socklen_t length = sizeof value;
+        getsockopt(descriptor, level, option, &value, &length);
+        values.push_back(value);
+    }
+    return values;
+}
+
+}
+
+// Guards against a connection to a VM that can't be reached and is held for minutes, or ended by probes that a TCP_USER_TIMEOUT cuts short.
+TEST_CASE("a connection between VMs gives up 2 s after data was not acknowledged, and sends no keep-alive probes of TCP")
+{
+    const TestNetwork network;
+    const Address address{.host = network.host(2), .port = 7604};
+    std::atomic<bool> hasArrived = false;
+    auto server = RpcServer::start(address, {}, [&hasArrived](const VmName &, v1::Envelope &&) { hasArrived = true; }, {});
+    REQUIRE(ok(server));
+    PeerTransport transport(VmName{network.host(1)});
+    transport.setDefaultPort(address.port);
+    v1::Envelope update;
+    update.mutable_config_update()->set_version(7);
+    transport.send(VmName{address.host}, update);
+    REQUIRE(eventually([&hasArrived] { return hasArrived.load(); }));
+    CHECK(optionOfConnectionsTo(address, IPPROTO_TCP, TCP_USER_TIMEOUT) == std::vector<int>{2000});
+    CHECK(optionOfConnectionsTo(address, SOL_SOCKET, SO_KEEPALIVE) == std::vector<int>{0});
+}
+
 // Guards against VMs that have no configuration for seconds after a common restart: a VM relayed the configuration to VMs that did not
 // listen yet, and the messages to them were lost.
 TEST_CASE("a configuration for a VM that does not listen yet is delivered once it listens")
--- a/tests/proxy/pathlosstest.cpp
+++ b/tests/proxy/pathlosstest.cpp
@@ -197,6 +197,8 @@
             .readinessPath = adapter.readinessPath,
             .headers = adapter.headers,
             .list = adapter.instanceList(platform.address()),
+            .balancerDetectionTime = {},
+            .refusalTime = {},
             .datagrams = Address{.host = host(vm), .port = PeerPort},
             .relayAddress = Address{.host = host(vm), .port = RelayPort},
             .mapAddress = [this, vm](const Address &upstream) { return mapAddress(vm, upstream); },
@@ -267,6 +269,42 @@
     }
 }
 
+// Guards against a relay whose shutdown cuts the streams of other VMs' callers.
+TEST_CASE("a VM that shuts down first finishes the streams that it relays")
+{
+    EntryVmTasks vms(2);
+    REQUIRE(servedShareBehindCut(vms, Cut::Refused, 1) == 1);
+    HttpAnswer stream;
+    std::thread caller([&] {
+        HeaderList headers = callerHeaders("s-1");
+        headers[2].second = "9000";
+        stream = http(vms.callerAddress(0), "POST", "/drafts/slow-stream", headers, "s-1");
+    });
+    REQUIRE(eventually([&] { return vms.runs("s-1") == 1; }));
+    std::atomic<bool> hasDrained = false;
+    vms.tasks[1]->post(ProxyDrain{.drained = [&] { hasDrained = true; }});
+    // The stream takes over four seconds, and the VM has no other request.
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    CHECK_FALSE(hasDrained);
+    caller.join();
+    CHECK(stream.status == 200);
+    CHECK(stream.body.find("part 3") != std::string::npos);
+    CHECK(vms.runs("s-1") == 1);
+    CHECK(eventually([&] { return hasDrained.load(); }));
+}
+
+// Guards against requests that are lost since their VM still asks a relay that shuts down.
+TEST_CASE("callers of a VM without a path are served while one of its relays shuts down")
+{
+    EntryVmTasks vms(3);
+    REQUIRE(servedShareBehindCut(vms, Cut::Refused, 1) == 1);
+    std::atomic<bool> hasDrained = false;
+    vms.tasks[1]->post(ProxyDrain{.drained = [&] { hasDrained = true; }});
+    CHECK(vms.servedCount(0, "later", 20) == 20);
+    CHECK(eventually([&] { return hasDrained.load(); }));
+    CHECK(vms.servedCount(0, "after", 20) == 20);
+}
+
 // Guards against requests that still take the way through another VM when the path is back.
 TEST_CASE("a VM sends requests itself again when its path is back")
 {
