One conversion of an address into a socket's form

Cause: the relay and the datagram socket had the same function. Change: it is socketAddress() beside parseAddress().

--- a/src/common/address.cpp
+++ b/src/common/address.cpp
@@ -27,4 +27,15 @@
     return address;
 }
 
+std::optional<sockaddr_in> socketAddress(const Address &address)
+{
+    sockaddr_in socket{};
+    socket.sin_family = AF_INET;
+    socket.sin_port = htons(address.port);
+    if (inet_pton(AF_INET, address.host.c_str(), &socket.sin_addr) != 1) {
+        return {};
+    }
+    return socket;
+}
+
 }
--- a/src/common/address.h
+++ b/src/common/address.h
@@ -3,6 +3,9 @@
 #include "common/result.h"
 #include "common/types.h"
 
+#include <netinet/in.h>
+
+#include <optional>
 #include <string_view>
 
 namespace cumindyke
@@ -11,4 +14,7 @@
 /// Parses "A.B.C.D:PORT". Host names are not resolved: processes use only IP addresses. Error: Invalid.
 Result<Address> parseAddress(std::string_view text);
 
+/// The form that sockets take; none: the host is not an IPv4 address.
+std::optional<sockaddr_in> socketAddress(const Address &address);
+
 }
--- a/src/peer/datagramsocket.cpp
+++ b/src/peer/datagramsocket.cpp
@@ -1,5 +1,7 @@
 #include "peer/datagramsocket.h"
 
+#include "common/address.h"
+
 #include <event2/event.h>
 
 #include <arpa/inet.h>
@@ -21,17 +23,6 @@
 /// Datagrams read per event, so that a flood of datagrams does not starve the other events of the loop.
 constexpr int MaxDatagramsPerEvent = 64;
 
-std::optional<sockaddr_in> socketAddress(const Address &address)
-{
-    sockaddr_in socket{};
-    socket.sin_family = AF_INET;
-    socket.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.host.c_str(), &socket.sin_addr) != 1) {
-        return {};
-    }
-    return socket;
-}
-
 }
 
 Result<std::unique_ptr<DatagramSocket>> DatagramSocket::bind(EventLoop &loop, const Address &address)
--- a/src/proxy/relayserver.cpp
+++ b/src/proxy/relayserver.cpp
@@ -7,7 +7,6 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -29,17 +28,6 @@
 constexpr std::size_t MaxUnsentBytes = 256 << 10;
 constexpr std::string_view EndOfHead = "\r\n\r\n";
 
-std::optional<sockaddr_in> socketAddress(const Address &address)
-{
-    sockaddr_in socket{};
-    socket.sin_family = AF_INET;
-    socket.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.host.c_str(), &socket.sin_addr) != 1) {
-        return {};
-    }
-    return socket;
-}
-
 /// Returns the target of "CONNECT IP:PORT HTTP/1.1"; none: the request is malformed.
 std::optional<Address> targetOf(std::string_view head)
 {
