--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -33,8 +33,8 @@
     return Address{.host = settings.rpcAddress.host, .port = port};
 }
 
-/// The tolerance is an eighth of the slack. The rest covers what placement servers admit before they receive each other's load notices, and
-/// the takeover of another server.
+/// Part of the setting limit_slack that one placement server may admit beyond a limit; the rest covers what several servers admit before they know of
+/// each other's requests, and takeovers.
 constexpr std::uint64_t LimitToleranceDivisor = 8;
 
 /// Covers a request that waits for its slot, or is on its way to an upstream, when the VMs obey an evacuation.
--- a/src/placement/fleetlimits.h
+++ b/src/placement/fleetlimits.h
@@ -16,10 +16,10 @@
 /// Rate limits of the organisations over the whole fleet, as seen by one placement server: a token bucket per organisation that is refilled at the
 /// limit's rate and charged by admitted requests. Pure: time is an argument.
 ///
-/// Every server keeps the whole bucket. It charges its own admissions at once and those of other servers when their load notices arrive, some
-/// milliseconds later. An organisation below its limit is therefore never refused, however unevenly its requests are spread, and a jump of its demand
-/// is known everywhere within one notice. A server that receives notices of only a part of the other servers refills its buckets in proportion to the
-/// entry VMs that it knows of, so servers that are partitioned from each other can't spend the same tokens twice.
+/// Every server has a bucket of the full size. It takes tokens for its own admissions at once, and for those of other servers when their load notices
+/// arrive, some milliseconds later: an organisation below its limit is never refused, however unevenly its requests are spread. A server that receives
+/// the notices of some of the others only refills its buckets in proportion to the entry VMs of these, so that partitioned servers together admit no
+/// more than the limit.
 class FleetLimits
 {
 public:
--- a/src/placement/placementclient.cpp
+++ b/src/placement/placementclient.cpp
@@ -11,11 +11,11 @@
 namespace
 {
 
-/// Five keepalives (PlacementServer sends one every 30 ms). A VM whose CPU quota is used up stalls for at most a tenth of a second.
+/// Without an answer for this time another server is used. Servers answer every 30 ms, and a VM whose CPU quota is used up stalls for up to 100 ms.
 constexpr Duration ServerTimeout = std::chrono::milliseconds(150);
 /// A VM that restarted or was frozen is back within some seconds; using it again sooner costs a timeout each time.
 constexpr Duration ExclusionTime = std::chrono::seconds(3);
-/// At some 65 bytes per placement request this makes 26 KB, under half of a datagram's capacity. The rest is sent when these requests have ended.
+/// 26 KB at 65 bytes per request, under half of a datagram. The other requests are sent when these have ended.
 constexpr std::size_t MaxRequestsPerState = 400;
 
 std::string describeInputs(const v1::PlacementGrant &grant, const VmName &from, std::optional<double> limitPerSecond)
--- a/src/placement/upstreamchoice.cpp
+++ b/src/placement/upstreamchoice.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-/// A request leaves its data centre only if the local answer would take longer by this factor: traffic between data centres has a price.
+/// A request leaves its data centre, which costs traffic, only if the local answer would take longer by this factor.
 constexpr double RemotePenalty = 1.4;
 /// Slowdown of a first event on an engine whose slots are all in use: its batch alternates with the prefill of prompts.
 constexpr double LoadWeight = 0.5;
@@ -20,10 +20,10 @@
 /// Part of what a cold upstream bears that is left for the requests that other placement servers granted since their last notices.
 constexpr double LocalColdReserve = 0.1;
 constexpr double RemoteColdReserve = 0.45;
-/// Shortest time between two requests of this server to an upstream of another data centre that may be cold: its placement server knows of all but the last
-/// two, by notices.
+/// Shortest time between two requests of this server to an upstream of another data centre that may be cold. The server there learns of each by a notice,
+/// which is under way for less than two such times.
 constexpr Duration RemoteGrantInterval = std::chrono::milliseconds(60);
-/// Part of it that the server before this one may have used in the last second.
+/// Part of a cold upstream's rate that the placement server before this one may have used up in its last second.
 constexpr double PredecessorPart = 0.5;
 constexpr Duration PredecessorTime = std::chrono::milliseconds(1200);
 /// Maximum concurrent requests at an upstream of unknown pace.
