A line and a counter show which report ejected an upstream

Change: the placement server hands on each ejection that begins; the VM writes "upstream-ejected" with the upstream, the last VM that reported and whether requests or connections failed, and counts it.

--- a/src/placement/placementserver.cpp
+++ b/src/placement/placementserver.cpp
@@ -288,6 +288,7 @@
 {
     const auto request = entryVm.requests.find(PlacementId{ended.id()});
     const InstanceName upstream{ended.upstream()};
+    bool isEjected = false;
     switch (ended.outcome()) {
     case v1::PLACEMENT_SERVED:
         m_pool.recordSuccess(upstream);
@@ -300,10 +301,10 @@
         }
         break;
     case v1::PLACEMENT_FAILED:
-        m_pool.recordFailure(upstream, now);
+        isEjected = m_pool.recordFailure(upstream, now);
         break;
     case v1::PLACEMENT_UNREACHABLE:
-        m_pool.recordUnreachable(upstream, from, now);
+        isEjected = m_pool.recordUnreachable(upstream, from, now);
         break;
     case v1::PLACEMENT_REFUSED:
         m_pool.recordRefusal(upstream, now);
@@ -314,6 +315,9 @@
     default:
         break;
     }
+    if (isEjected) {
+        m_ejections.push_back(Ejection{.upstream = upstream, .reportedBy = from, .outcome = ended.outcome()});
+    }
 }
 
 /// Releases what the request holds: its queue entry and its charge on the limit while it waits, its slot at the upstream afterwards.
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -27,6 +27,14 @@
 class PlacementServer
 {
 public:
+    /// An upstream that gets no request for a while, since requests or connections to it failed.
+    struct Ejection
+    {
+        InstanceName upstream;
+        /// The VM that reported the last failure, and which it was.
+        VmName reportedBy;
+        v1::PlacementOutcome outcome = v1::PLACEMENT_FAILED;
+    };
     using Reply = std::pair<VmName, v1::PlacementReply>;
 
     /// "limitTolerance": tokens (or requests) that may be admitted beyond each limit; the setting limit_slack.
@@ -76,6 +84,11 @@
     /// Releases the requests of entry VMs, and the loads of peers, that timed out.
     void expireTimedOut(TimePoint now);
 
+    /// Returns the ejections that began since the last call.
+    std::vector<Ejection> takeEjections()
+    {
+        return std::exchange(m_ejections, {});
+    }
     /// Other servers that currently place requests.
     std::vector<VmName> activePeers(TimePoint now) const;
     /// Whether any entry VM has requests here.
@@ -188,6 +201,7 @@
     std::map<std::string, v1::Rollout> m_rollouts;
     std::map<VmName, EntryVm> m_entryVms;
     std::map<ServiceName, Service> m_services;
+    std::vector<Ejection> m_ejections;
 };
 
 }
--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -325,30 +325,29 @@
     }
 }
 
-void UpstreamPool::recordFailure(const InstanceName &name, TimePoint now)
+bool UpstreamPool::recordFailure(const InstanceName &name, TimePoint now)
 {
     Upstream *upstream = find(name);
     if (!upstream) {
-        return;
+        return false;
     }
     ++upstream->consecutiveFailures;
     if (upstream->consecutiveFailures >= FailuresBeforeEjection) {
         const int doublings = std::min(upstream->consecutiveFailures - FailuresBeforeEjection, 6);
         upstream->ejectedUntil = now + std::min<Duration>(MinEjectionTime * (1 << doublings), MaxEjectionTime);
     }
+    return upstream->consecutiveFailures == FailuresBeforeEjection;
 }
 
-void UpstreamPool::recordUnreachable(const InstanceName &name, const VmName &vm, TimePoint now)
+bool UpstreamPool::recordUnreachable(const InstanceName &name, const VmName &vm, TimePoint now)
 {
     Upstream *upstream = find(name);
     if (!upstream) {
-        return;
+        return false;
     }
     const bool isRepeated = upstream->consecutiveFailures > 0 && upstream->unreachableFrom == vm;
     upstream->unreachableFrom = vm;
-    if (!isRepeated) {
-        recordFailure(name, now);
-    }
+    return !isRepeated && recordFailure(name, now);
 }
 
 void UpstreamPool::recordRefusal(const InstanceName &name, TimePoint now)
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -163,11 +163,12 @@
     /// Prompt tokens that the upstream has to process before a new prompt.
     std::uint64_t pendingPromptTokens(const InstanceName &name) const;
     void recordSuccess(const InstanceName &name);
-    /// Records a failed request or connection. The upstream is ejected after several failures in a row, longer with each further one.
-    void recordFailure(const InstanceName &name, TimePoint now);
+    /// Records a failed request or connection. The upstream is ejected after several failures in a row, longer with each further one. Returns whether this
+    /// was the first failure in the row that ejected it.
+    bool recordFailure(const InstanceName &name, TimePoint now);
     /// Records that an entry VM could not connect to the upstream. The upstream is ejected only after failures of several VMs without a success in between:
-    /// a single VM may have lost its own path.
-    void recordUnreachable(const InstanceName &name, const VmName &vm, TimePoint now);
+    /// a single VM may have lost its own path. Returns as recordFailure() does.
+    bool recordUnreachable(const InstanceName &name, const VmName &vm, TimePoint now);
     /// Records that the upstream was full or draining and refused a request: it is ejected briefly, without counting a failure.
     void recordRefusal(const InstanceName &name, TimePoint now);
     /// Records that another process has the upstream's address.
--- a/src/proxy/placementhost.cpp
+++ b/src/proxy/placementhost.cpp
@@ -277,6 +277,9 @@
         m_listReader.start();
     }
     m_server.handleState(from, state, now);
+    for (const PlacementServer::Ejection &ejection : m_server.takeEjections()) {
+        m_ejected.emit(ejection);
+    }
     scheduleAdvance();
 }
 
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -70,6 +70,11 @@
     {
         return m_refused;
     }
+    /// Emitted for what this VM's server places.
+    sigc::signal<void, const PlacementServer::Ejection &> &ejected()
+    {
+        return m_ejected;
+    }
 
     void setFleet(const v1::FleetTally &fleet);
     void setRoutes(const v1::RouteTable &routes);
@@ -122,6 +127,7 @@
     bool m_noticeDue = false;
     sigc::signal<void, const PlacementGranted &> m_granted;
     sigc::signal<void, const PlacementRefused &> m_refused;
+    sigc::signal<void, const PlacementServer::Ejection &> m_ejected;
 };
 
 }
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -113,6 +113,13 @@
     requestPlacementOrRefuse(request, now);
 }
 
+void ProxyTask::onEjected(const PlacementServer::Ejection &ejection)
+{
+    const char *why = ejection.outcome == v1::PLACEMENT_UNREACHABLE ? "unreachable" : "failed";
+    logChange("placement", "upstream-ejected", {{"upstream", ejection.upstream.value}, {"reported_by", ejection.reportedBy.value}, {"why", why}});
+    m_metrics.counter("cumindyke_upstream_ejections_total", "Times an upstream was ejected, since requests or connections to it failed", {{"why", why}}).add();
+}
+
 void ProxyTask::onRefused(const PlacementRefused &refused)
 {
     const auto found = m_requestsByPlacement.find(refused.id);
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -140,6 +140,7 @@
     bool isHeld(const UpstreamInstance &upstream) const;
     void returnGrant(ProxyRequest &request, const UpstreamInstance &upstream, TimePoint now);
     void onRefused(const PlacementRefused &refused);
+    void onEjected(const PlacementServer::Ejection &ejection);
     void refuseOverLimit(ProxyRequest &request, const ExhaustedLimit &limit);
 
     // Attempts and their answers.
--- a/tests/placement/upstreampooltest.cpp
+++ b/tests/placement/upstreampooltest.cpp
@@ -436,9 +436,9 @@
     UpstreamPool pool({.localDataCentre = LocalDataCentre});
     pool.setList({instance("a")});
     for (int failure = 0; failure < 5; ++failure) {
-        pool.recordUnreachable(InstanceName{"a"}, VmName{"10.0.0.1"}, Start);
+        CHECK_FALSE(pool.recordUnreachable(InstanceName{"a"}, VmName{"10.0.0.1"}, Start));
     }
     CHECK(chosen(pool, Start) == "a");
-    pool.recordUnreachable(InstanceName{"a"}, VmName{"10.0.0.2"}, Start);
+    CHECK(pool.recordUnreachable(InstanceName{"a"}, VmName{"10.0.0.2"}, Start));
     CHECK(chosen(pool, Start).empty());
 }
