The paths to the upstreams are a module of their own

Cause: the front door needs them too, and they were a part of the proxy's task, next to its requests. Change: src/relay holds the path monitor, the choice of a relay, the relay itself and UpstreamPaths, which owns them; the proxy keeps what concerns its requests.

Result: relay's tests pass (51 assertions in 10 cases). Proxy's: one run of 22 cases beside a load of 21 failed once in "each request that ends an upstream is reported" (crash 7); 33 runs of that test alone, thirty of them ten at a time, passed.

--- a/src/microbench/relaybench.cpp
+++ b/src/microbench/relaybench.cpp
@@ -1,7 +1,7 @@
 // Measures what a request costs in processor time with and without a relay; caller, relay and upstream share one thread.
 
 #include "entry/httpserver.h"
-#include "proxy/relayserver.h"
+#include "relay/relayserver.h"
 #include "upstream/upstreamcall.h"
 
 #include <benchmark/benchmark.h>
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -102,7 +102,8 @@
     const Duration left = std::max<Duration>(request.parsed.deadline - now, std::chrono::milliseconds(1)) + std::chrono::seconds(1);
     const bool mayResume = request.isResumable() && request.attempts.attemptCount() + 1 < request.parsed.route->max_attempts();
     const Duration progressTimeout = mayResume ? std::min<Duration>(left, ResumeTimeout) : left;
-    return ProgressTimeouts{.connect = request.relay ? RelayConnectTimeout : ConnectTimeout, .firstByte = progressTimeout, .betweenBytes = progressTimeout};
+    const Duration connectTimeout = request.relay ? UpstreamPaths::RelayConnectTimeout : UpstreamPaths::ConnectTimeout;
+    return ProgressTimeouts{.connect = connectTimeout, .firstByte = progressTimeout, .betweenBytes = progressTimeout};
 }
 
 void ProxyTask::send(ProxyRequest &request, const UpstreamInstance &to, const std::string &inputs, TimePoint now)
@@ -113,9 +114,10 @@
     request.answerHead = {};
     request.bufferedBody.clear();
     request.eventSplitter.discardPartial();
+    request.relay = m_paths->chooseRelay(to.address, request.parsed.homeRegions);
     UpstreamRequest upstreamRequest{
         .id = request.parsed.id,
-        .address = connectAddress(to.address),
+        .address = request.relay ? to.address : m_paths->connectAddress(to.address),
         .method = request.exchange->method(),
         .target = request.exchange->target(),
         .headers = headersFor(request, to, now),
@@ -123,10 +125,9 @@
         .host = request.exchange->header("Host"),
         .idHeader = m_options.headers.requestId,
         .allowsCloseDelimitedBody = true,
-        .relay = chooseRelay(request, now),
     };
-    if (upstreamRequest.relay) {
-        upstreamRequest.address = to.address;
+    if (request.relay) {
+        upstreamRequest.relay = m_paths->relayAddress(*request.relay);
     }
     request.call = std::make_unique<UpstreamCall>(m_loop, std::move(upstreamRequest), timeoutsFor(request, now));
     request.attempts.recordStart();
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -41,8 +41,6 @@
     , m_mailbox(m_loop, [this](ProxyMessage &&message) { std::visit([this](auto &held) { handle(held); }, message); })
     , m_metrics(metrics)
     , m_incarnation(std::random_device{}())
-    , m_relays(m_options.vm, m_options.pool.localDataCentre, m_options.pool.regions)
-    , m_probeTimer(m_loop, [this] { probePath(); })
     , m_holdTimer(m_loop, [this] { releaseHeldRequests(); })
     , m_suspects(m_loop,
                  SuspectTrackerOptions{
@@ -50,7 +48,7 @@
                      .propose = m_options.propose,
                      .post = [this](SuspectReply reply) { post(std::move(reply)); },
                      .mapAddress = m_options.mapAddress,
-                     .confirmEnded = [this](const Address &upstream, std::function<void(bool)> then) { confirmEnded(upstream, std::move(then)); },
+                     .confirmEnded = [this](const Address &upstream, std::function<void(bool)> then) { m_paths->confirmEnded(upstream, std::move(then)); },
                  },
                  metrics)
     , m_cleanUpTimer(m_loop, [this] { cleanUp(); })
@@ -90,7 +88,21 @@
     m_placement->granted().connect([this](const PlacementGranted &granted) { onGranted(granted); });
     m_placement->refused().connect([this](const PlacementRefused &refused) { onRefused(refused); });
     m_placement->ejected().connect([this](const PlacementServer::Ejection &ejection) { onEjected(ejection); });
-    return openRelay();
+    auto paths = UpstreamPaths::open(m_loop,
+                                     UpstreamPathsOptions{
+                                         .vm = m_options.vm,
+                                         .localDataCentre = m_options.pool.localDataCentre,
+                                         .regions = m_options.pool.regions,
+                                         .relayAddress = m_options.relayAddress,
+                                         .mapAddress = m_options.mapAddress,
+                                     },
+                                     m_metrics);
+    if (!ok(paths)) {
+        return errorOf(paths);
+    }
+    m_paths = std::move(valueOf(paths));
+    m_paths->lost().connect([this] { onPathLost(); });
+    return {};
 }
 
 ProxyTask::~ProxyTask()
@@ -141,7 +153,7 @@
     if (configuration.fleet && configuration.fleet != m_fleet) {
         m_fleet = configuration.fleet;
         m_placement->setFleet(*m_fleet);
-        m_relays.setFleet(*m_fleet);
+        m_paths->setFleet(*m_fleet);
     }
     if (!m_wasReady && mayAdmit(EventLoop::now())) {
         m_wasReady = true;
@@ -170,7 +182,7 @@
     m_drain = std::move(drain);
     m_drainStartedAt = EventLoop::now();
     m_placement->startLeaving();
-    updateRelayAvailability();
+    m_paths->setDraining();
     m_drainTimer.startEvery(DrainCheckInterval);
     sendTally();
 }
@@ -335,7 +347,7 @@
 
 void ProxyTask::finishDrainIfDone()
 {
-    const bool isBusy = !m_requests.empty() || (m_relayServer && m_relayServer->connectionCount() > 0);
+    const bool isBusy = !m_requests.empty() || m_paths->relayedCount() > 0;
     if (!m_drain || isBusy || EventLoop::now() - m_drainStartedAt < m_options.balancerDetectionTime + m_options.refusalTime) {
         return;
     }
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -6,15 +6,11 @@
 #include "control/controltask.h"
 #include "entry/httpserver.h"
 #include "entry/suspecttracker.h"
-#include "proxy/pathmonitor.h"
 #include "proxy/placementhost.h"
 #include "proxy/proxyrequest.h"
-#include "proxy/relaycheck.h"
-#include "proxy/relaychoice.h"
-#include "proxy/relayserver.h"
 #include "proxy/requestparser.h"
 #include "proxy/retrybudget.h"
-#include "upstream/livenesscheck.h"
+#include "relay/upstreampaths.h"
 
 #include <functional>
 #include <map>
@@ -85,11 +81,6 @@
     void post(ProxyMessage message);
 
 private:
-    /// A connection within a region is established in a few milliseconds, or the upstream is unreachable.
-    static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
-    /// The relay's own timeout, and its answer.
-    static constexpr Duration RelayConnectTimeout = ConnectTimeout + std::chrono::milliseconds(100);
-
     struct HeldRequest
     {
         std::shared_ptr<Exchange> exchange;
@@ -166,22 +157,13 @@
     void endCall(ProxyRequest &request, v1::PlacementOutcome outcome, const AnswerPace &pace = {});
     void recordEvents(ProxyRequest &request, TimePoint now);
 
-    // Paths to upstreams.
-    std::optional<Error> openRelay();
-    Address connectAddress(const Address &upstream) const;
-    std::optional<Address> chooseRelay(ProxyRequest &request, TimePoint now);
+    // Requests through another VM.
     bool mayUseRelay(const ProxyRequest &request) const;
     void onSent(LocalRequestId localId);
     void handleUnsent(ProxyRequest &request);
     void handleRelayFailure(ProxyRequest &request);
     void resend(ProxyRequest &request);
-    void recordConnected(const Address &upstream);
-    void recordConnectFailure(const Address &upstream, TimePoint startedAt);
-    void updatePath(const Address &lastTried);
-    void handlePathLost();
-    void probePath();
-    void updateRelayAvailability();
-    void confirmEnded(const Address &upstream, std::function<void(bool)> then);
+    void onPathLost();
 
     // Answers to callers.
     void forwardHead(ProxyRequest &request);
@@ -208,14 +190,7 @@
     std::unique_ptr<HttpServer> m_callerDoor;
     std::unique_ptr<HttpServer> m_readinessDoor;
     std::unique_ptr<PlacementHost> m_placement;
-    PathMonitor m_path;
-    bool m_isPathLost = false;
-    RelayChoice m_relays;
-    /// Null without a relay address.
-    std::unique_ptr<RelayServer> m_relayServer;
-    std::vector<std::shared_ptr<LivenessCheck>> m_pathProbes;
-    std::map<std::uint64_t, std::shared_ptr<RelayCheck>> m_relayChecks;
-    Timer m_probeTimer;
+    std::unique_ptr<UpstreamPaths> m_paths;
     std::shared_ptr<const RouteIndex> m_routes;
     /// The upstreams of these data centres get no new requests.
     std::set<DataCentreName> m_evacuated;
--- a/src/proxy/pathmonitor.cpp
+++ b/src/relay/pathmonitor.cpp
@@ -1,4 +1,4 @@
-#include "proxy/pathmonitor.h"
+#include "relay/pathmonitor.h"
 
 #include <algorithm>
 
--- a/src/proxy/relaycheck.cpp
+++ b/src/relay/relaycheck.cpp
@@ -1,4 +1,4 @@
-#include "proxy/relaycheck.h"
+#include "relay/relaycheck.h"
 
 #include <event2/http.h>
 
--- a/src/proxy/relaychoice.cpp
+++ b/src/relay/relaychoice.cpp
@@ -1,4 +1,4 @@
-#include "proxy/relaychoice.h"
+#include "relay/relaychoice.h"
 
 #include <algorithm>
 
--- a/src/proxy/relayserver.cpp
+++ b/src/relay/relayserver.cpp
@@ -1,4 +1,4 @@
-#include "proxy/relayserver.h"
+#include "relay/relayserver.h"
 
 #include "common/address.h"
 #include "upstream/upstreamcall.h"
--- a/tests/proxy/pathmonitortest.cpp
+++ b/tests/relay/pathmonitortest.cpp
@@ -1,5 +1,5 @@
-#include "proxy/pathmonitor.h"
-#include "proxy/relaychoice.h"
+#include "relay/pathmonitor.h"
+#include "relay/relaychoice.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/proxy/relayservertest.cpp
+++ b/tests/relay/relayservertest.cpp
@@ -1,4 +1,4 @@
-#include "proxy/relayserver.h"
+#include "relay/relayserver.h"
 
 #include "entry/httpserver.h"
 #include "support/processes.h"
