A VM without a path asks another relay when one gives no verdict on an upstream

Cause: a VM that has just lost its path asks one relay whether an upstream has ended. A relay that was down, had no path or did not answer in 0.4 s counted as one that reaches the upstream.

Change: up to three relays are asked, and one without a verdict is left out for a second. Without any verdict the refused connection counts, unless other VMs said that they have no path either: then every running request would be suspected.

--- a/src/relay/upstreampaths.cpp
+++ b/src/relay/upstreampaths.cpp
@@ -13,6 +13,8 @@
 
 /// Interval of the attempts to reach upstreams directly while the path is lost; each attempt ends before the next.
 constexpr Duration ProbeInterval = LivenessCheck::MaxTime + std::chrono::milliseconds(50);
+/// The request waits for the result before it may be sent again.
+constexpr int MaxRelaysAsked = 3;
 
 }
 
@@ -118,16 +120,26 @@
 
 void UpstreamPaths::confirmEnded(const Address &upstream, std::function<void(bool)> then)
 {
-    const std::optional<VmName> relay = m_relayServer && m_isLost ? m_relays.next({}, EventLoop::now()) : std::nullopt;
+    askRelay(upstream, MaxRelaysAsked, false, std::move(then));
+}
+
+void UpstreamPaths::askRelay(const Address &upstream, int remaining, bool othersAreCut, std::function<void(bool)> then)
+{
+    const std::optional<VmName> relay = m_relayServer && m_isLost && remaining > 0 ? m_relays.next({}, EventLoop::now()) : std::nullopt;
     if (!relay) {
-        then(true);
+        then(!othersAreCut);
         return;
     }
     const std::uint64_t key = ++m_lastCheck;
-    const auto onResult = [this, key, then = std::move(then)](int status) {
+    const auto onResult = [this, key, relay, upstream, remaining, othersAreCut, then = std::move(then)](int status) {
         m_loop.releaseLater(m_checks[key]);
         m_checks.erase(key);
-        then(status == StatusUpstreamUnreachable);
+        if (status == StatusConnected || status == StatusUpstreamUnreachable) {
+            then(status == StatusUpstreamUnreachable);
+            return;
+        }
+        recordRelayFailure(*relay);
+        askRelay(upstream, remaining - 1, othersAreCut || status == StatusNoRelay, then);
     };
     m_checks[key] = std::make_shared<RelayCheck>(m_loop, relayAddress(*relay), upstream, RelayConnectTimeout, onResult);
 }
--- a/src/relay/upstreampaths.h
+++ b/src/relay/upstreampaths.h
@@ -78,7 +78,7 @@
     /// Records that a connection that was begun at this time could not be opened.
     void recordConnectFailure(const Address &upstream, TimePoint startedAt);
     /// Calls "then" with whether an upstream that refused a connection has ended. Ended upstreams refuse as a lost path does: while they can't be told
-    /// apart here, a VM with a path decides; without any the refusal counts.
+    /// apart here, a VM with a path decides. Without any the refusal counts, unless other VMs have no path either.
     void confirmEnded(const Address &upstream, std::function<void(bool)> then);
 
     /// The path was lost: what is still being opened should use another VM.
@@ -93,6 +93,7 @@
     void update(const Address &lastTried);
     void updateAvailability();
     void probe();
+    void askRelay(const Address &upstream, int remaining, bool othersAreCut, std::function<void(bool)> then);
 
     EventLoop &m_loop;
     const UpstreamPathsOptions m_options;
