The front door's requests go through another VM while theirs has no path

Cause: only the proxy used a relay. Change: an attempt of the front door opens its connection, and those that resume its stream, on the path that UpstreamPaths names; what can't be sent is made anew on another path, at most four times. A VM with a front door relays for the others at relay_port, finishes that before it shuts down, and asks a relay whether an upstream that refuses has ended.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -24,6 +24,15 @@
     return vms;
 }
 
+std::vector<std::string> peerHosts(const Settings &settings)
+{
+    std::vector<std::string> hosts;
+    for (const auto &[vm, address] : settings.peers) {
+        hosts.push_back(address.host);
+    }
+    return hosts;
+}
+
 /// Returns nothing under TLS, since datagrams and relayed connections are not authenticated.
 std::optional<Address> plaintextAddress(const Settings &settings, std::uint16_t port)
 {
@@ -218,6 +227,8 @@
                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
                                      .historyFile = settings.historyFile,
                                      .platformList = settings.platformList,
+                                     .relayAddress = plaintextAddress(settings, settings.relayPort),
+                                     .relayHosts = peerHosts(settings),
                                  },
                                  m_metrics);
     if (!ok(entry)) {
--- a/src/entry/entryattempts.cpp
+++ b/src/entry/entryattempts.cpp
@@ -74,7 +74,7 @@
     }
     m_history.write("dispatched", id, EventLoop::now(), {{"upstream", upstream.name.value}});
     active->slot = slot;
-    active->attempt = std::make_unique<UpstreamAttempt>(m_loop, active->request, upstream, active->exchange, m_attemptCounters);
+    active->attempt = std::make_unique<UpstreamAttempt>(m_loop, active->request, upstream, active->exchange, *m_paths, m_attemptCounters);
     active->attempt->answerStarted().connect([this, active, name = upstream.name] {
         active->lifecycle.markAnswerStarted();
         m_dispatcher.onUpstreamAccepted(name, EventLoop::now());
@@ -198,10 +198,16 @@
     m_keyed.onRequestEnded(id, claimEndOf(end), ended->exchange->savedAnswer(), EventLoop::now());
     if (ended->attempt && ended->attempt->cancel()) {
         m_attemptCounters.cancels.add();
-        m_canceller.cancel(ended->attempt->address(), request.id);
+        cancelStream(ended->attempt->address(), request.id);
     }
 }
 
+void EntryTask::cancelStream(const Address &upstream, const RequestId &id)
+{
+    const std::optional<VmName> relay = m_paths->chooseRelay(upstream, {});
+    m_canceller.cancel(upstream, id, relay ? std::optional(m_paths->relayAddress(*relay)) : std::nullopt);
+}
+
 void EntryTask::releaseSlot(ActiveRequest &active)
 {
     if (active.slot) {
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -31,12 +31,38 @@
     }
     task->m_httpServer = std::move(valueOf(server));
     task->m_httpServer->arrived().connect(sigc::mem_fun(*task, &EntryTask::onRequest));
+    if (auto error = task->openPaths()) {
+        return *error;
+    }
     task->m_sweepTimer.startEvery(SweepInterval);
     task->m_reportTimer.startEvery(ReportInterval);
     task->m_keyedSweepTimer.startEvery(KeyedSweepInterval);
     return task;
 }
 
+std::optional<Error> EntryTask::openPaths()
+{
+    auto paths = UpstreamPaths::open(m_loop,
+                                     UpstreamPathsOptions{
+                                         .vm = m_options.vm,
+                                         .localDataCentre = m_options.dataCentre,
+                                         .regions = {},
+                                         .relayAddress = m_options.relayAddress,
+                                         .mapAddress = m_options.mapAddress,
+                                     },
+                                     m_metrics);
+    if (!ok(paths)) {
+        return errorOf(paths);
+    }
+    m_paths = std::move(valueOf(paths));
+    v1::FleetTally fleet;
+    for (const std::string &host : m_options.relayHosts) {
+        fleet.add_placement_vms()->set_vm(host);
+    }
+    m_paths->setFleet(fleet);
+    return {};
+}
+
 void EntryTask::start()
 {
     m_thread = std::thread([this] { m_loop.run(); });
@@ -62,6 +88,8 @@
                      .vm = m_options.vm,
                      .propose = m_options.propose,
                      .post = [this](SuspectReply reply) { post(std::move(reply)); },
+                     .mapAddress = m_options.mapAddress,
+                     .confirmEnded = [this](const Address &upstream, std::function<void(bool)> then) { m_paths->confirmEnded(upstream, std::move(then)); },
                  },
                  metrics)
     , m_keyed(keyedOptions())
@@ -133,6 +161,7 @@
 void EntryTask::handle(DrainRequest &&drain)
 {
     m_admission.beginDrain();
+    m_paths->setDraining();
     m_onDrained = std::move(drain.drained);
     logChange("entry", "draining", {{"requests", std::to_string(m_requests.size())}});
     finishDrainIfIdle();
@@ -351,7 +380,7 @@
 
 void EntryTask::finishDrainIfIdle()
 {
-    if (m_admission.isDraining() && m_requests.size() == 0 && m_keyed.allEndsSaved() && m_onDrained) {
+    if (m_admission.isDraining() && m_requests.size() == 0 && m_paths->relayedCount() == 0 && m_keyed.allEndsSaved() && m_onDrained) {
         logChange("entry", "drained");
         std::exchange(m_onDrained, nullptr)();
     }
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -14,6 +14,7 @@
 #include "entry/servicerate.h"
 #include "entry/suspecttracker.h"
 #include "entry/versiontraffic.h"
+#include "relay/upstreampaths.h"
 #include "report/requestendcounters.h"
 #include "upstream/platformlist.h"
 #include "upstream/streamcanceller.h"
@@ -57,6 +58,12 @@
     std::string historyFile;
     /// File or "http://HOST:PORT/PATH" of the platform's list of VMs (see PlatformList). Empty: none.
     std::string platformList;
+    /// Where this VM opens connections to upstreams for others; all VMs use the same port. None: nothing is relayed.
+    std::optional<Address> relayAddress = {};
+    /// IP addresses of the other VMs, which may be asked for connections.
+    std::vector<std::string> relayHosts = {};
+    /// Maps an upstream's address to the one that is connected to; none: the same.
+    std::function<Address(const Address &)> mapAddress = {};
 };
 
 /// Owns the callers' connections and the lifecycle of every request, from its arrival to the last byte of its answer.
@@ -79,6 +86,7 @@
 
 private:
     EntryTask(EntryOptions options, Metrics &metrics);
+    std::optional<Error> openPaths();
     void handle(EntryMessage &&message);
     void handle(Configuration &&configuration);
     void handle(DrainRequest &&drain);
@@ -113,6 +121,7 @@
     void abandonWithOutcome(const RequestId &id, const Error &error, RunOutcome outcome);
     void endWithError(const RequestId &id, const Error &error, RunOutcome outcome, std::chrono::seconds retryAfter);
     void finish(const RequestId &id, RequestEnd end);
+    void cancelStream(const Address &upstream, const RequestId &id);
     void releaseSlot(ActiveRequest &active);
     void finishDrainIfIdle();
     void reportOutcomes();
@@ -131,6 +140,7 @@
     Admission m_admission;
     VersionTraffic m_versions;
     Dispatcher m_dispatcher;
+    std::unique_ptr<UpstreamPaths> m_paths;
     AttemptCounters m_attemptCounters;
     StreamCanceller m_canceller;
     HistoryLog m_history;
--- a/src/entry/upstreamattempt.cpp
+++ b/src/entry/upstreamattempt.cpp
@@ -28,6 +28,8 @@
 constexpr Duration InitialResumeDelay = std::chrono::milliseconds(50);
 /// A resumable stream without progress for this long is lost once its deadline has passed.
 constexpr Duration StallTimeout = std::chrono::seconds(30);
+/// Other paths that are tried for one attempt.
+constexpr int MaxReopenedCalls = 4;
 
 bool hasNotRunHeader(const AnswerHead &head)
 {
@@ -65,39 +67,118 @@
                                  const CallerRequest &request,
                                  const Upstream &upstream,
                                  std::shared_ptr<Exchange> exchange,
+                                 UpstreamPaths &paths,
                                  AttemptCounters &counters)
     : m_loop(loop)
     , m_request(request)
     , m_address(upstream.address)
     , m_exchange(std::move(exchange))
+    , m_paths(paths)
     , m_counters(counters)
     , m_sink(makeSink(request, m_exchange))
     , m_stream(resumableStreamOf(m_sink))
-    , m_call(std::make_unique<UpstreamCall>(loop, makeUpstreamRequest(request, m_address), m_stream ? ModelTimeouts : PlainTimeouts))
     , m_resumeTimer(loop, [this] { resume(); })
     , m_lastProgressAt(request.arrival)
 {
-    m_outputDrainedConnection = m_exchange->drained().connect([this] { m_call->setPaused(false); });
-    connectCall();
+    m_outputDrainedConnection = m_exchange->drained().connect([this] {
+        if (m_call) {
+            m_call->setPaused(false);
+        }
+    });
+    m_pathLostConnection = m_paths.lost().connect(sigc::mem_fun(*this, &UpstreamAttempt::onPathLost));
 }
 
 UpstreamAttempt::~UpstreamAttempt()
 {
     m_outputDrainedConnection.disconnect();
+    m_pathLostConnection.disconnect();
 }
 
-void UpstreamAttempt::connectCall()
+UpstreamRequest UpstreamAttempt::makeCall() const
 {
+    if (!m_resuming) {
+        return makeUpstreamRequest(m_request, m_address);
+    }
+    return UpstreamRequest{
+        .id = m_request.id,
+        .address = m_address,
+        .method = "GET",
+        .target = "/v1/streams/" + m_request.id.value + "?offset=" + std::to_string(m_stream->offset()),
+        .headers = {},
+        .body = {},
+    };
+}
+
+/// Makes the call, or the one that continues its stream, on the path that is the best now.
+void UpstreamAttempt::openCall()
+{
+    UpstreamRequest call = makeCall();
+    m_relay = m_paths.chooseRelay(m_address, {});
+    if (m_relay) {
+        call.relay = m_paths.relayAddress(*m_relay);
+    } else {
+        call.address = m_paths.connectAddress(m_address);
+    }
+    const ProgressTimeouts &firstTimeouts = m_stream ? ModelTimeouts : PlainTimeouts;
+    m_callStartedAt = EventLoop::now();
+    m_isCallOpen = true;
+    m_call = std::make_unique<UpstreamCall>(m_loop, std::move(call), m_resuming ? ResumeTimeouts : firstTimeouts);
+    m_call->sent().connect(sigc::mem_fun(*this, &UpstreamAttempt::onSent));
     m_call->head().connect(sigc::mem_fun(*this, &UpstreamAttempt::onHead));
     m_call->data().connect(sigc::mem_fun(*this, &UpstreamAttempt::onData));
     m_call->finished().connect(sigc::mem_fun(*this, &UpstreamAttempt::onCallFinished));
     m_call->failed().connect(sigc::mem_fun(*this, &UpstreamAttempt::onCallFailed));
+    m_call->start();
+}
+
+void UpstreamAttempt::onSent()
+{
+    if (!m_relay) {
+        m_paths.recordConnected(m_address);
+    }
+}
+
+void UpstreamAttempt::onPathLost()
+{
+    if (m_isCallOpen && !m_finished && !m_relay && !m_call->isSent() && m_paths.mayUseRelay(m_address, {})) {
+        reopenCall();
+    }
+}
+
+/// Makes the call anew, on another path. No byte of it has left this VM.
+void UpstreamAttempt::reopenCall()
+{
+    ++m_reopenedCalls;
+    m_call->cancel();
+    // One of its signals may be running.
+    m_loop.releaseLater(std::shared_ptr<UpstreamCall>(std::move(m_call)));
+    openCall();
+}
+
+/// Returns whether the call that could not be sent is made anew.
+bool UpstreamAttempt::goesOnByOtherPath(CallFailure failure)
+{
+    if (failure == CallFailure::RelayFailed) {
+        m_paths.recordRelayFailure(*m_relay);
+    } else if (failure == CallFailure::NotSent && !m_relay) {
+        m_paths.recordConnectFailure(m_address, m_callStartedAt);
+        if (!m_paths.mayUseRelay(m_address, {})) {
+            return false;
+        }
+    } else {
+        return false;
+    }
+    if (m_reopenedCalls >= MaxReopenedCalls) {
+        return false;
+    }
+    reopenCall();
+    return true;
 }
 
 void UpstreamAttempt::start()
 {
     m_lastProgressAt = EventLoop::now();
-    m_call->start();
+    openCall();
 }
 
 bool UpstreamAttempt::cancel()
@@ -105,7 +186,9 @@
     const bool mayStillRun = !m_finished && m_stream;
     m_finished = true;
     m_resumeTimer.stop();
-    m_call->cancel();
+    if (m_call) {
+        m_call->cancel();
+    }
     return mayStillRun;
 }
 
@@ -166,7 +249,12 @@
 
 void UpstreamAttempt::onCallFailed(CallFailure failure)
 {
-    if (failure == CallFailure::NotSent && !m_resuming) {
+    m_isCallOpen = false;
+    if (goesOnByOtherPath(failure)) {
+        return;
+    }
+    const bool isUnsent = failure == CallFailure::NotSent || failure == CallFailure::RelayFailed;
+    if (isUnsent && !m_resuming) {
         end(AttemptResult::Kind::NotRun);
         return;
     }
@@ -202,18 +290,7 @@
     m_stream->startConnection();
     m_failureBody.clear();
     m_head = {};
-    m_call = std::make_unique<UpstreamCall>(m_loop,
-                                            UpstreamRequest{
-                                                .id = m_request.id,
-                                                .address = m_address,
-                                                .method = "GET",
-                                                .target = "/v1/streams/" + m_request.id.value + "?offset=" + std::to_string(m_stream->offset()),
-                                                .headers = {},
-                                                .body = {},
-                                            },
-                                            ResumeTimeouts);
-    connectCall();
-    m_call->start();
+    openCall();
 }
 
 void UpstreamAttempt::end(AttemptResult::Kind kind)
--- a/src/entry/upstreamattempt.h
+++ b/src/entry/upstreamattempt.h
@@ -4,6 +4,7 @@
 #include "domain/declarations.h"
 #include "entry/answers.h"
 #include "entry/callerrequest.h"
+#include "relay/upstreampaths.h"
 #include "upstream/upstreamcall.h"
 
 #include <memory>
@@ -47,13 +48,19 @@
 ///
 /// Guards against a connection that closes or stalls during an answer, which callers would see as a truncated answer or an endless wait.
 /// A model's stream is resumed by id and offset on a new connection, never dispatched again: the engine keeps the stream under the
-/// request's id. The new connection also probes whether the upstream is alive.
+/// request's id. The new connection also probes whether the upstream is alive. While this VM has no path to the upstream, its connections go through
+/// another VM.
 ///
 /// ended() is emitted exactly once unless cancel() is called; no signal follows either.
 class UpstreamAttempt
 {
 public:
-    UpstreamAttempt(EventLoop &loop, const CallerRequest &request, const Upstream &upstream, std::shared_ptr<Exchange> exchange, AttemptCounters &counters);
+    UpstreamAttempt(EventLoop &loop,
+                    const CallerRequest &request,
+                    const Upstream &upstream,
+                    std::shared_ptr<Exchange> exchange,
+                    UpstreamPaths &paths,
+                    AttemptCounters &counters);
     ~UpstreamAttempt();
     UpstreamAttempt(const UpstreamAttempt &) = delete;
     UpstreamAttempt &operator=(const UpstreamAttempt &) = delete;
@@ -93,7 +100,12 @@
     }
 
 private:
-    void connectCall();
+    UpstreamRequest makeCall() const;
+    void openCall();
+    void onSent();
+    void onPathLost();
+    bool goesOnByOtherPath(CallFailure failure);
+    void reopenCall();
     void onHead(const AnswerHead &head);
     void onData(std::string_view bytes);
     void onCallFinished();
@@ -108,11 +120,19 @@
     const CallerRequest &m_request;
     const Address m_address;
     const std::shared_ptr<Exchange> m_exchange;
+    UpstreamPaths &m_paths;
     AttemptCounters &m_counters;
     AnySink m_sink;
     /// The stream in m_sink; null for a plain call, which can't be resumed.
     ResumableStream *m_stream;
+    /// Null before start().
     std::unique_ptr<UpstreamCall> m_call;
+    TimePoint m_callStartedAt{};
+    /// The VM that opens the connection of the call.
+    std::optional<VmName> m_relay;
+    /// The call has not failed yet.
+    bool m_isCallOpen = false;
+    int m_reopenedCalls = 0;
     Timer m_resumeTimer;
     AnswerHead m_head;
     std::string m_failureBody;
@@ -127,6 +147,7 @@
     sigc::signal<void> m_interrupted;
     sigc::signal<void, const AttemptResult &> m_ended;
     sigc::connection m_outputDrainedConnection;
+    sigc::connection m_pathLostConnection;
 };
 
 }
--- a/src/upstream/streamcanceller.cpp
+++ b/src/upstream/streamcanceller.cpp
@@ -17,7 +17,7 @@
 {
 }
 
-void StreamCanceller::cancel(const Address &upstream, const RequestId &id)
+void StreamCanceller::cancel(const Address &upstream, const RequestId &id, const std::optional<Address> &relay)
 {
     if (m_calls.size() >= MaxCalls) {
         return;
@@ -31,6 +31,7 @@
                                                    .target = "/v1/streams/" + id.value,
                                                    .headers = {},
                                                    .body = {},
+                                                   .relay = relay,
                                                },
                                                CancelTimeouts);
     call->finished().connect([this, number] { m_calls.erase(number); });
--- a/src/upstream/streamcanceller.h
+++ b/src/upstream/streamcanceller.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace cumindyke
 {
@@ -16,7 +17,8 @@
 public:
     explicit StreamCanceller(EventLoop &loop);
 
-    void cancel(const Address &upstream, const RequestId &id);
+    /// "relay": a VM that opens the connection instead, see UpstreamRequest.
+    void cancel(const Address &upstream, const RequestId &id, const std::optional<Address> &relay);
 
 private:
     EventLoop &m_loop;
--- a/tests/proxy/pathlosstest.cpp
+++ b/tests/proxy/pathlosstest.cpp
@@ -3,15 +3,10 @@
 #include "platform/platformadapter.h"
 #include "platform/routedocument.h"
 #include "proxy/proxytask.h"
+#include "support/hangingaddress.h"
 
 #include <catch2/catch.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <array>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -29,47 +24,6 @@
 /// How a cut VM's connections to upstreams fail.
 enum class Cut { None, Refused, Hangs, PartlyRefused };
 
-/// An address whose connections hang: its queue of connections is full, and nobody accepts.
-class HangingAddress
-{
-public:
-    explicit HangingAddress(const std::string &host)
-        : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in bound{};
-        bound.sin_family = AF_INET;
-        REQUIRE(inet_pton(AF_INET, host.c_str(), &bound.sin_addr) == 1);
-        REQUIRE(bind(m_listener, reinterpret_cast<sockaddr *>(&bound), sizeof bound) == 0);
-        REQUIRE(listen(m_listener, 0) == 0);
-        socklen_t length = sizeof bound;
-        getsockname(m_listener, reinterpret_cast<sockaddr *>(&bound), &length);
-        m_address = Address{.host = host, .port = ntohs(bound.sin_port)};
-        for (int &caller : m_callers) {
-            caller = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            static_cast<void>(connect(caller, reinterpret_cast<sockaddr *>(&bound), sizeof bound));
-        }
-    }
-    ~HangingAddress()
-    {
-        for (const int caller : m_callers) {
-            close(caller);
-        }
-        close(m_listener);
-    }
-    HangingAddress(const HangingAddress &) = delete;
-    HangingAddress &operator=(const HangingAddress &) = delete;
-
-    const Address &address() const
-    {
-        return m_address;
-    }
-
-private:
-    int m_listener;
-    std::array<int, 2> m_callers{};
-    Address m_address;
-};
-
 /// Entry VMs in this process, with real sockets: each can be cut off from all upstreams while callers and the other VMs reach it.
 class EntryVmTasks
 {
