A configuration under way to a process that ends is sent to its successor at once

Cause: the leader's connection was opened to the process before. After a loss of power nobody closes it, so the call goes out on it, fails when the VM's system answers, and is repeated only when the next repair is due, after a second. Waiting for a connection doesn't help a call on one that looks open.

Change: a call with a configuration, or with other large messages, that fails since its connection is gone is made once more, on a new connection. Messages may arrive twice by contract; an update that is not newer is ignored.

--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -154,6 +154,9 @@
         grpc::ClientContext context;
         v1::PeerBatch batch;
         v1::PeerAck ack;
+        Lane lane = Lane::Signal;
+        Duration timeout{};
+        bool isRepeated = false;
     };
 
     void updateHeldBytes()
@@ -176,26 +179,47 @@
             m_stub = v1::Peer::NewStub(connectTo(m_address, m_tls, m_attempt++));
         }
         auto call = std::make_shared<Call>();
+        call->lane = batch.lane;
+        call->timeout = batch.timeout;
         call->batch.set_from(m_self.value);
         call->batch.set_to(m_peer.value);
         for (v1::Envelope &envelope : batch.envelopes) {
             *call->batch.add_envelopes() = std::move(envelope);
         }
+        deliver(call);
+    }
+
+    void deliver(const std::shared_ptr<Call> &call)
+    {
         // Bulk messages are resent rarely, and VMs that have just started begin to listen shortly after their first heartbeat.
-        call->context.set_wait_for_ready(batch.lane == Lane::Bulk);
-        call->context.set_deadline(std::chrono::system_clock::now() + batch.timeout);
-        m_stub->async()->Deliver(&call->context, &call->batch, &call->ack, [self = shared_from_this(), call, lane = batch.lane](const grpc::Status &status) {
-            self->onCallEnded(lane, status, call->batch);
-        });
+        call->context.set_wait_for_ready(call->lane == Lane::Bulk);
+        call->context.set_deadline(std::chrono::system_clock::now() + call->timeout);
+        m_stub->async()->Deliver(
+            &call->context, &call->batch, &call->ack, [self = shared_from_this(), call](const grpc::Status &status) { self->onCallEnded(*call, status); });
+    }
+
+    /// Sends the messages again. The connection was open to a process that is gone, and its successor may listen already.
+    void repeat(Call &call)
+    {
+        auto repeated = std::make_shared<Call>();
+        repeated->batch.Swap(&call.batch);
+        repeated->lane = call.lane;
+        repeated->timeout = call.timeout;
+        repeated->isRepeated = true;
+        deliver(repeated);
     }
 
-    void onCallEnded(Lane lane, const grpc::Status &status, const v1::PeerBatch &batch)
+    void onCallEnded(Call &call, const grpc::Status &status)
     {
         const std::lock_guard lock(m_mutex);
-        m_queue.endCall(lane);
+        if (call.lane == Lane::Bulk && !call.isRepeated && status.error_code() == grpc::StatusCode::UNAVAILABLE) {
+            repeat(call);
+            return;
+        }
+        m_queue.endCall(call.lane);
         updateHeldBytes();
         if (!status.ok()) {
-            m_shared->losses.recordLoss(m_peer, reasonOf(status), batch.ByteSizeLong(), m_queue.queuedCount());
+            m_shared->losses.recordLoss(m_peer, reasonOf(status), call.batch.ByteSizeLong(), m_queue.queuedCount());
         }
         if (status.ok()) {
             m_timeoutsBeforeReconnect = MinTimeoutsBeforeReconnect;
--- a/tests/peer/peertransporttest.cpp
+++ b/tests/peer/peertransporttest.cpp
@@ -1,6 +1,7 @@
 #include "peer/peertransport.h"
 #include "peer/rpcserver.h"
 
+#include "common/address.h"
 #include "support/processes.h"
 
 #include <catch2/catch.hpp>
@@ -9,7 +10,9 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <thread>
 #include <vector>
@@ -68,6 +71,72 @@
     CHECK(optionOfConnectionsTo(address, SOL_SOCKET, SO_KEEPALIVE) == std::vector<int>{0});
 }
 
+namespace
+{
+
+/// A process that accepts one connection, of which nothing but the beginning is answered, and resets it when it ends.
+class DyingProcess
+{
+public:
+    explicit DyingProcess(const Address &address)
+        : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const sockaddr_in bound = *socketAddress(address);
+        const int enabled = 1;
+        setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+        REQUIRE(bind(m_listener, reinterpret_cast<const sockaddr *>(&bound), sizeof bound) == 0);
+        REQUIRE(listen(m_listener, 1) == 0);
+    }
+    /// Accepts the connection, and waits until the first call is under way.
+    void serve()
+    {
+        m_connection = accept(m_listener, nullptr, nullptr);
+        // An empty SETTINGS frame of HTTP/2.
+        constexpr std::array<unsigned char, 9> Settings{0, 0, 0, 4, 0, 0, 0, 0, 0};
+        REQUIRE(send(m_connection, Settings.data(), Settings.size(), 0) == static_cast<ssize_t>(Settings.size()));
+        std::string received;
+        while (received.find("cumindyke") == std::string::npos) {
+            std::array<char, 4096> bytes{};
+            const ssize_t count = recv(m_connection, bytes.data(), bytes.size(), 0);
+            REQUIRE(count > 0);
+            received.append(bytes.data(), static_cast<std::size_t>(count));
+        }
+    }
+    void end()
+    {
+        const linger discard{.l_onoff = 1, .l_linger = 0};
+        setsockopt(m_connection, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+        close(m_connection);
+        close(m_listener);
+    }
+
+private:
+    int m_listener;
+    int m_connection = -1;
+};
+
+}
+
+// Guards against a VM that has no configuration for a second after its restart: the leader's message goes to the process before, and is lost.
+TEST_CASE("a configuration that is under way to a process that ends is delivered to its successor")
+{
+    const TestNetwork network;
+    const Address address{.host = network.host(2), .port = 7604};
+    DyingProcess before(address);
+    PeerTransport transport(VmName{network.host(1)});
+    transport.setDefaultPort(address.port);
+    v1::Envelope update;
+    update.mutable_config_update()->set_version(7);
+    transport.send(VmName{address.host}, update);
+    before.serve();
+    before.end();
+    std::atomic<std::uint64_t> version = 0;
+    const auto receive = [&version](const VmName &, v1::Envelope &&envelope) { version = envelope.config_update().version(); };
+    auto server = RpcServer::start(address, {}, receive, {});
+    REQUIRE(ok(server));
+    CHECK(eventually([&version] { return version == 7; }, std::chrono::seconds(3)));
+}
+
 // Guards against VMs that have no configuration for seconds after a common restart: a VM relayed the configuration to VMs that did not
 // listen yet, and the messages to them were lost.
 TEST_CASE("a configuration for a VM that does not listen yet is delivered once it listens")
