A repeated call makes its connection anew when another lane gave it up

Cause: a lane whose calls time out drops the peer's channel; a configuration's call that ends after that and is repeated would have used none, and the process would have ended. Change: a call makes the channel if there is none.

--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -175,9 +175,6 @@
 
     void startCall(OutgoingBatch batch)
     {
-        if (!m_stub) {
-            m_stub = v1::Peer::NewStub(connectTo(m_address, m_tls, m_attempt++));
-        }
         auto call = std::make_shared<Call>();
         call->lane = batch.lane;
         call->timeout = batch.timeout;
@@ -191,6 +188,9 @@
 
     void deliver(const std::shared_ptr<Call> &call)
     {
+        if (!m_stub) {
+            m_stub = v1::Peer::NewStub(connectTo(m_address, m_tls, m_attempt++));
+        }
         // Bulk messages are resent rarely, and VMs that have just started begin to listen shortly after their first heartbeat.
         call->context.set_wait_for_ready(call->lane == Lane::Bulk);
         call->context.set_deadline(std::chrono::system_clock::now() + call->timeout);
