A repeated call opens a connection of its own

What was seen: the test of a configuration under way to a process that ends failed twice in some 50 whole runs of peer's tests, eight at a time. Cause, by reading: the call was repeated at once, and the channel may not have noticed yet that its connection was reset, so the second call went out on it too, and no third one is made. Change: the repeated call begins with a new channel.

--- a/src/peer/peertransport.cpp
+++ b/src/peer/peertransport.cpp
@@ -206,6 +206,8 @@
         repeated->lane = call.lane;
         repeated->timeout = call.timeout;
         repeated->isRepeated = true;
+        // The channel may not have noticed yet that its connection is gone.
+        m_stub.reset();
         deliver(repeated);
     }
 
