The front door writes which relay failed

Cause: the proxy has a line for a relay that could not open a connection, the front door had none. Change: the same line, from "entry". Result: the tests of entry pass (32,730 assertions).

--- a/src/entry/upstreamattempt.cpp
+++ b/src/entry/upstreamattempt.cpp
@@ -1,5 +1,6 @@
 #include "entry/upstreamattempt.h"
 
+#include "common/log.h"
 #include "entry/headers.h"
 #include "upstream/answersignals.h"
 
@@ -159,6 +160,7 @@
 bool UpstreamAttempt::goesOnByOtherPath(CallFailure failure)
 {
     if (failure == CallFailure::RelayFailed) {
+        logWarning("entry", "relay-failed", {{"id", m_request.id.value}, {"relay", m_relay->value}});
         m_paths.recordRelayFailure(*m_relay);
     } else if (failure == CallFailure::NotSent && !m_relay) {
         m_paths.recordConnectFailure(m_address, m_callStartedAt);
