--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -42,8 +42,8 @@
     return Address{.host = settings.rpcAddress.host, .port = port};
 }
 
-/// Part of the setting limit_slack that one placement server may admit beyond a limit; the rest covers what several servers admit before they know of
-/// each other's requests, and takeovers.
+/// One placement server may admit this part of the setting limit_slack beyond a limit. Several servers admit more together before they know of each
+/// other's requests, and after takeovers.
 constexpr std::uint64_t LimitToleranceDivisor = 8;
 
 /// Covers a request that waits for its slot, or is on its way to an upstream, when the VMs obey an evacuation.
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -55,6 +55,7 @@
         return errorOf(paths);
     }
     m_paths = std::move(valueOf(paths));
+    // The other VMs' data centres are not known here: all count alike.
     v1::FleetTally fleet;
     for (const std::string &host : m_options.relayHosts) {
         fleet.add_placement_vms()->set_vm(host);
--- a/src/placement/upstreamchoice.cpp
+++ b/src/placement/upstreamchoice.cpp
@@ -15,7 +15,7 @@
 constexpr double RemotePenalty = 1.4;
 /// Slowdown of a first event on an engine whose slots are all in use: its batch alternates with the prefill of prompts.
 constexpr double LoadWeight = 0.5;
-/// Share of the longest allowed pause that may be used; the rest is for streams that pause longer than most.
+/// Share of the longest allowed pause that a stream's usual pauses may take: some streams pause for longer.
 constexpr double MaxPauseRatio = 0.7;
 /// Part of what a cold upstream bears that is left for the requests that other placement servers granted since their last notices.
 constexpr double LocalColdReserve = 0.1;
--- a/src/placement/upstreampool.h
+++ b/src/placement/upstreampool.h
@@ -240,7 +240,7 @@
         TimePoint ejectedUntil{};
         /// The VM that failed to connect last.
         VmName unreachableFrom;
-        /// The process has said that it is leaving.
+        /// One of its answers said so (UpstreamSignal); the list shows it later.
         bool isLeaving = false;
         /// It has said lately that it crashes after some refusals.
         TimePoint brittleUntil{};
