The line of an ended request says how its answer was framed, and whether it ended within an event

Cause: for the stream that looked complete, the lines could not tell an unframed answer that ended in order from a reset, or an end within an event from one between two. Change: AnswerHead has the framing; EventBoundary follows the events of each stream; 'ended' has framing and within_event. No decision uses them yet. Result: test-upstream passes (96,425 assertions).

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -114,6 +114,7 @@
     request.answerHead = {};
     request.bufferedBody.clear();
     request.eventSplitter.discardPartial();
+    request.eventBoundary.reset();
     request.relay = m_paths->chooseRelay(to.address, request.parsed.homeRegions);
     UpstreamRequest upstreamRequest{
         .id = request.parsed.id,
@@ -282,6 +283,9 @@
         return;
     }
     recordEvents(*request, now);
+    if (request->isStream()) {
+        request->eventBoundary.scan(bytes);
+    }
     if (request->isResumable()) {
         request->exchange->streamData(request->eventSplitter.extractWholeEvents(bytes));
     } else {
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -38,6 +38,33 @@
     return value ? value : "";
 }
 
+BodyFraming framingOf(evhttp_request *answer, const std::string &method)
+{
+    const int status = evhttp_request_get_response_code(answer);
+    if (status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED || method == "HEAD") {
+        return BodyFraming::Empty;
+    }
+    if (!responseHeader(answer, "Transfer-Encoding").empty()) {
+        return BodyFraming::Chunked;
+    }
+    return responseHeader(answer, "Content-Length").empty() ? BodyFraming::ConnectionClose : BodyFraming::Length;
+}
+
+}
+
+const char *toString(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Empty:
+        return "empty";
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::ConnectionClose:
+        return "connection-close";
+    }
+    return "";
 }
 
 /// libevent frees requests and connections inside its own callbacks, so this object must outlive them: close() hands a reference to the
@@ -100,8 +127,7 @@
     bool m_anyByteSent = false;
     bool m_closed = false;
     bool m_paused = false;
-    /// Whether the head gives the end of the body. Otherwise the body ends with the connection and may be truncated.
-    bool m_bodyIsDelimited = false;
+    BodyFraming m_framing = BodyFraming::Empty;
 };
 
 void UpstreamCall::Private::start()
@@ -257,13 +283,15 @@
     }
     m_phase = Phase::ReadingBody;
     m_timer.startOnce(m_timeouts.betweenBytes);
-    AnswerHead head{.status = evhttp_request_get_response_code(request), .contentType = responseHeader(request, "Content-Type"), .headers = {}};
+    m_framing = framingOf(request, m_request.method);
+    AnswerHead head{.status = evhttp_request_get_response_code(request),
+                    .contentType = responseHeader(request, "Content-Type"),
+                    .headers = {},
+                    .framing = m_framing};
     const evkeyvalq *headers = evhttp_request_get_input_headers(request);
     for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next) {
         head.headers.emplace_back(header->key, header->value);
     }
-    const bool hasNoBody = head.status == 204 || head.status == 304 || m_request.method == "HEAD";
-    m_bodyIsDelimited = hasNoBody || !responseHeader(request, "Content-Length").empty() || !responseHeader(request, "Transfer-Encoding").empty();
     m_headSignal.emit(head);
 }
 
@@ -274,7 +302,7 @@
         fail(m_anyByteSent ? CallFailure::Lost : failureBeforeSending());
         return;
     }
-    if (!m_bodyIsDelimited && !m_request.allowsCloseDelimitedBody) {
+    if (m_framing == BodyFraming::ConnectionClose && !m_request.allowsCloseDelimitedBody) {
         fail(CallFailure::Lost);
         return;
     }
