Test: an unframed stream that ends within an event is broken off for its caller

A stand-in answers without a length or chunks and ends its connection in order within an event: on a route that is not resumable the caller gets the short body with a proper end, directly and through a relay; on a resumable one it is broken off.

--- a/tests/fakeplatform/fakeplatform.cpp
+++ b/tests/fakeplatform/fakeplatform.cpp
@@ -111,6 +111,12 @@
     m_state = state;
 }
 
+void FakePlatform::addUpstream(const std::string &instance, const Address &address)
+{
+    const std::lock_guard lock(m_mutex);
+    m_otherUpstreams.emplace_back(instance, address);
+}
+
 void FakePlatform::setRequestLimit(const std::string &limit)
 {
     const std::lock_guard lock(m_mutex);
@@ -262,9 +268,12 @@
     };
     // The second entry is malformed, as if another program had written it.
     nlohmann::json list{{"instances", {entry(m_instance, m_address, "z-a"), {{"id", 5}}}}, {"next", nullptr}};
-    if (!m_upstreams.empty()) {
+    if (!m_upstreams.empty() || !m_otherUpstreams.empty()) {
         list["instances"].erase(0);
     }
+    for (const auto &[instance, address] : m_otherUpstreams) {
+        list["instances"].push_back(entry(instance, address, "z-a"));
+    }
     for (const std::unique_ptr<Upstream> &upstream : m_upstreams) {
         list["instances"].push_back(entry(upstream->instance, upstream->address, upstream->dataCentre));
     }
--- a/tests/fakeplatform/fakeplatform.h
+++ b/tests/fakeplatform/fakeplatform.h
@@ -57,6 +57,8 @@
     }
     std::vector<SeenRequest> seen() const;
     void setState(const std::string &state);
+    /// From now on the list also names an upstream that the test runs itself, instead of the one that shares the list's address.
+    void addUpstream(const std::string &instance, const Address &address);
     /// From now on the list gives each upstream this many slots.
     void setSlots(int slots);
     /// From now on the upstreams' answers name this limit of requests a second; empty: none.
@@ -121,6 +123,7 @@
     std::string m_instanceWithHeaders;
     HeaderList m_answerHeaders;
     std::vector<std::unique_ptr<Upstream>> m_upstreams;
+    std::vector<std::pair<std::string, Address>> m_otherUpstreams;
     int m_endedCount = 0;
     std::thread m_thread;
 };
--- /dev/null
+++ b/tests/fakeplatform/unframedupstream.cpp
@@ -0,0 +1,152 @@
+#include "fakeplatform/unframedupstream.h"
+
+#include "common/address.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <netinet/in.h>
+#include <stdexcept>
+#include <string_view>
+#include <sys/socket.h>
+
+namespace cumindyke::test
+{
+
+namespace
+{
+
+/// Lets the other end read the answer before its connection ends.
+constexpr Duration TimeBeforeEnd = std::chrono::milliseconds(30);
+constexpr std::string_view EndOfHead = "\r\n\r\n";
+
+std::string headerOf(const std::string &head, const std::string &name)
+{
+    const std::size_t begin = head.find("\r\n" + name + ": ");
+    if (begin == std::string::npos) {
+        return {};
+    }
+    const std::size_t value = begin + name.size() + 4;
+    return head.substr(value, head.find("\r\n", value) - value);
+}
+
+}
+
+class UnframedUpstream::Connection
+{
+public:
+    Connection(UnframedUpstream &upstream, int socket)
+        : m_upstream(upstream)
+        , m_connection(bufferevent_socket_new(upstream.m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
+        , m_timer(upstream.m_loop, [this] { end(); })
+    {
+        bufferevent_setcb(m_connection, &Connection::onRead, nullptr, &Connection::onEvent, this);
+        bufferevent_enable(m_connection, EV_READ | EV_WRITE);
+    }
+    ~Connection()
+    {
+        end();
+    }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+private:
+    static void onRead(bufferevent * /*connection*/, void *self)
+    {
+        static_cast<Connection *>(self)->read();
+    }
+    static void onEvent(bufferevent * /*connection*/, short /*what*/, void *self)
+    {
+        static_cast<Connection *>(self)->m_timer.startOnce(Duration::zero());
+    }
+
+    /// Answers when the request is complete.
+    void read()
+    {
+        evbuffer *input = bufferevent_get_input(m_connection);
+        const std::string request(reinterpret_cast<const char *>(evbuffer_pullup(input, -1)), evbuffer_get_length(input));
+        const std::size_t headLength = request.find(EndOfHead);
+        if (headLength == std::string::npos) {
+            return;
+        }
+        const std::string head = request.substr(0, headLength + 2);
+        const std::string bodyLength = headerOf(head, "Content-Length");
+        if (request.size() < headLength + EndOfHead.size() + (bodyLength.empty() ? 0 : std::stoul(bodyLength))) {
+            return;
+        }
+        evbuffer_drain(input, request.size());
+        m_answer = m_upstream.answer();
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: " + m_answer.contentType + "\r\nCumindyke-Request-Id: "
+            + headerOf(head, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n\r\n" + m_answer.body;
+        bufferevent_write(m_connection, answer.data(), answer.size());
+        m_timer.startOnce(TimeBeforeEnd);
+    }
+
+    void end()
+    {
+        if (!m_connection) {
+            return;
+        }
+        if (m_answer.end == End::Reset) {
+            const linger discard{.l_onoff = 1, .l_linger = 0};
+            setsockopt(bufferevent_getfd(m_connection), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+        }
+        bufferevent_free(m_connection);
+        m_connection = nullptr;
+    }
+
+    UnframedUpstream &m_upstream;
+    bufferevent *m_connection;
+    Answer m_answer;
+    Timer m_timer;
+};
+
+UnframedUpstream::UnframedUpstream(const std::string &host)
+    : m_address{.host = host, .port = 0}
+{
+    const std::optional<sockaddr_in> address = socketAddress(m_address);
+    m_listener = evconnlistener_new_bind(m_loop.base(),
+                                         &UnframedUpstream::onAccepted,
+                                         this,
+                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+                                         -1,
+                                         reinterpret_cast<const sockaddr *>(&*address),
+                                         sizeof *address);
+    if (!m_listener) {
+        throw std::runtime_error("the address " + host + " can't be bound");
+    }
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
+    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&bound), &length);
+    m_address.port = ntohs(bound.sin_port);
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
+UnframedUpstream::~UnframedUpstream()
+{
+    m_loop.stop();
+    m_thread.join();
+    m_connections.clear();
+    evconnlistener_free(m_listener);
+}
+
+void UnframedUpstream::setAnswer(const Answer &answer)
+{
+    const std::lock_guard lock(m_mutex);
+    m_answer = answer;
+}
+
+UnframedUpstream::Answer UnframedUpstream::answer() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_answer;
+}
+
+void UnframedUpstream::onAccepted(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/, int /*length*/, void *self)
+{
+    auto *upstream = static_cast<UnframedUpstream *>(self);
+    upstream->m_connections.push_back(std::make_unique<Connection>(*upstream, socket));
+}
+
+}
