The events of every stream are followed, and one that ends within an event is broken off

Cause: an answer without a length or chunks ends with its connection, which a process that ends closes in order too. Only resumable routes followed their events, so on others any end in order passed for the end of the answer; the same end cleared the suspect, counted as a good answer of the version and as served. Change: the events of all streams are followed, with LF, CR or CRLF; an end within one is a lost answer, before anything else is concluded from it. The part of an event that a resumable route holds back is at most 1 MiB. An answer on a stream's route that is no event stream is passed on as it is; by the code before, a resumable route held it back (not run on it). Why it works: an event ends with an empty line, so a whole stream never ends within one.

--- a/src/proxy/eventsplitter.h
+++ b/src/proxy/eventsplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "upstream/eventboundary.h"
+
 #include <string>
 #include <string_view>
 
@@ -11,16 +13,31 @@
 class EventSplitter
 {
 public:
+    /// Bounds the memory that the part of one event can use.
+    static constexpr std::size_t MaxEventBytes = 1U << 20;
+
     /// Appends bytes and returns those up to the end of the last whole event; the rest is kept for the next call.
     std::string extractWholeEvents(std::string_view bytes);
+    /// Follows the events of a stream whose bytes are not held back.
+    void scan(std::string_view bytes)
+    {
+        m_boundary.scan(bytes);
+    }
     /// Discards the kept part of an event: the next bytes begin a new event.
     void discardPartial()
     {
         m_partial.clear();
+        m_boundary.reset();
+    }
+    /// Whether the stream so far ends within an event.
+    bool isWithinEvent() const
+    {
+        return m_boundary.isWithinEvent();
     }
-    bool hasPartial() const
+    /// Whether the kept part of an event is longer than MaxEventBytes.
+    bool isTooLong() const
     {
-        return !m_partial.empty();
+        return m_partial.size() > MaxEventBytes;
     }
     /// Id of the last whole event; empty if no event had one.
     const std::string &lastEventId() const
@@ -29,6 +46,7 @@
     }
 
 private:
+    EventBoundary m_boundary;
     std::string m_partial;
     std::string m_lastEventId;
 };
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -55,6 +55,12 @@
     return nullptr;
 }
 
+/// Whether the body of the answer, which was made for a stream, is one: an upstream may answer with a plain body.
+bool hasEvents(const AnswerHead &head)
+{
+    return head.contentType.empty() || toLower(head.contentType).starts_with("text/event-stream");
+}
+
 /// Pace between the events of a stream so far, or until the end of a plain answer; 0 for a stream of fewer than two batches of events.
 AnswerPace paceOf(const ProxyRequest &request, TimePoint now)
 {
@@ -114,7 +120,6 @@
     request.answerHead = {};
     request.bufferedBody.clear();
     request.eventSplitter.discardPartial();
-    request.eventBoundary.reset();
     request.relay = m_paths->chooseRelay(to.address, request.parsed.homeRegions);
     UpstreamRequest upstreamRequest{
         .id = request.parsed.id,
@@ -256,7 +261,7 @@
     counts.headMs += static_cast<std::uint64_t>(wholeMilliseconds(now - request->sentAt));
     counts.heads += 1;
     const bool success = head.status >= FirstSuccess && head.status < FirstRedirect;
-    if (request->headForwarded && !success) {
+    if (request->headForwarded && !(success && hasEvents(head))) {
         // The stream can't be resumed, and the caller already has the first upstream's head.
         handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_CANCELLED);
         return;
@@ -283,19 +288,29 @@
         return;
     }
     recordEvents(*request, now);
-    if (request->isStream()) {
-        request->eventBoundary.scan(bytes);
-    }
-    if (request->isResumable()) {
-        request->exchange->streamData(request->eventSplitter.extractWholeEvents(bytes));
-    } else {
-        request->exchange->streamData(bytes);
+    forwardBody(*request, bytes);
+    if (request->eventSplitter.isTooLong()) {
+        handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
+        return;
     }
     if (request->exchange->unreadBytes() > MaxUnreadBytes) {
         request->call->setPaused(true);
     }
 }
 
+void ProxyTask::forwardBody(ProxyRequest &request, std::string_view bytes)
+{
+    const bool isEventStream = request.isStream() && hasEvents(request.answerHead);
+    if (isEventStream && request.isResumable()) {
+        request.exchange->streamData(request.eventSplitter.extractWholeEvents(bytes));
+        return;
+    }
+    if (isEventStream) {
+        request.eventSplitter.scan(bytes);
+    }
+    request.exchange->streamData(bytes);
+}
+
 void ProxyTask::recordEvents(ProxyRequest &request, TimePoint now)
 {
     if (request.eventBatches == 0) {
@@ -317,21 +332,19 @@
     if (!request) {
         return;
     }
+    if (request->eventSplitter.isWithinEvent()) {
+        // The upstream ended the stream in order, but before the end of an event.
+        onCallFailed(localId, CallFailure::Lost);
+        return;
+    }
     const TimePoint now = EventLoop::now();
     const bool failed = request->answerHead.status >= FirstServerError;
-    if (!request->eventSplitter.hasPartial()) {
-        m_suspects.recordAnswer(request->parsed.id, request->content(), request->suspectState);
-    }
+    m_suspects.recordAnswer(request->parsed.id, request->content(), request->suspectState);
     if (failed && !request->headForwarded) {
         countAnswer(*request, false);
         handleAttemptEnd(*request, AttemptEnd::RanAndFailed, v1::PLACEMENT_FAILED);
         return;
     }
-    if (request->eventSplitter.hasPartial()) {
-        // The upstream ended the stream in order but within an event, so the stream is incomplete.
-        onCallFailed(localId, CallFailure::Lost);
-        return;
-    }
     countAnswer(*request, true);
     endCall(*request, v1::PLACEMENT_SERVED, paceOf(*request, now));
     if (request->headForwarded) {
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -7,7 +7,6 @@
 #include "proxy/eventsplitter.h"
 #include "proxy/proxytypes.h"
 #include "proxy/routeindex.h"
-#include "upstream/eventboundary.h"
 #include "upstream/upstreamcall.h"
 
 #include <memory>
@@ -97,8 +96,6 @@
     /// The answer's head was sent to the caller and can no longer be changed.
     bool headForwarded = false;
     EventSplitter eventSplitter;
-    /// Of the current answer, if it is a stream.
-    EventBoundary eventBoundary;
     /// Measure the pace of the upstream.
     TimePoint firstEventAt;
     TimePoint lastEventAt;
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -322,7 +322,7 @@
                {"upstream", request.upstream.name.value},
                {"attempts", std::to_string(request.attempts.attemptCount())},
                {"framing", toString(request.answerHead.framing)},
-               {"within_event", request.eventBoundary.isWithinEvent() ? "yes" : "no"},
+               {"within_event", request.eventSplitter.isWithinEvent() ? "yes" : "no"},
                {"first_ms", request.eventBatches > 0 ? milliseconds(request.firstEventAt - request.parsed.arrived) : ""},
                {"longest_pause_ms", request.eventBatches > 1 ? milliseconds(request.longestPause) : ""},
                {"ms", milliseconds(now - request.parsed.arrived)}});
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -167,6 +167,7 @@
 
     // Answers to callers.
     void forwardHead(ProxyRequest &request);
+    void forwardBody(ProxyRequest &request, std::string_view bytes);
     void addAnswerHeaders(ProxyRequest &request);
     void forwardWholeAnswer(ProxyRequest &request);
     void replyRefusal(ProxyRequest &request, ErrorKind kind, const std::string &reason, Duration retryAfter, const std::string &inputs = {});
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -284,10 +284,8 @@
     m_phase = Phase::ReadingBody;
     m_timer.startOnce(m_timeouts.betweenBytes);
     m_framing = framingOf(request, m_request.method);
-    AnswerHead head{.status = evhttp_request_get_response_code(request),
-                    .contentType = responseHeader(request, "Content-Type"),
-                    .headers = {},
-                    .framing = m_framing};
+    AnswerHead head{
+        .status = evhttp_request_get_response_code(request), .contentType = responseHeader(request, "Content-Type"), .headers = {}, .framing = m_framing};
     const evkeyvalq *headers = evhttp_request_get_input_headers(request);
     for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next) {
         head.headers.emplace_back(header->key, header->value);
--- a/tests/fakeplatform/unframedupstream.cpp
+++ b/tests/fakeplatform/unframedupstream.cpp
@@ -77,8 +77,8 @@
         }
         evbuffer_drain(input, request.size());
         m_answer = m_upstream.answer();
-        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: " + m_answer.contentType + "\r\nCumindyke-Request-Id: "
-            + headerOf(head, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n\r\n" + m_answer.body;
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: " + m_answer.contentType
+            + "\r\nCumindyke-Request-Id: " + headerOf(head, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n\r\n" + m_answer.body;
         bufferevent_write(m_connection, answer.data(), answer.size());
         m_timer.startOnce(TimeBeforeEnd);
     }
--- a/tests/proxy/eventsplittertest.cpp
+++ b/tests/proxy/eventsplittertest.cpp
@@ -2,18 +2,20 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+
 using namespace cumindyke;
 
 TEST_CASE("only whole events are returned, with their bytes unchanged")
 {
     EventSplitter splitter;
     CHECK(splitter.extractWholeEvents("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
-    CHECK(splitter.hasPartial());
+    CHECK(splitter.isWithinEvent());
     CHECK(splitter.lastEventId() == "1");
     CHECK(splitter.extractWholeEvents("ta: b\n").empty());
     CHECK(splitter.extractWholeEvents("\n") == "id: 2\ndata: b\n\n");
     CHECK(splitter.lastEventId() == "2");
-    CHECK_FALSE(splitter.hasPartial());
+    CHECK_FALSE(splitter.isWithinEvent());
 }
 
 // Guards against half an event followed by the rest of another. The upstream failed within event 2, and another upstream resumes after event 1 with
@@ -32,3 +34,28 @@
     CHECK(splitter.extractWholeEvents("id: 7\r\ndata: a\r\n\r\nid") == "id: 7\r\ndata: a\r\n\r\n");
     CHECK(splitter.lastEventId() == "7");
 }
+
+// Guards against an event whose CRLF is split between two reads and of which the caller gets a part.
+TEST_CASE("events may end with CR, LF or CRLF, and be split anywhere")
+{
+    const std::string body = "id: 1\rdata: a\r\rid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for (std::size_t split = 0; split <= body.size(); ++split) {
+        EventSplitter splitter;
+        const std::string first = splitter.extractWholeEvents(std::string_view(body).substr(0, split));
+        CAPTURE(split);
+        CHECK(first + splitter.extractWholeEvents(std::string_view(body).substr(split)) == body);
+        CHECK_FALSE(splitter.isWithinEvent());
+        CHECK(splitter.lastEventId() == "3");
+    }
+}
+
+// Guards against an upstream that never ends an event and uses up the VM's memory.
+TEST_CASE("an event over the size limit is too long")
+{
+    EventSplitter splitter;
+    const std::string piece(EventSplitter::MaxEventBytes, 'x');
+    CHECK(splitter.extractWholeEvents(piece).empty());
+    CHECK_FALSE(splitter.isTooLong());
+    CHECK(splitter.extractWholeEvents("x").empty());
+    CHECK(splitter.isTooLong());
+}
--- a/tests/proxy/unframedanswerstest.cpp
+++ b/tests/proxy/unframedanswerstest.cpp
@@ -30,7 +30,11 @@
 
     HttpAnswer stream(const std::string &body, End end = End::Closed)
     {
-        m_upstream.setAnswer({.contentType = "text/event-stream", .body = body, .end = end});
+        return streamOf("text/event-stream", body, end);
+    }
+    HttpAnswer streamOf(const std::string &contentType, const std::string &body, End end = End::Closed)
+    {
+        m_upstream.setAnswer({.contentType = contentType, .body = body, .end = end});
         return vms.request(0, nextId(), "/drafts/a");
     }
     HttpAnswer plain(const std::string &body, End end = End::Closed)
@@ -74,6 +78,16 @@
     }
 }
 
+// Guards against holding back, or breaking off, an answer without events on a route for streams.
+TEST_CASE("an answer on a stream's route that is no event stream comes whole")
+{
+    for (const v1::RouteKind kind : {v1::STREAMING, v1::RESUMABLE_STREAMING}) {
+        CAPTURE(kind);
+        UnframedAnswers answers(Cut::None, kind);
+        CHECK(answers.streamOf("application/json", "{}").body == "{}");
+    }
+}
+
 // Guards against a reset that passes for the end of an answer without a length or chunks, at the upstream or behind a relay.
 TEST_CASE("an unframed answer whose connection is reset is broken off for its caller")
 {
