An unframed answer is complete only if its upstream still runs

What callers would see: an answer without a length or chunks whose upstream's process ended between two events, or in a plain body, looked complete: a process that dies closes its connections in order, like one that has sent all. Its request was then cleared as a suspect, though it may have ended the upstream. Cause: as for streams that end within an event; here the bytes can't tell. Change: when such an answer ends, the upstream's address is asked once, as after a lost answer, before the end is passed on: if it refuses connections the answer is lost, and the crash is reported. Answers with a length or chunks are not affected, nor those of an upstream that says it is leaving.

--- a/src/entry/suspecttracker.cpp
+++ b/src/entry/suspecttracker.cpp
@@ -136,7 +136,7 @@
                                         SuspectState &state,
                                         const std::string &upstream,
                                         const Address &address,
-                                        const std::function<void()> &then)
+                                        const std::function<void(bool hasEnded)> &then)
 {
     const TrialId trial = std::exchange(state.trial, {}).value_or(TrialId{});
     const auto handleResult
@@ -156,7 +156,7 @@
               }
               scheduleReport(ReportDelay);
               if (then) {
-                  then();
+                  then(hasEnded);
               }
           };
     const auto handleLiveness = [this, address, handleResult](bool isRefused) {
--- a/src/entry/suspecttracker.h
+++ b/src/entry/suspecttracker.h
@@ -101,13 +101,13 @@
     admit(const RequestId &id, const RequestContent &content, SuspectState &state, TimePoint deadline, TrialAnswer onAnswer);
 
     /// To be called when an attempt ended without a complete answer: checks whether the upstream's process has ended, and reports the request if so, since
-    /// it may have caused it. A lost answer alone does not tell this from a connection that was reset. "then" is called when the result is known.
+    /// it may have caused it. A lost answer alone does not tell this from a connection that was reset. "then" is called with the result.
     void checkUpstreamEnded(const RequestId &id,
                             const RequestContent &content,
                             SuspectState &state,
                             const std::string &upstream,
                             const Address &address,
-                            const std::function<void()> &then = {});
+                            const std::function<void(bool hasEnded)> &then = {});
     /// Records a complete answer, which clears a suspect.
     void recordAnswer(const RequestId &id, const RequestContent &content, SuspectState &state);
     /// To be called when the request has ended, whatever the reason.
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -337,22 +337,45 @@
         onCallFailed(localId, CallFailure::Lost);
         return;
     }
-    const TimePoint now = EventLoop::now();
-    const bool failed = request->answerHead.status >= FirstServerError;
-    m_suspects.recordAnswer(request->parsed.id, request->content(), request->suspectState);
-    if (failed && !request->headForwarded) {
-        countAnswer(*request, false);
-        handleAttemptEnd(*request, AttemptEnd::RanAndFailed, v1::PLACEMENT_FAILED);
+    const bool isLeaving = parseAnswerSignals(request->answerHead, m_options.headers.signals).isLeaving;
+    if (request->answerHead.framing == BodyFraming::ConnectionClose && !isLeaving) {
+        verifyUnframedEnd(*request);
+    } else {
+        completeAnswer(*request);
+    }
+}
+
+/// A process that dies closes its connections in order too, so the end of an answer without a length or chunks is the answer's own only if the process
+/// still runs.
+void ProxyTask::verifyUnframedEnd(ProxyRequest &request)
+{
+    checkUpstreamEnded(request, [this, localId = request.localId](bool hasEnded) {
+        ProxyRequest *ended = find(localId);
+        if (ended && hasEnded) {
+            countAnswer(*ended, false);
+            handleAttemptEnd(*ended, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
+        } else if (ended) {
+            completeAnswer(*ended);
+        }
+    });
+}
+
+void ProxyTask::completeAnswer(ProxyRequest &request)
+{
+    m_suspects.recordAnswer(request.parsed.id, request.content(), request.suspectState);
+    if (request.answerHead.status >= FirstServerError && !request.headForwarded) {
+        countAnswer(request, false);
+        handleAttemptEnd(request, AttemptEnd::RanAndFailed, v1::PLACEMENT_FAILED);
         return;
     }
-    countAnswer(*request, true);
-    endCall(*request, v1::PLACEMENT_SERVED, paceOf(*request, now));
-    if (request->headForwarded) {
-        request->exchange->endStream();
+    countAnswer(request, true);
+    endCall(request, v1::PLACEMENT_SERVED, paceOf(request, EventLoop::now()));
+    if (request.headForwarded) {
+        request.exchange->endStream();
     } else {
-        forwardWholeAnswer(*request);
+        forwardWholeAnswer(request);
     }
-    finish(*request, "answered", std::to_string(request->answerHead.status));
+    finish(request, "answered", std::to_string(request.answerHead.status));
 }
 
 void ProxyTask::onCallFailed(LocalRequestId localId, CallFailure failure)
--- a/src/proxy/proxycrashes.cpp
+++ b/src/proxy/proxycrashes.cpp
@@ -7,7 +7,7 @@
 namespace cumindyke
 {
 
-void ProxyTask::checkUpstreamEnded(ProxyRequest &request, const std::function<void()> &then)
+void ProxyTask::checkUpstreamEnded(ProxyRequest &request, const std::function<void(bool hasEnded)> &then)
 {
     m_suspects.checkUpstreamEnded(request.parsed.id, request.content(), request.suspectState, request.upstream.name.value, request.upstream.address, then);
 }
@@ -24,7 +24,7 @@
         retryOrFinish(request, AttemptEnd::Lost, next);
         return;
     }
-    checkUpstreamEnded(request, [this, localId = request.localId, next] {
+    checkUpstreamEnded(request, [this, localId = request.localId, next](bool /*hasEnded*/) {
         if (ProxyRequest *waiting = find(localId)) {
             retryOrFinish(*waiting, AttemptEnd::Lost, next);
         }
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -141,6 +141,8 @@
     void onAnswerHead(LocalRequestId localId, const AnswerHead &head);
     void onAnswerData(LocalRequestId localId, std::string_view bytes);
     void onAnswerEnd(LocalRequestId localId);
+    void verifyUnframedEnd(ProxyRequest &request);
+    void completeAnswer(ProxyRequest &request);
     void onCallFailed(LocalRequestId localId, CallFailure failure);
     void recordRequestLimit(const ProxyRequest &request, const AnswerHead &head);
     void recordSignals(const ProxyRequest &request, const AnswerHead &head);
@@ -148,7 +150,7 @@
     bool isNotRun(const AnswerHead &head) const;
     void handleAttemptEnd(ProxyRequest &request, AttemptEnd end, v1::PlacementOutcome outcome);
     void handleLostAnswer(ProxyRequest &request);
-    void checkUpstreamEnded(ProxyRequest &request, const std::function<void()> &then = {});
+    void checkUpstreamEnded(ProxyRequest &request, const std::function<void(bool hasEnded)> &then = {});
     bool mayRun(ProxyRequest &request);
     bool onTrialAnswered(LocalRequestId localId, const std::variant<TrialId, SuspectRefusal> &answer);
     void refuseSuspect(ProxyRequest &request, const SuspectRefusal &refusal);
--- a/tests/fakeplatform/unframedupstream.cpp
+++ b/tests/fakeplatform/unframedupstream.cpp
@@ -92,6 +92,9 @@
             const linger discard{.l_onoff = 1, .l_linger = 0};
             setsockopt(bufferevent_getfd(m_connection), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
         }
+        if (m_answer.end == End::ProcessEnded) {
+            m_upstream.refuseConnections();
+        }
         bufferevent_free(m_connection);
         m_connection = nullptr;
     }
@@ -128,7 +131,15 @@
     m_loop.stop();
     m_thread.join();
     m_connections.clear();
-    evconnlistener_free(m_listener);
+    refuseConnections();
+}
+
+void UnframedUpstream::refuseConnections()
+{
+    if (m_listener) {
+        evconnlistener_free(m_listener);
+        m_listener = nullptr;
+    }
 }
 
 void UnframedUpstream::setAnswer(const Answer &answer)
--- a/tests/fakeplatform/unframedupstream.h
+++ b/tests/fakeplatform/unframedupstream.h
@@ -19,8 +19,9 @@
 {
 public:
     enum class End {
-        Closed, ///< in order, as a process does that has sent all, or that ends
+        Closed, ///< in order, as a process does that has sent all
         Reset,
+        ProcessEnded, ///< in order too, and the address refuses connections from then on
     };
     struct Answer
     {
@@ -46,6 +47,7 @@
 
     static void onAccepted(evconnlistener *listener, int socket, sockaddr *from, int length, void *self);
     Answer answer() const;
+    void refuseConnections();
 
     Address m_address;
     EventLoop m_loop;
--- a/tests/proxy/unframedanswerstest.cpp
+++ b/tests/proxy/unframedanswerstest.cpp
@@ -78,6 +78,16 @@
     }
 }
 
+// Guards against an answer without a length or chunks whose upstream's process ended between two events, or in a plain body, and which looks complete.
+TEST_CASE("an unframed answer whose upstream ends with its connection is broken off for its caller")
+{
+    for (const Cut cut : {Cut::None, Cut::Refused}) {
+        CAPTURE(static_cast<int>(cut));
+        CHECK(UnframedAnswers(cut, v1::STREAMING).stream(WholeStream, End::ProcessEnded).failure == CallFailure::Lost);
+        CHECK(UnframedAnswers(cut, v1::STREAMING).plain("part", End::ProcessEnded).status == 502);
+    }
+}
+
 // Guards against holding back, or breaking off, an answer without events on a route for streams.
 TEST_CASE("an answer on a stream's route that is no event stream comes whole")
 {
