A relay's connections to other VMs are reset unless the upstream ended the answer

What callers would see: an answer without a length or chunks through another VM looked complete when that VM's process ended in the middle of it: the kernel closes the sockets of a process that is killed in order. Cause: as for streams that end within an event, an end in order was taken for the upstream's. Change: the relay's socket towards the other VM is reset when it closes, whatever closes it, except after the upstream's own end in order, when all bytes are written. Evidence: 'an unframed answer is broken off when its relay ends' failed before and passes. The test closes the relay's sockets in its own process; a kill was not run.

--- a/src/relay/relayserver.cpp
+++ b/src/relay/relayserver.cpp
@@ -48,6 +48,13 @@
     setsockopt(bufferevent_getfd(connection), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
 }
 
+/// Whether closing the connection, also by the end of this process, resets it.
+void setResetOnClose(bufferevent *connection, bool reset)
+{
+    const linger value{.l_onoff = reset ? 1 : 0, .l_linger = 0};
+    setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &value, sizeof value);
+}
+
 std::string answer(int status)
 {
     return "HTTP/1.1 " + std::to_string(status) + (status == StatusConnected ? " OK\r\n" : " Unavailable\r\nConnection: close\r\n") + "\r\n";
@@ -66,6 +73,8 @@
     {
         bufferevent_setcb(m_caller, &Tunnel::onRead, &Tunnel::onWritten, &Tunnel::onEvent, this);
         sendAtOnce(m_caller);
+        // An answer without a length ends with its connection: only the upstream's own end may look like one.
+        setResetOnClose(m_caller, true);
         bufferevent_enable(m_caller, EV_READ | EV_WRITE);
         m_timer.startOnce(server.m_options.connectTimeout);
     }
@@ -105,7 +114,7 @@
     void onTimeout();
     void refuse(int status);
     void closeAfterFlush();
-    void resetCaller();
+    void endInOrder();
     void end();
 
     RelayServer &m_server;
@@ -181,7 +190,7 @@
     } else if (what & BEV_EVENT_EOF) {
         closeAfterFlush();
     } else {
-        resetCaller();
+        end();
     }
 }
 
@@ -230,7 +239,7 @@
 {
     if (m_phase == Phase::Closing) {
         if (to == m_caller) {
-            end();
+            endInOrder();
         }
         return;
     }
@@ -246,15 +255,13 @@
         bufferevent_disable(m_upstream, EV_READ | EV_WRITE);
     }
     if (evbuffer_get_length(bufferevent_get_output(m_caller)) == 0) {
-        end();
+        endInOrder();
     }
 }
 
-/// Passes a reset on as one: an answer without a length would otherwise look complete.
-void RelayServer::Tunnel::resetCaller()
+void RelayServer::Tunnel::endInOrder()
 {
-    const linger discard{.l_onoff = 1, .l_linger = 0};
-    setsockopt(bufferevent_getfd(m_caller), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    setResetOnClose(m_caller, false);
     end();
 }
 
--- a/tests/fakeplatform/unframedupstream.cpp
+++ b/tests/fakeplatform/unframedupstream.cpp
@@ -80,7 +80,9 @@
         const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: " + m_answer.contentType
             + "\r\nCumindyke-Request-Id: " + headerOf(head, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n\r\n" + m_answer.body;
         bufferevent_write(m_connection, answer.data(), answer.size());
-        m_timer.startOnce(TimeBeforeEnd);
+        if (m_answer.end != End::Never) {
+            m_timer.startOnce(TimeBeforeEnd);
+        }
     }
 
     void end()
--- a/tests/relay/relayservertest.cpp
+++ b/tests/relay/relayservertest.cpp
@@ -1,6 +1,8 @@
 #include "relay/relayserver.h"
 
+#include "common/mailbox.h"
 #include "entry/httpserver.h"
+#include "fakeplatform/unframedupstream.h"
 #include "support/processes.h"
 #include "support/rawconnection.h"
 
@@ -41,15 +43,36 @@
     Relay(const Relay &) = delete;
     Relay &operator=(const Relay &) = delete;
 
-    /// Sends a request through the relay.
-    HttpAnswer request(const std::string &target, const Address &to) const
+    /// Closes all sockets of the relay, as the end of its process does.
+    void end()
+    {
+        m_end.post(0);
+    }
+
+    /// Sends a request through the relay. Calls "onData" for each piece of the answer.
+    HttpAnswer request(
+        const std::string &target,
+        const Address &to,
+        const std::function<void()> &onData = [] {}) const
     {
         HttpAnswer received;
         EventLoop loop;
-        UpstreamCall call(
-            loop, UpstreamRequest{.id = RequestId{"r"}, .address = to, .method = "GET", .target = target, .headers = {}, .body = {}, .relay = address}, {});
+        UpstreamCall call(loop,
+                          UpstreamRequest{.id = RequestId{"r"},
+                                          .address = to,
+                                          .method = "GET",
+                                          .target = target,
+                                          .headers = {},
+                                          .body = {},
+                                          .idHeader = "Cumindyke-Request-Id",
+                                          .allowsCloseDelimitedBody = true,
+                                          .relay = address},
+                          {});
         call.head().connect([&](const AnswerHead &head) { received.status = head.status; });
-        call.data().connect([&](std::string_view bytes) { received.body += bytes; });
+        call.data().connect([&](std::string_view bytes) {
+            received.body += bytes;
+            onData();
+        });
         call.finished().connect([&] { loop.stop(); });
         call.failed().connect([&](CallFailure failure) {
             received.failure = failure;
@@ -81,6 +104,7 @@
     Metrics m_metrics;
     std::unique_ptr<HttpServer> m_upstream;
     std::unique_ptr<RelayServer> m_relay;
+    Mailbox<int> m_end{m_loop, [this](int && /*unused*/) { m_relay.reset(); }};
     std::shared_ptr<Exchange> m_broken;
     Timer m_timer{m_loop, [this] { m_broken->abort(); }};
     std::thread m_thread;
@@ -106,6 +130,19 @@
     CHECK(answer.failure == CallFailure::Lost);
 }
 
+// Guards against an answer without a length or chunks that looks complete because the relay's process ended.
+TEST_CASE("an unframed answer is broken off when its relay ends")
+{
+    Relay relay;
+    UnframedUpstream upstream(relay.network.host(3));
+    upstream.setAnswer({.contentType = "text/plain", .body = "whole"});
+    CHECK_FALSE(relay.request("/", upstream.address()).failure);
+    upstream.setAnswer({.contentType = "text/plain", .body = "part", .end = UnframedUpstream::End::Never});
+    const HttpAnswer answer = relay.request("/", upstream.address(), [&relay] { relay.end(); });
+    CHECK(answer.body == "part");
+    CHECK(answer.failure == CallFailure::Lost);
+}
+
 // Guards against laying a relay's failure on the upstream, and the upstream's on the relay.
 TEST_CASE("a relay tells an upstream that it can't reach from one that it may not connect to")
 {
