A stream that is broken off is reset for an HTTP/1.0 caller

What callers would see: HTTP/1.0 has no chunks, so a streamed answer ends with its connection, and one that was broken off ended in order like a whole one. A whole one for a caller that asked for keep-alive did not end at all until the idle timeout. Cause: the same as for unframed answers of upstreams, on our own side. Change: the connection of such an answer is reset by whatever closes it, the end of the process too, except endStream(); and it is never kept. Evidence: 'a stream that is broken off is reset for an HTTP/1.0 caller' failed before and passes.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -10,6 +10,8 @@
 #include <event2/keyvalq_struct.h>
 #include <nlohmann/json.hpp>
 
+#include <sys/socket.h>
+
 namespace cumindyke
 {
 
@@ -45,6 +47,20 @@
     return content;
 }
 
+/// Whether closing the connection, also by the end of this process, resets it.
+void setResetOnClose(evhttp_request *request, bool reset)
+{
+    const linger value{.l_onoff = reset ? 1 : 0, .l_linger = 0};
+    const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)));
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &value, sizeof value);
+}
+
+/// HTTP/1.0 has no chunks: a streamed answer ends with its connection.
+bool endsWithConnection(const evhttp_request *request)
+{
+    return request->major < 1 || (request->major == 1 && request->minor < 1);
+}
+
 bool isRetryable(ErrorKind kind)
 {
     return kind == ErrorKind::Overloaded || kind == ErrorKind::Unavailable;
@@ -204,6 +220,11 @@
         return;
     }
     addHeader("Content-Type", contentType);
+    if (!m_connectionFreed && endsWithConnection(m_request)) {
+        // Only endStream() may look like the end of the answer.
+        setResetOnClose(m_request, true);
+        addHeader("Connection", "close");
+    }
     evhttp_send_reply_start(m_request, status, nullptr);
 }
 
@@ -225,6 +246,9 @@
         return;
     }
     evhttp_request *request = m_request;
+    if (!m_connectionFreed && endsWithConnection(request)) {
+        setResetOnClose(request, false);
+    }
     detachRequest();
     evhttp_send_reply_end(request);
 }
@@ -238,6 +262,13 @@
     evhttp_request *request = m_request;
     detachRequest();
     if (connection) {
+        if (m_streamStarted && endsWithConnection(request)) {
+            // libevent would end the connection in order first.
+            bufferevent *buffers = evhttp_connection_get_bufferevent(connection);
+            const evutil_socket_t socket = bufferevent_getfd(buffers);
+            bufferevent_setfd(buffers, -1);
+            evutil_closesocket(socket);
+        }
         // Frees the request too.
         evhttp_connection_free(connection);
     } else {
--- a/tests/fakeplatform/unframedupstream.cpp
+++ b/tests/fakeplatform/rawupstream.cpp
@@ -1,4 +1,4 @@
-#include "fakeplatform/unframedupstream.h"
+#include "fakeplatform/rawupstream.h"
 
 #include "common/address.h"
 
@@ -33,10 +33,10 @@
 
 }
 
-class UnframedUpstream::Connection
+class RawUpstream::Connection
 {
 public:
-    Connection(UnframedUpstream &upstream, int socket)
+    Connection(RawUpstream &upstream, int socket)
         : m_upstream(upstream)
         , m_connection(bufferevent_socket_new(upstream.m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
         , m_timer(upstream.m_loop, [this] { end(); })
@@ -77,8 +77,8 @@
         }
         evbuffer_drain(input, request.size());
         m_answer = m_upstream.answer();
-        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: " + m_answer.contentType
-            + "\r\nCumindyke-Request-Id: " + headerOf(head, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n\r\n" + m_answer.body;
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: " + m_answer.contentType + "\r\nCumindyke-Request-Id: "
+            + headerOf(head, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n" + m_answer.moreHeaders + "\r\n" + m_answer.body;
         bufferevent_write(m_connection, answer.data(), answer.size());
         if (m_answer.end != End::Never) {
             m_timer.startOnce(TimeBeforeEnd);
@@ -101,18 +101,18 @@
         m_connection = nullptr;
     }
 
-    UnframedUpstream &m_upstream;
+    RawUpstream &m_upstream;
     bufferevent *m_connection;
     Answer m_answer;
     Timer m_timer;
 };
 
-UnframedUpstream::UnframedUpstream(const std::string &host)
+RawUpstream::RawUpstream(const std::string &host)
     : m_address{.host = host, .port = 0}
 {
     const std::optional<sockaddr_in> address = socketAddress(m_address);
     m_listener = evconnlistener_new_bind(m_loop.base(),
-                                         &UnframedUpstream::onAccepted,
+                                         &RawUpstream::onAccepted,
                                          this,
                                          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
                                          -1,
@@ -128,7 +128,7 @@
     m_thread = std::thread([this] { m_loop.run(); });
 }
 
-UnframedUpstream::~UnframedUpstream()
+RawUpstream::~RawUpstream()
 {
     m_loop.stop();
     m_thread.join();
@@ -136,7 +136,7 @@
     refuseConnections();
 }
 
-void UnframedUpstream::refuseConnections()
+void RawUpstream::refuseConnections()
 {
     if (m_listener) {
         evconnlistener_free(m_listener);
@@ -144,21 +144,21 @@
     }
 }
 
-void UnframedUpstream::setAnswer(const Answer &answer)
+void RawUpstream::setAnswer(const Answer &answer)
 {
     const std::lock_guard lock(m_mutex);
     m_answer = answer;
 }
 
-UnframedUpstream::Answer UnframedUpstream::answer() const
+RawUpstream::Answer RawUpstream::answer() const
 {
     const std::lock_guard lock(m_mutex);
     return m_answer;
 }
 
-void UnframedUpstream::onAccepted(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/, int /*length*/, void *self)
+void RawUpstream::onAccepted(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/, int /*length*/, void *self)
 {
-    auto *upstream = static_cast<UnframedUpstream *>(self);
+    auto *upstream = static_cast<RawUpstream *>(self);
     upstream->m_connections.push_back(std::make_unique<Connection>(*upstream, socket));
 }
 
--- a/tests/fakeplatform/unframedupstream.h
+++ b/tests/fakeplatform/rawupstream.h
@@ -14,8 +14,8 @@
 namespace cumindyke::test
 {
 
-/// An upstream whose answers have neither a length nor chunks: they end with the connection.
-class UnframedUpstream
+/// An upstream whose answers have only the framing that the test gives them: without any they end with the connection.
+class RawUpstream
 {
 public:
     enum class End {
@@ -29,12 +29,14 @@
         std::string contentType;
         std::string body;
         End end = End::Closed;
+        /// Whole lines.
+        std::string moreHeaders = {};
     };
 
-    explicit UnframedUpstream(const std::string &host);
-    ~UnframedUpstream();
-    UnframedUpstream(const UnframedUpstream &) = delete;
-    UnframedUpstream &operator=(const UnframedUpstream &) = delete;
+    explicit RawUpstream(const std::string &host);
+    ~RawUpstream();
+    RawUpstream(const RawUpstream &) = delete;
+    RawUpstream &operator=(const RawUpstream &) = delete;
 
     const Address &address() const
     {
--- a/tests/proxy/unframedanswerstest.cpp
+++ b/tests/proxy/unframedanswerstest.cpp
@@ -1,5 +1,6 @@
-#include "fakeplatform/unframedupstream.h"
+#include "fakeplatform/rawupstream.h"
 #include "proxy/entryvmtasks.h"
+#include "support/rawconnection.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,7 +10,7 @@
 namespace
 {
 
-using End = UnframedUpstream::End;
+using End = RawUpstream::End;
 
 constexpr const char *WholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 constexpr const char *StreamWithinEvent = "id: 1\ndata: a\n\nid: 2\nda";
@@ -37,6 +38,16 @@
         m_upstream.setAnswer({.contentType = contentType, .body = body, .end = end});
         return vms.request(0, nextId(), "/drafts/a");
     }
+    /// The bytes that an HTTP/1.0 caller gets, and whether its connection is reset.
+    std::pair<std::string, bool> streamToHttp10(const std::string &body)
+    {
+        m_upstream.setAnswer({.contentType = "text/event-stream", .body = body});
+        RawConnection connection(vms.callerAddress(0));
+        connection.send("POST /drafts/a HTTP/1.0\r\nHost: desk.example\r\nCumindyke-Request-Id: " + nextId()
+                        + "\r\nCumindyke-Key: key-1\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n");
+        const std::string received = connection.readAll();
+        return {received, connection.wasReset()};
+    }
     HttpAnswer plain(const std::string &body, End end = End::Closed)
     {
         m_upstream.setAnswer({.contentType = "text/plain", .body = body, .end = end});
@@ -51,7 +62,7 @@
         return "unframed-" + std::to_string(++m_sent);
     }
 
-    UnframedUpstream m_upstream;
+    RawUpstream m_upstream;
     int m_sent = 0;
 };
 
@@ -88,6 +99,18 @@
     }
 }
 
+// Guards against a broken-off stream that looks complete to a caller whose HTTP version has no chunks: its answer ends with the connection.
+TEST_CASE("a stream that is broken off is reset for an HTTP/1.0 caller")
+{
+    UnframedAnswers answers(Cut::None, v1::STREAMING);
+    for (const char *body : {WholeStream, StreamWithinEvent}) {
+        CAPTURE(body);
+        const auto [received, wasReset] = answers.streamToHttp10(body);
+        CHECK(received.find("id: 1\ndata: a\n\n") != std::string::npos);
+        CHECK(wasReset == (body == StreamWithinEvent));
+    }
+}
+
 // Guards against holding back, or breaking off, an answer without events on a route for streams.
 TEST_CASE("an answer on a stream's route that is no event stream comes whole")
 {
--- a/tests/relay/relayservertest.cpp
+++ b/tests/relay/relayservertest.cpp
@@ -2,7 +2,7 @@
 
 #include "common/mailbox.h"
 #include "entry/httpserver.h"
-#include "fakeplatform/unframedupstream.h"
+#include "fakeplatform/rawupstream.h"
 #include "support/processes.h"
 #include "support/rawconnection.h"
 
@@ -134,10 +134,10 @@
 TEST_CASE("an unframed answer is broken off when its relay ends")
 {
     Relay relay;
-    UnframedUpstream upstream(relay.network.host(3));
+    RawUpstream upstream(relay.network.host(3));
     upstream.setAnswer({.contentType = "text/plain", .body = "whole"});
     CHECK_FALSE(relay.request("/", upstream.address()).failure);
-    upstream.setAnswer({.contentType = "text/plain", .body = "part", .end = UnframedUpstream::End::Never});
+    upstream.setAnswer({.contentType = "text/plain", .body = "part", .end = RawUpstream::End::Never});
     const HttpAnswer answer = relay.request("/", upstream.address(), [&relay] { relay.end(); });
     CHECK(answer.body == "part");
     CHECK(answer.failure == CallFailure::Lost);
--- a/tests/support/rawconnection.cpp
+++ b/tests/support/rawconnection.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 
 namespace cumindyke::test
 {
@@ -55,6 +56,7 @@
     while (text.empty() || m_received.find(text) == std::string::npos) {
         const ssize_t got = recv(m_socket, buffer.data(), buffer.size(), 0);
         if (got <= 0) {
+            m_wasReset = got < 0 && errno == ECONNRESET;
             break;
         }
         m_received.append(buffer.data(), static_cast<std::size_t>(got));
--- a/tests/support/rawconnection.h
+++ b/tests/support/rawconnection.h
@@ -27,10 +27,16 @@
     {
         return readUntil({});
     }
+    /// Whether the last read ended because the connection was reset.
+    bool wasReset() const
+    {
+        return m_wasReset;
+    }
 
 private:
     int m_socket;
     std::string m_received;
+    bool m_wasReset = false;
 };
 
 }
