The line of an upstream that ended names the parts of the lost request's prompt

Cause: for the prompt part that crashes upstreams, the lines could not tell what the lost requests have in common. Change: the parts of a prompt that other requests may share (all but the last of the platform's list; the messages of a chat but the last, or the leading bytes of a prompt, at the front door) are parsed into hashes, with a bound on their number, and written with 'upstream-ended'. No decision uses them yet.

--- a/src/common/hash.cpp
+++ b/src/common/hash.cpp
@@ -52,13 +52,28 @@
     return value;
 }
 
-std::string toString(RequestFingerprint fingerprint)
+namespace
+{
+
+std::string toHexadecimal(std::uint64_t value)
 {
     std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint.value));
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(value));
     return text.data();
 }
 
+}
+
+std::string toString(RequestFingerprint fingerprint)
+{
+    return toHexadecimal(fingerprint.value);
+}
+
+std::string toString(RequestTrait trait)
+{
+    return toHexadecimal(trait.value);
+}
+
 KeyHash hashKey(std::string_view key)
 {
     return KeyHash{fingerprint(key)};
--- a/src/common/hash.h
+++ b/src/common/hash.h
@@ -26,5 +26,6 @@
 
 /// Returns 16 hexadecimal digits, for logs.
 std::string toString(RequestFingerprint fingerprint);
+std::string toString(RequestTrait trait);
 
 }
--- a/src/common/types.h
+++ b/src/common/types.h
@@ -33,6 +33,8 @@
 using RequestId = Strong<struct RequestIdTag, std::string>;
 /// Identifies the content of a request: the same for all copies that a caller sends, whatever their ids.
 using RequestFingerprint = Strong<struct RequestFingerprintTag, std::uint64_t>;
+/// Identifies what several requests have in common: a part of their prompts, or their organisation.
+using RequestTrait = Strong<struct RequestTraitTag, std::uint64_t>;
 /// Created by the operator's client; a resend carries the same id.
 using CommandId = Strong<struct CommandIdTag, std::string>;
 /// Lower-case hexadecimal SHA-256 of an API key.
--- a/src/entry/activerequest.h
+++ b/src/entry/activerequest.h
@@ -31,7 +31,10 @@
                               .method = request.method,
                               .host = request.service.value,
                               .target = request.target,
-                              .body = request.body};
+                              .body = request.body,
+                              .service = request.service.value,
+                              .promptFormat = request.form == AnswerForm::Plain ? PromptFormat::None : PromptFormat::CompletionBody,
+                              .prompt = request.body};
     }
 };
 
--- a/src/entry/suspecttracker.cpp
+++ b/src/entry/suspecttracker.cpp
@@ -37,6 +37,12 @@
     return RequestFingerprint{secureHash({organisation, method, host, target, body})};
 }
 
+RequestTraits RequestContent::traits() const
+{
+    return RequestTraits{.parts = parsePromptParts(service, promptFormat, prompt),
+                         .organisation = organisation.empty() ? std::nullopt : std::optional(organisationTrait(organisation))};
+}
+
 std::uint64_t RequestContent::hash(std::uint64_t seed) const
 {
     std::uint64_t hash = seed;
@@ -71,6 +77,14 @@
     return !m_guard.hasSuspects() || state.trial || m_guard.standing(fingerprintOf(content, state), EventLoop::wallNow()) == CrashGuard::Standing::Unsuspected;
 }
 
+const RequestTraits &SuspectTracker::traitsOf(const RequestContent &content, SuspectState &state)
+{
+    if (!state.traits) {
+        state.traits = content.traits();
+    }
+    return *state.traits;
+}
+
 std::variant<MayRun, SuspectRefusal, AwaitsTrial>
 SuspectTracker::admit(const RequestId &id, const RequestContent &content, SuspectState &state, TimePoint deadline, TrialAnswer onAnswer)
 {
@@ -139,26 +153,33 @@
                                         const std::function<void(bool hasEnded)> &then)
 {
     const TrialId trial = std::exchange(state.trial, {}).value_or(TrialId{});
-    const auto handleResult
-        = [this, id, upstream, then, trial, fingerprint = fingerprintOf(content, state), contentHash = content.hash(m_guard.seed())](bool hasEnded) {
-              if (hasEnded) {
-                  const bool isCounted = m_guard.recordCrash(fingerprint, contentHash, trial, EventLoop::now());
-                  m_lostToEndedUpstreams.add();
-                  logWarning("entry",
-                             "upstream-ended",
-                             {{"id", id.value},
-                              {"fingerprint", toString(fingerprint)},
-                              {"upstream", upstream},
-                              {"on_trial", trial.value != 0 ? "yes" : "no"},
-                              {"counted", isCounted ? "yes" : "no"}});
-              } else if (trial.value != 0) {
-                  m_guard.release(fingerprint, trial);
-              }
-              scheduleReport(ReportDelay);
-              if (then) {
-                  then(hasEnded);
-              }
-          };
+    const auto handleResult = [this,
+                               id,
+                               upstream,
+                               then,
+                               trial,
+                               fingerprint = fingerprintOf(content, state),
+                               traits = traitsOf(content, state),
+                               contentHash = content.hash(m_guard.seed())](bool hasEnded) {
+        if (hasEnded) {
+            const bool isCounted = m_guard.recordCrash(fingerprint, contentHash, trial, EventLoop::now());
+            m_lostToEndedUpstreams.add();
+            logWarning("entry",
+                       "upstream-ended",
+                       {{"id", id.value},
+                        {"fingerprint", toString(fingerprint)},
+                        {"prompt_parts", toString(traits.parts)},
+                        {"upstream", upstream},
+                        {"on_trial", trial.value != 0 ? "yes" : "no"},
+                        {"counted", isCounted ? "yes" : "no"}});
+        } else if (trial.value != 0) {
+            m_guard.release(fingerprint, trial);
+        }
+        scheduleReport(ReportDelay);
+        if (then) {
+            then(hasEnded);
+        }
+    };
     const auto handleLiveness = [this, address, handleResult](bool isRefused) {
         if (isRefused && m_options.confirmEnded) {
             m_options.confirmEnded(address, handleResult);
--- a/src/entry/suspecttracker.h
+++ b/src/entry/suspecttracker.h
@@ -4,6 +4,7 @@
 #include "common/metrics.h"
 #include "control/controltask.h"
 #include "entry/crashguard.h"
+#include "entry/requesttraits.h"
 #include "upstream/livenesschecks.h"
 
 #include <functional>
@@ -27,8 +28,13 @@
     std::string_view host;
     std::string_view target;
     std::string_view body;
+    std::string_view service = {};
+    /// Names the parts of the prompt; not part of the fingerprint.
+    PromptFormat promptFormat = PromptFormat::None;
+    std::string_view prompt = {};
 
     RequestFingerprint fingerprint() const;
+    RequestTraits traits() const;
     /// A cheap hash, for CrashGuard.
     std::uint64_t hash(std::uint64_t seed) const;
 };
@@ -36,8 +42,9 @@
 /// What a task keeps with each request for SuspectTracker.
 struct SuspectState
 {
-    /// Computed when it is first needed: an ordinary request never pays for it.
+    /// Computed when they are first needed: an ordinary request never pays for them.
     std::optional<RequestFingerprint> fingerprint;
+    std::optional<RequestTraits> traits;
     /// Set while this copy of a suspect request may run.
     std::optional<TrialId> trial;
 };
@@ -122,6 +129,7 @@
     };
 
     static RequestFingerprint fingerprintOf(const RequestContent &content, SuspectState &state);
+    static const RequestTraits &traitsOf(const RequestContent &content, SuspectState &state);
     void release(RequestFingerprint fingerprint, TrialId trial);
     void claimTrial(const RequestId &id, RequestFingerprint fingerprint, TimePoint deadline, TrialAnswer onAnswer);
     void answerClaim(const v1::Trial &trial, bool isGranted, const char *refusalReason);
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -32,6 +32,8 @@
     std::uint32_t promptTokens = 0;
     /// Expected number of events in a model engine's answer; 0: unknown.
     std::uint32_t expectedEvents = 0;
+    /// As the caller lists them; empty: a plain request.
+    std::string promptParts;
     /// The regions whose upstreams may run it; none: all.
     std::optional<std::set<RegionName>> homeRegions;
     /// Charged on the organisation's limit, in tokens or requests.
@@ -69,7 +71,10 @@
                               .method = exchange->method(),
                               .host = parsed.route->host(),
                               .target = exchange->target(),
-                              .body = exchange->body()};
+                              .body = exchange->body(),
+                              .service = parsed.service.value,
+                              .promptFormat = PromptFormat::PartList,
+                              .prompt = parsed.promptParts};
     }
 
     const LocalRequestId localId;
--- a/src/proxy/proxytypes.h
+++ b/src/proxy/proxytypes.h
@@ -64,6 +64,8 @@
     std::string tokenCounts;
     /// Number of tokens that the caller expects in the answer.
     std::string expectedTokens;
+    /// The parts of the prompt, in the format PromptFormat::PartList.
+    std::string promptParts;
     /// Id of the last event of a stream that the caller has received.
     std::string lastEventId;
     /// Headers to upstreams that only this system may set; dropped from callers' requests.
--- a/src/proxy/requestparser.cpp
+++ b/src/proxy/requestparser.cpp
@@ -153,6 +153,8 @@
         request.expectedEvents = expectedEventsOf(exchange, headers, *tokens, routes->service(request.service.value));
     }
 
+    request.promptParts = exchange.header(headers.promptParts.c_str());
+
     restrictToRegions(request, request.route->home_regions());
     request.rank = PriorityRank{std::min(request.route->priority(), RanksPerOrganisation - 1)};
     if (request.route->open_to_all() || !routes->requiresKeys()) {
