Tests: requests with a prompt part that ends upstreams, and sound requests beside them

The stand-in ends an upstream for each request that lists one part before the last of its prompt; the requests have different ids, bodies and first parts, and come to both VMs.

--- a/tests/fakeplatform/fakeplatform.cpp
+++ b/tests/fakeplatform/fakeplatform.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace cumindyke::test
@@ -16,6 +17,11 @@
 /// From the start of a crashing request's run to the end of the process.
 constexpr Duration TimeToCrash = std::chrono::milliseconds(30);
 
+bool hasCrashingPart(const std::string &promptParts)
+{
+    return ("," + promptParts).find(std::string(",") + FakePlatform::CrashingPart + ":") < promptParts.rfind(',');
+}
+
 bool endsWith(const std::string &text, const std::string &end)
 {
     return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
@@ -105,6 +111,13 @@
     return m_seen;
 }
 
+std::size_t FakePlatform::seenWithCrashingPart() const
+{
+    const std::vector<SeenRequest> requests = seen();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(requests, [](const SeenRequest &run) { return hasCrashingPart(run.header("Cumindyke-Prompt-Prefix")); }));
+}
+
 void FakePlatform::setState(const std::string &state)
 {
     const std::lock_guard lock(m_mutex);
@@ -221,7 +234,7 @@
 
 void FakePlatform::handleUpstreamRequest(Upstream &upstream, const std::shared_ptr<Exchange> &exchange)
 {
-    const bool crashes = exceedsColdRate(upstream) || exchange->body() == CrashingBody;
+    const bool crashes = exceedsColdRate(upstream) || exchange->body() == CrashingBody || hasCrashingPart(exchange->header("Cumindyke-Prompt-Prefix"));
     if (!crashes) {
         replyUpstreamRequest(upstream.instance, exchange);
         return;
--- a/tests/fakeplatform/fakeplatform.h
+++ b/tests/fakeplatform/fakeplatform.h
@@ -32,12 +32,13 @@
 
 /// A fake of the users' platform for tests with real daemons: serves the list of upstreams, and upstreams that answer every path according to the
 /// platform's protocol. A path that ends with "/stream" is answered with three events, 100 ms apart, "/slow-stream" 1.4 s apart; one that ends with "/full" is
-/// refused without running. A request whose body is CrashingBody ends the process of an upstream with its own address: its sockets are closed, and a successor
-/// with another name starts at the address after RestartDelay.
+/// refused without running. A request whose body is CrashingBody, or that lists CrashingPart before the last part of its prompt, ends the process of an
+/// upstream with its own address: its sockets are closed, and a successor with another name starts at the address after RestartDelay.
 class FakePlatform
 {
 public:
     static constexpr const char *CrashingBody = "ends the process that runs it";
+    static constexpr const char *CrashingPart = "dead";
     static constexpr Duration RestartDelay = std::chrono::milliseconds(1500);
 
     /// The first upstream shares the address of the list; the others have the addresses in "upstreamHosts" and are in the data centres in turn.
@@ -56,6 +57,8 @@
         return m_address;
     }
     std::vector<SeenRequest> seen() const;
+    /// Number of requests with CrashingPart that upstreams ran.
+    std::size_t seenWithCrashingPart() const;
     void setState(const std::string &state);
     /// From now on the list also names an upstream that the test runs itself, instead of the one that shares the list's address.
     void addUpstream(const std::string &instance, const Address &address);
