--- a/src/entry/httpserver.cpp
+++ b/src/entry/httpserver.cpp
@@ -27,6 +27,14 @@
 constexpr ev_uint16_t AllowedMethods
     = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS;
 
+std::uint16_t boundPort(evhttp_bound_socket *socket)
+{
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
+    getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr *>(&bound), &length);
+    return ntohs(bound.sin_port);
+}
+
 }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(EventLoop &loop, const Address &address, Duration requestReadLimit)
@@ -42,13 +50,14 @@
         return Error{ErrorKind::Unavailable,
                      "the address " + toString(address) + " can't be bound: check that it belongs to this VM and that the port is not in use"};
     }
-    return std::unique_ptr<HttpServer>(new HttpServer(loop, server, socket, requestReadLimit));
+    return std::unique_ptr<HttpServer>(new HttpServer(loop, server, socket, Address{.host = address.host, .port = boundPort(socket)}, requestReadLimit));
 }
 
-HttpServer::HttpServer(EventLoop &loop, evhttp *server, evhttp_bound_socket *socket, Duration requestReadLimit)
+HttpServer::HttpServer(EventLoop &loop, evhttp *server, evhttp_bound_socket *socket, Address address, Duration requestReadLimit)
     : m_loop(loop)
     , m_server(server)
     , m_socket(socket)
+    , m_address(std::move(address))
     , m_requestReadLimit(requestReadLimit)
 {
     evhttp_set_gencb(server, &HttpServer::onRequest, this);
@@ -60,17 +69,20 @@
     evhttp_free(m_server);
 }
 
-std::uint16_t HttpServer::port() const
+void HttpServer::setAccepting(bool accepting)
 {
-    sockaddr_in bound{};
-    socklen_t length = sizeof bound;
-    getsockname(evhttp_bound_socket_get_fd(m_socket), reinterpret_cast<sockaddr *>(&bound), &length);
-    return ntohs(bound.sin_port);
+    if (accepting && !m_socket) {
+        m_socket = evhttp_bind_socket_with_handle(m_server, m_address.host.c_str(), m_address.port);
+    } else if (!accepting && m_socket) {
+        evhttp_del_accept_socket(m_server, m_socket);
+        m_socket = nullptr;
+    }
 }
 
 bufferevent *HttpServer::onConnection(event_base *base, void *self)
 {
     auto *server = static_cast<HttpServer *>(self);
+    server->m_accepted.emit();
     bufferevent *connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     evbuffer *input = bufferevent_get_input(connection);
     server->m_pendingReads[input] = PendingRead{.connection = connection, .startedAt = {}};
--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -31,7 +31,21 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    std::uint16_t port() const;
+    std::uint16_t port() const
+    {
+        return m_address.port;
+    }
+    /// Stops or starts taking new connections: meanwhile they are refused, and those that were not accepted yet are reset. Open ones stay.
+    void setAccepting(bool accepting);
+    bool isAccepting() const
+    {
+        return m_socket != nullptr;
+    }
+    /// A connection was accepted, and nothing of it read yet. A slot may call setAccepting().
+    sigc::signal<void> &accepted()
+    {
+        return m_accepted;
+    }
     /// A complete request was received.
     sigc::signal<void, std::shared_ptr<Exchange>> &arrived()
     {
@@ -39,7 +53,7 @@
     }
 
 private:
-    HttpServer(EventLoop &loop, evhttp *server, evhttp_bound_socket *socket, Duration requestReadLimit);
+    HttpServer(EventLoop &loop, evhttp *server, evhttp_bound_socket *socket, Address address, Duration requestReadLimit);
     static void onRequest(evhttp_request *request, void *self);
     static bufferevent *onConnection(event_base *base, void *self);
     static void onInput(evbuffer *input, const evbuffer_cb_info *info, void *self);
@@ -47,7 +61,9 @@
 
     EventLoop &m_loop;
     evhttp *m_server;
+    /// Null while new connections are refused.
     evhttp_bound_socket *m_socket;
+    const Address m_address;
     const Duration m_requestReadLimit;
     /// A connection, and when its unfinished request began. Keyed by input buffer, whose addresses later connections reuse, so the map
     /// never exceeds the largest number of simultaneous connections.
@@ -57,6 +73,7 @@
         std::optional<TimePoint> startedAt;
     };
     std::unordered_map<evbuffer *, PendingRead> m_pendingReads;
+    sigc::signal<void> m_accepted;
     sigc::signal<void, std::shared_ptr<Exchange>> m_arrived;
 };
 
--- a/tests/proxy/entryvmtasks.h
+++ b/tests/proxy/entryvmtasks.h
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <mutex>
 #include <set>
+#include <thread>
 
 namespace cumindyke::test
 {
@@ -19,7 +20,13 @@
 constexpr std::uint16_t RelayPort = 7614;
 
 /// How a cut VM's connections to upstreams fail.
-enum class Cut { None, Refused, Hangs, PartlyRefused };
+enum class Cut {
+    None,
+    Refused,
+    Hangs,
+    PartlyRefused,
+    Slow, ///< none fails, but the VM's event loop is busy with each for 20 ms
+};
 
 /// Entry VMs in this process, with real sockets: each can be cut off from all upstreams while callers and the other VMs reach it.
 class EntryVmTasks
@@ -133,6 +140,9 @@
         switch (cuts[static_cast<std::size_t>(vm)]) {
         case Cut::None:
             return upstream;
+        case Cut::Slow:
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            return upstream;
         case Cut::Refused:
             return Address{.host = upstream.host, .port = 1};
         case Cut::Hangs:
