A relay ends a connection in one place

Change: the three cases of an event are told apart by the phase and the end it comes from; a comment reads plainly.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -55,7 +55,7 @@
     return nullptr;
 }
 
-/// Whether the body of the answer, which was made for a stream, is one: an upstream may answer with a plain body.
+/// Whether the body is an event stream. On a route for streams an upstream may also answer with a plain body.
 bool hasEvents(const AnswerHead &head)
 {
     return head.contentType.empty() || toLower(head.contentType).starts_with("text/event-stream");
--- a/src/relay/relayserver.cpp
+++ b/src/relay/relayserver.cpp
@@ -183,13 +183,12 @@
         onConnected();
         return;
     }
-    if (m_phase == Phase::Closing || from == m_caller) {
-        end(); // The other VM has left: its request is cancelled.
-    } else if (m_phase == Phase::Connecting) {
+    if (from == m_upstream && m_phase == Phase::Connecting) {
         onConnectFailed();
-    } else if (what & BEV_EVENT_EOF) {
+    } else if (from == m_upstream && m_phase == Phase::Open && (what & BEV_EVENT_EOF)) {
         closeAfterFlush();
     } else {
+        // The other VM has left, so its request is cancelled, or the upstream has reset the connection.
         end();
     }
 }
