--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -209,7 +209,7 @@
     exchange->reply(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
 }
 
-/// The connections that came while the loop was busy are accepted one after the other, so the first of them closes the gate for the others.
+/// The connections that came while the loop was busy are accepted one after the other: the first few of them close the gate for the others.
 void ProxyTask::onConnectionAccepted()
 {
     const TimePoint now = EventLoop::now();
--- a/tests/upstream/eventboundarytest.cpp
+++ b/tests/upstream/eventboundarytest.cpp
@@ -24,7 +24,8 @@
 TEST_CASE("an event ends with an empty line, however the body is split and whichever line ends it has")
 {
     for (const std::string lineEnd : {"\n", "\r\n", "\r"}) {
-        const std::string event = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+        std::string event = "id: 1";
+        event.append(lineEnd).append("data: a").append(lineEnd).append(lineEnd);
         const std::string body = event + event;
         for (std::size_t length = 0; length <= body.size(); ++length) {
             // The LF of the last CRLF may be missing: the event has ended with the CR.
