--- a/src/entry/requesttraits.cpp
+++ b/src/entry/requesttraits.cpp
@@ -22,7 +22,7 @@
     return RequestTrait{secureHash({"part", service, part})};
 }
 
-/// Appends the part unless it is malformed, known or one too many.
+/// Appends the part unless it is known or one too many.
 void appendPart(std::vector<RequestTrait> &parts, RequestTrait part)
 {
     if (parts.size() < MaxPromptParts && std::ranges::find(parts, part) == parts.end()) {
