A chunk that is not as long as its size says makes the answer lost

What callers would see: libevent skips what it does not expect between two chunks, so a body got a byte of the framing, or ended a byte early, and was complete. Cause: the framing of chunks was left to libevent. Change: ChunkScanner checks the chunks as they are received, beside libevent's own reading; a body is passed on only while it is not broken, and is complete only after the last chunk and the trailer.

--- /dev/null
+++ b/src/upstream/chunkscanner.cpp
@@ -0,0 +1,97 @@
+#include "upstream/chunkscanner.h"
+
+#include <algorithm>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+/// A larger size would not fit into 64 bits.
+constexpr int MaxSizeDigits = 15;
+constexpr int HexadecimalBase = 16;
+
+/// Returns -1 for a byte that is no hexadecimal digit.
+int digitOf(char byte)
+{
+    if (byte >= '0' && byte <= '9') {
+        return byte - '0';
+    }
+    const char lower = static_cast<char>(byte | ' ');
+    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+}
+
+void ChunkScanner::scan(std::string_view bytes)
+{
+    while (!bytes.empty() && m_state != State::Complete && m_state != State::Broken) {
+        if (m_state == State::Data) {
+            const auto length = static_cast<std::size_t>(std::min<std::uint64_t>(m_remaining, bytes.size()));
+            bytes.remove_prefix(length);
+            m_remaining -= length;
+            m_state = m_remaining == 0 ? State::DataEnd : State::Data;
+            continue;
+        }
+        m_state = next(bytes.front());
+        bytes.remove_prefix(1);
+    }
+}
+
+ChunkScanner::State ChunkScanner::next(char byte)
+{
+    switch (m_state) {
+    case State::Size:
+        return nextInSize(byte);
+    case State::Extension:
+        return byte == '\r' ? State::SizeEnd : State::Extension;
+    case State::SizeEnd:
+        return byte == '\n' ? afterSizeLine() : State::Broken;
+    case State::DataEnd:
+        return byte == '\r' ? State::DataLineEnd : State::Broken;
+    case State::DataLineEnd:
+        return byte == '\n' ? State::Size : State::Broken;
+    case State::Trailer:
+        m_isTrailerLineEmpty = m_isTrailerLineEmpty && byte == '\r';
+        return byte == '\r' ? State::TrailerEnd : State::Trailer;
+    case State::TrailerEnd:
+        return byte == '\n' ? afterTrailerLine() : State::Broken;
+    default:
+        return m_state;
+    }
+}
+
+ChunkScanner::State ChunkScanner::nextInSize(char byte)
+{
+    const int digit = digitOf(byte);
+    if (digit >= 0 && m_sizeDigits < MaxSizeDigits) {
+        m_remaining = m_remaining * HexadecimalBase + static_cast<std::uint64_t>(digit);
+        ++m_sizeDigits;
+        return State::Size;
+    }
+    if (digit >= 0 || m_sizeDigits == 0) {
+        return State::Broken;
+    }
+    if (byte == '\r') {
+        return State::SizeEnd;
+    }
+    return byte == ';' || byte == ' ' || byte == '\t' ? State::Extension : State::Broken;
+}
+
+ChunkScanner::State ChunkScanner::afterSizeLine()
+{
+    m_sizeDigits = 0;
+    return m_remaining == 0 ? State::Trailer : State::Data;
+}
+
+ChunkScanner::State ChunkScanner::afterTrailerLine()
+{
+    if (m_isTrailerLineEmpty) {
+        return State::Complete;
+    }
+    m_isTrailerLineEmpty = true;
+    return State::Trailer;
+}
+
+}
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -1,5 +1,7 @@
 #include "upstream/upstreamcall.h"
 
+#include "upstream/chunkscanner.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -7,6 +9,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
 #include <map>
 
 namespace cumindyke
@@ -129,10 +132,12 @@
     CallFailure failureBeforeSending() const;
     static void onRelayAnswer(evhttp_request *request, void *self);
     static void onSent(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
+    static void onReceived(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
     static int onHead(evhttp_request *request, void *self);
     static void onData(evhttp_request *request, void *self);
     static void onEnd(evhttp_request *request, void *self);
 
+    void scanChunks(std::size_t offset, std::size_t length);
     void handleHead(evhttp_request *request);
     void handleEnd(evhttp_request *request);
     void onTimeout();
@@ -148,6 +153,8 @@
     bool m_closed = false;
     bool m_paused = false;
     BodyFraming m_framing = BodyFraming::Empty;
+    /// libevent skips what it does not expect between two chunks.
+    ChunkScanner m_chunks;
 };
 
 void UpstreamCall::Private::start()
@@ -157,7 +164,9 @@
     evhttp_connection_set_max_headers_size(m_connection, MaxHeaderBytes);
     // Every phase has its own timeout; libevent's would end a paused call.
     evhttp_connection_set_timeout(m_connection, 24 * 3600);
-    evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)), &Private::onSent, this);
+    bufferevent *buffers = evhttp_connection_get_bufferevent(m_connection);
+    evbuffer_add_cb(bufferevent_get_output(buffers), &Private::onSent, this);
+    evbuffer_add_cb(bufferevent_get_input(buffers), &Private::onReceived, this);
     m_timer.startOnce(m_timeouts.connect);
     if (m_request.relay) {
         requestConnection();
@@ -262,6 +271,31 @@
     }
 }
 
+void UpstreamCall::Private::onReceived(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+{
+    auto *call = static_cast<Private *>(self);
+    if (info->n_added > 0 && call->m_phase == Phase::ReadingBody && !call->m_closed) {
+        call->scanChunks(info->orig_size, info->n_added);
+    }
+}
+
+/// Scans a part of what has been received and not been parsed yet.
+void UpstreamCall::Private::scanChunks(std::size_t offset, std::size_t length)
+{
+    if (m_framing != BodyFraming::Chunked) {
+        return;
+    }
+    evbuffer *received = bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection));
+    evbuffer_ptr position{};
+    evbuffer_ptr_set(received, &position, offset, EVBUFFER_PTR_SET);
+    std::vector<evbuffer_iovec> pieces(static_cast<std::size_t>(evbuffer_peek(received, static_cast<ev_ssize_t>(length), &position, nullptr, 0)));
+    evbuffer_peek(received, static_cast<ev_ssize_t>(length), &position, pieces.data(), static_cast<int>(pieces.size()));
+    for (const evbuffer_iovec &piece : pieces) {
+        m_chunks.scan(std::string_view(static_cast<const char *>(piece.iov_base), std::min(piece.iov_len, length)));
+        length -= std::min(piece.iov_len, length);
+    }
+}
+
 int UpstreamCall::Private::onHead(evhttp_request *request, void *self)
 {
     static_cast<Private *>(self)->handleHead(request);
@@ -274,6 +308,10 @@
     if (call->m_closed) {
         return;
     }
+    if (call->m_chunks.isBroken()) {
+        call->fail(CallFailure::Lost);
+        return;
+    }
     call->m_timer.startOnce(call->m_timeouts.betweenBytes);
     evbuffer *body = evhttp_request_get_input_buffer(request);
     const std::size_t length = evbuffer_get_length(body);
@@ -309,6 +347,8 @@
         return;
     }
     m_framing = *framing;
+    // What follows the head has been received with it.
+    scanChunks(0, evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection))));
     AnswerHead head{
         .status = evhttp_request_get_response_code(request), .contentType = responseHeader(request, "Content-Type"), .headers = {}, .framing = m_framing};
     const evkeyvalq *headers = evhttp_request_get_input_headers(request);
@@ -325,7 +365,8 @@
         fail(m_anyByteSent ? CallFailure::Lost : failureBeforeSending());
         return;
     }
-    if (m_framing == BodyFraming::ConnectionClose && !m_request.allowsCloseDelimitedBody) {
+    const bool isUnaccepted = m_framing == BodyFraming::ConnectionClose && !m_request.allowsCloseDelimitedBody;
+    if (isUnaccepted || (m_framing == BodyFraming::Chunked && !m_chunks.isComplete())) {
         fail(CallFailure::Lost);
         return;
     }
