A report on a prompt part that arrives again is not counted again after another crash

What callers would see: sound requests refused because a report was sent again after its answer had been lost: it counted anew once another upstream had ended in between. Cause: only the last process was remembered. Change: the processes whose ends counted are kept, eight at most. An unframed answer that is lost while its request is on trial no longer counts against its version, as other lost answers on trial don't. The weights' comments give their units. Evidence: 'a report on a part that arrives again counts once, also after another upstream has ended' passes; by reading, the code before counted the third report (not run).

--- a/src/control/crashledger.cpp
+++ b/src/control/crashledger.cpp
@@ -99,7 +99,7 @@
             m_version += isRefused && isOther ? 1 : 0;
             continue;
         }
-        if (partsuspect::addCrash(part, now)) {
+        if (partsuspect::addCrash(part, report.upstream(), now)) {
             refuse(part, now);
         }
         ++m_version;
--- a/src/control/partsuspect.cpp
+++ b/src/control/partsuspect.cpp
@@ -7,9 +7,10 @@
 
 bool crashCounts(const v1::Suspect &part, const v1::PartCrash &crash, WallTime now)
 {
-    // A report that arrives twice names the same upstream.
-    const bool isOther = crash.upstream() != part.last_upstream() && now.value - crash.ran_ms() > part.last_counted_at_ms();
-    return part.crashes() == 0 || isOther;
+    // Several requests may be lost with one process, and a report may arrive again after its answer was lost.
+    const bool isKnown
+        = crash.upstream() == part.last_upstream() || std::ranges::find(part.counted_upstreams(), crash.upstream()) != part.counted_upstreams().end();
+    return part.crashes() == 0 || (!isKnown && now.value - crash.ran_ms() > part.last_counted_at_ms());
 }
 
 bool recordTraits(v1::Suspect &part, std::uint64_t upstream, const std::vector<RequestTrait> &otherTraits)
@@ -34,8 +35,12 @@
     return isOther;
 }
 
-bool addCrash(v1::Suspect &part, WallTime now)
+bool addCrash(v1::Suspect &part, std::uint64_t upstream, WallTime now)
 {
+    part.add_counted_upstreams(upstream);
+    if (part.counted_upstreams_size() > MaxCountedUpstreams) {
+        part.mutable_counted_upstreams()->erase(part.counted_upstreams().begin());
+    }
     part.set_last_counted_at_ms(now.value);
     part.set_crashes(part.crashes() + 1);
     part.set_weight(part.weight() + CrashWeight);
--- a/src/control/partsuspect.h
+++ b/src/control/partsuspect.h
@@ -10,21 +10,23 @@
 /// The evidence that a part which prompts share ends the upstreams that run requests with it. Pure and deterministic, part of the replicated state.
 ///
 /// A process that ends takes all of its requests along, so most parts that are lost with it are sound. Each outcome of a request with the part is
-/// evidence: a weight is the logarithm of how much likelier the outcome is for a part that ends at least half of its runs than for a sound one. A crash
-/// counts only if the request was sent after the one that counted last, so upstreams that end at the same moment count once.
+/// evidence: its weight is the logarithm of how much likelier the outcome is for a part that ends half of its runs than for a sound one. A crash counts
+/// only if the request was sent after the one that counted last, so upstreams that end at the same moment count once, and no process counts twice.
 ///
 /// Requests are refused if they have, besides the part, everything that all lost requests with it had in common. So a sound part that comes together with
 /// the one that ends upstreams is refused only there, and nobody can have another organisation's requests refused by naming their parts.
 namespace cumindyke::partsuspect
 {
 
-/// While an upstream ends now and then, about one in fifty sound requests is lost with one.
+/// In units of one answer, if three in a hundred sound requests are lost.
 constexpr std::uint32_t CrashWeight = 4;
 constexpr std::uint32_t AnswerWeight = 1;
 /// Three crashes without an answer between them, or a few more with some.
 constexpr std::uint32_t RefusedFromWeight = 12;
-/// The answers that one report may count for.
+/// Answers that arrive together may all be to requests that ran before the part began to end upstreams.
 constexpr std::uint32_t MaxAnswersPerReport = 4;
+/// More crashes than a part needs to be refused; a report on an older one can no longer be under way.
+constexpr int MaxCountedUpstreams = 8;
 
 /// Returns whether the crash counts.
 bool crashCounts(const v1::Suspect &part, const v1::PartCrash &crash, WallTime now);
@@ -33,7 +35,7 @@
 /// Of the requests that an upstream took along, the one that has most of the traits is taken for the reason: the others may have run beside it.
 bool recordTraits(v1::Suspect &part, std::uint64_t upstream, const std::vector<RequestTrait> &otherTraits);
 /// Records a crash that counts. Returns whether the part is to be refused from now on.
-bool addCrash(v1::Suspect &part, WallTime now);
+bool addCrash(v1::Suspect &part, std::uint64_t upstream, WallTime now);
 /// Records answers. Returns whether the part is cleared.
 bool addAnswers(v1::Suspect &part, std::uint32_t count);
 /// Ends a refusal: one more crash renews it.
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -350,10 +350,13 @@
 /// still runs.
 void ProxyTask::verifyUnframedEnd(ProxyRequest &request)
 {
-    checkUpstreamEnded(request, [this, localId = request.localId](bool hasEnded) {
+    const bool isOnTrial = request.suspectState.trial.has_value();
+    checkUpstreamEnded(request, [this, localId = request.localId, isOnTrial](bool hasEnded) {
         ProxyRequest *ended = find(localId);
         if (ended && hasEnded) {
-            countAnswer(*ended, false);
+            if (!isOnTrial) {
+                countAnswer(*ended, false);
+            }
             handleAttemptEnd(*ended, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
         } else if (ended) {
             completeAnswer(*ended);
--- a/tests/control/partsuspecttest.cpp
+++ b/tests/control/partsuspecttest.cpp
@@ -84,6 +84,19 @@
     CHECK_FALSE(isRefused(ledger, RequestTraits{.parts = {Deadly}, .organisation = Caller}));
 }
 
+// Guards against a part that is refused because reports were sent again after their answers had been lost.
+TEST_CASE("a report on a part that arrives again counts once, also after another upstream has ended")
+{
+    CrashLedger ledger;
+    const v1::SuspectCommand first = partCrash({Deadly}, Run);
+    const v1::SuspectCommand second = partCrash({Deadly}, Run);
+    std::int64_t ms = 0;
+    for (const v1::SuspectCommand *report : {&first, &second, &first, &second, &first}) {
+        ledger.apply(*report, WallTime{Start.value + (ms += 1000)});
+    }
+    CHECK_FALSE(isRefused(ledger, RequestTraits{.parts = {Deadly}, .organisation = Caller}));
+}
+
 TEST_CASE("answers clear a part, and one report counts for a few of them at most")
 {
     CrashLedger ledger;
