--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -30,6 +30,7 @@
         return errorOf(server);
     }
     task->m_httpServer = std::move(valueOf(server));
+    task->m_httpServer->refuseWhileLate(metrics);
     task->m_httpServer->arrived().connect(sigc::mem_fun(*task, &EntryTask::onRequest));
     if (auto error = task->openPaths()) {
         return *error;
--- a/src/entry/httpserver.cpp
+++ b/src/entry/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "entry/httpserver.h"
 
+#include "common/log.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -9,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <string_view>
+#include <utility>
 
 namespace cumindyke
 {
@@ -69,6 +72,53 @@
     evhttp_free(m_server);
 }
 
+void HttpServer::refuseWhileLate(Metrics &metrics)
+{
+    const Counter pauses = metrics.counter("cumindyke_accept_pauses_total", "Times that new connections were refused because the event loop was late");
+    m_load = std::make_unique<Load>(m_loop, pauses, [this] { measureLoad(EventLoop::now()); });
+}
+
+/// The connections that came while the loop was busy are accepted one after the other: the first few of them close the gate for the others.
+void HttpServer::onAccepted()
+{
+    if (!m_load) {
+        return;
+    }
+    ++m_load->newConnections;
+    const TimePoint now = EventLoop::now();
+    if (m_load->dueAt && now - *m_load->dueAt > AcceptGate::MaxLateness && m_load->newConnections >= AcceptGate::MinNewConnections) {
+        measureLoad(now);
+    }
+    watchLoad();
+}
+
+/// Has the lateness of the event loop measured after the next interval.
+void HttpServer::watchLoad()
+{
+    if (m_load && !m_load->dueAt) {
+        m_load->dueAt = EventLoop::now() + AcceptGate::Interval;
+        m_load->timer.startOnce(AcceptGate::Interval);
+    }
+}
+
+void HttpServer::measureLoad(TimePoint now)
+{
+    const Duration lateness = now - m_load->dueAt.value_or(now);
+    const int newConnections = std::exchange(m_load->newConnections, 0);
+    m_load->dueAt.reset();
+    const bool isOpen = m_load->gate.record(lateness, newConnections, now);
+    if (!isOpen && m_socket) {
+        m_load->pauses.add();
+        logChange(
+            "http", "connections-refused", {{"late_ms", std::to_string(wholeMilliseconds(lateness))}, {"new_connections", std::to_string(newConnections)}});
+    }
+    setAccepting(isOpen);
+    if (!m_socket) {
+        watchLoad();
+    }
+}
+
+/// Meanwhile new connections are refused, and those that were not accepted yet are reset.
 void HttpServer::setAccepting(bool accepting)
 {
     if (accepting && !m_socket) {
@@ -82,7 +132,7 @@
 bufferevent *HttpServer::onConnection(event_base *base, void *self)
 {
     auto *server = static_cast<HttpServer *>(self);
-    server->m_accepted.emit();
+    server->onAccepted();
     bufferevent *connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     evbuffer *input = bufferevent_get_input(connection);
     server->m_pendingReads[input] = PendingRead{.connection = connection, .startedAt = {}};
@@ -122,6 +172,7 @@
 {
     auto *server = static_cast<HttpServer *>(self);
     server->m_pendingReads[bufferevent_get_input(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)))].startedAt.reset();
+    server->watchLoad();
     server->m_arrived.emit(std::make_shared<Exchange>(server->m_loop, request));
 }
 
--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -1,14 +1,18 @@
 #pragma once
 
 #include "common/eventloop.h"
+#include "common/metrics.h"
 #include "common/result.h"
+#include "entry/acceptgate.h"
 #include "entry/exchange.h"
 
 #include <sigc++/sigc++.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
 struct evhttp;
 struct evhttp_bound_socket;
@@ -35,17 +39,8 @@
     {
         return m_address.port;
     }
-    /// Stops or starts taking new connections: meanwhile they are refused, and those that were not accepted yet are reset. Open ones stay.
-    void setAccepting(bool accepting);
-    bool isAccepting() const
-    {
-        return m_socket != nullptr;
-    }
-    /// A connection was accepted, and nothing of it read yet. A slot may call setAccepting().
-    sigc::signal<void> &accepted()
-    {
-        return m_accepted;
-    }
+    /// From now on refuses new connections while they make the event loop late (AcceptGate). Open ones stay.
+    void refuseWhileLate(Metrics &metrics);
     /// A complete request was received.
     sigc::signal<void, std::shared_ptr<Exchange>> &arrived()
     {
@@ -58,6 +53,10 @@
     static bufferevent *onConnection(event_base *base, void *self);
     static void onInput(evbuffer *input, const evbuffer_cb_info *info, void *self);
     void enforceReadLimit(evbuffer *input);
+    void onAccepted();
+    void watchLoad();
+    void measureLoad(TimePoint now);
+    void setAccepting(bool accepting);
 
     EventLoop &m_loop;
     evhttp *m_server;
@@ -73,7 +72,24 @@
         std::optional<TimePoint> startedAt;
     };
     std::unordered_map<evbuffer *, PendingRead> m_pendingReads;
-    sigc::signal<void> m_accepted;
+    struct Load
+    {
+        Load(EventLoop &loop, Counter pauseCounter, std::function<void()> measure)
+            : pauses(pauseCounter)
+            , timer(loop, std::move(measure))
+        {
+        }
+
+        Counter pauses;
+        Timer timer;
+        AcceptGate gate;
+        /// When the timer is due; none: it does not run.
+        std::optional<TimePoint> dueAt;
+        /// Since the last measurement.
+        int newConnections = 0;
+    };
+    /// Null unless refuseWhileLate() was called.
+    std::unique_ptr<Load> m_load;
     sigc::signal<void, std::shared_ptr<Exchange>> m_arrived;
 };
 
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -1,13 +1,12 @@
-// ProxyTask: attempts at upstreams, and the answers to callers.
+// ProxyTask: attempts at upstreams.
 
 #include "proxy/proxytask.h"
 
 #include "common/log.h"
+#include "proxy/headerfields.h"
 #include "upstream/requestlimit.h"
 
 #include <algorithm>
-#include <array>
-#include <cctype>
 
 namespace cumindyke
 {
@@ -19,7 +18,6 @@
 constexpr Duration ResumeTimeout = std::chrono::milliseconds(1700);
 /// A larger plain answer is forwarded as it arrives, without waiting for its end.
 constexpr std::size_t MaxBufferedBytes = 256 << 10;
-constexpr Duration RetryAfterRefusal = std::chrono::milliseconds(200);
 /// Number of events from which an upstream's pace is measured.
 constexpr std::uint32_t EventsForPace = 4;
 constexpr int FirstSuccess = 200;
@@ -28,39 +26,6 @@
 /// When a caller has this many bytes unread, reading from its upstream is paused.
 constexpr std::size_t MaxUnreadBytes = 256 << 10;
 
-/// Headers that concern a single connection (RFC 9110, 7.6.1), and the framing, which is created anew for each connection.
-constexpr std::array<std::string_view, 10>
-    HopHeaders{"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "host", "expect"};
-
-std::string toLower(std::string_view text)
-{
-    std::string lower(text);
-    std::ranges::transform(lower, lower.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return lower;
-}
-
-bool isHopHeader(std::string_view name)
-{
-    return std::ranges::find(HopHeaders, toLower(name)) != HopHeaders.end();
-}
-
-const std::string *headerOf(const AnswerHead &head, std::string_view name)
-{
-    const std::string wanted = toLower(name);
-    for (const auto &[key, value] : head.headers) {
-        if (toLower(key) == wanted) {
-            return &value;
-        }
-    }
-    return nullptr;
-}
-
-/// Whether the body is an event stream. On a route for streams an upstream may also answer with a plain body.
-bool hasEvents(const AnswerHead &head)
-{
-    return head.contentType.empty() || toLower(head.contentType).starts_with("text/event-stream");
-}
-
 /// Pace between the events of a stream so far, or until the end of a plain answer; 0 for a stream of fewer than two batches of events.
 AnswerPace paceOf(const ProxyRequest &request, TimePoint now)
 {
@@ -299,19 +264,6 @@
     }
 }
 
-void ProxyTask::forwardBody(ProxyRequest &request, std::string_view bytes)
-{
-    const bool isEventStream = request.isStream() && hasEvents(request.answerHead);
-    if (isEventStream && request.isResumable()) {
-        request.exchange->streamData(request.eventSplitter.extractWholeEvents(bytes));
-        return;
-    }
-    if (isEventStream) {
-        request.eventSplitter.scan(bytes);
-    }
-    request.exchange->streamData(bytes);
-}
-
 void ProxyTask::recordEvents(ProxyRequest &request, TimePoint now)
 {
     if (request.eventBatches == 0) {
@@ -439,92 +391,4 @@
     }
 }
 
-void ProxyTask::addAnswerHeaders(ProxyRequest &request)
-{
-    for (const auto &[name, value] : request.answerHead.headers) {
-        if (!isHopHeader(name) && toLower(name) != "content-type") {
-            request.exchange->addHeader(name, value);
-        }
-    }
-    if (m_drain) {
-        request.exchange->addHeader("Connection", "close");
-    }
-}
-
-void ProxyTask::forwardHead(ProxyRequest &request)
-{
-    request.headForwarded = true;
-    addAnswerHeaders(request);
-    const LocalRequestId localId = request.localId;
-    request.exchange->drained().connect([this, localId] {
-        ProxyRequest *drained = find(localId);
-        if (drained && drained->call) {
-            drained->call->setPaused(false);
-        }
-    });
-    request.exchange->startStream(request.answerHead.status, request.answerHead.contentType);
-}
-
-void ProxyTask::forwardWholeAnswer(ProxyRequest &request)
-{
-    addAnswerHeaders(request);
-    request.exchange->reply(request.answerHead.status, request.answerHead.contentType, request.bufferedBody);
-}
-
-void ProxyTask::replyRefusal(ProxyRequest &request, ErrorKind kind, const std::string &reason, Duration retryAfter, const std::string &inputs)
-{
-    Exchange &exchange = *request.exchange;
-    if (m_drain) {
-        exchange.addHeader("Connection", "close");
-    }
-    exchange.addHeader(m_options.headers.requestId, request.parsed.id.value);
-    exchange.addHeader("Retry-After", std::to_string(std::chrono::duration<double>(retryAfter).count()));
-    exchange.reply(httpStatus(kind), "application/json", errorJson(Error{kind, reason + ": try again after Retry-After"}, RunOutcome::NotRun) + "\n");
-    finish(request, "refused", reason, inputs);
-}
-
-void ProxyTask::replyFailure(ProxyRequest &request, ErrorKind kind, const std::string &reason)
-{
-    if (request.headForwarded) {
-        m_exchangesToAbort.push_back(request.exchange);
-    } else {
-        if (m_drain) {
-            request.exchange->addHeader("Connection", "close");
-        }
-        request.exchange->addHeader(m_options.headers.requestId, request.parsed.id.value);
-        request.exchange->reply(httpStatus(kind), "application/json", errorJson(Error{kind, reason + ": it may have run"}, RunOutcome::Unknown) + "\n");
-    }
-    finish(request, "failed", reason);
-}
-
-void ProxyTask::onCallerLeft(LocalRequestId localId)
-{
-    ProxyRequest *request = find(localId);
-    if (!request) {
-        return;
-    }
-    m_exchangesToAbort.push_back(request->exchange);
-    if (request->call && request->eventBatches == 0) {
-        checkUpstreamEnded(*request);
-    }
-    finish(*request, "caller-left", "");
-}
-
-void ProxyTask::onDeadlinePassed(LocalRequestId localId)
-{
-    ProxyRequest *request = find(localId);
-    if (!request) {
-        return;
-    }
-    if (!request->attempts.mayHaveRun()) {
-        replyRefusal(*request, ErrorKind::Unavailable, "the deadline passed before an upstream had a free slot", RetryAfterRefusal);
-        return;
-    }
-    if (request->call) {
-        countAnswer(*request, false);
-        checkUpstreamEnded(*request);
-    }
-    replyFailure(*request, ErrorKind::DeadlinePassed, "the request's deadline has passed");
-}
-
 }
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -41,7 +41,6 @@
     , m_mailbox(m_loop, [this](ProxyMessage &&message) { std::visit([this](auto &held) { handle(held); }, message); })
     , m_metrics(metrics)
     , m_incarnation(std::random_device{}())
-    , m_loadTimer(m_loop, [this] { measureLoad(EventLoop::now()); })
     , m_holdTimer(m_loop, [this] { releaseHeldRequests(); })
     , m_suspects(m_loop,
                  SuspectTrackerOptions{
@@ -65,7 +64,7 @@
         return errorOf(door);
     }
     m_callerDoor = std::move(valueOf(door));
-    m_callerDoor->accepted().connect([this] { onConnectionAccepted(); });
+    m_callerDoor->refuseWhileLate(m_metrics);
     m_callerDoor->arrived().connect([this](const std::shared_ptr<Exchange> &exchange) { handleRequest(exchange); });
     auto readiness = HttpServer::listen(m_loop, m_options.readinessAddress, m_options.requestReadLimit);
     if (!ok(readiness)) {
@@ -209,42 +208,6 @@
     exchange->reply(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
 }
 
-/// The connections that came while the loop was busy are accepted one after the other: the first few of them close the gate for the others.
-void ProxyTask::onConnectionAccepted()
-{
-    const TimePoint now = EventLoop::now();
-    ++m_newConnections;
-    if (m_loadDueAt && now - *m_loadDueAt > AcceptGate::MaxLateness && m_newConnections >= AcceptGate::MinNewConnections) {
-        measureLoad(now);
-    }
-    watchLoad();
-}
-
-/// Has the lateness of the event loop measured after the next interval.
-void ProxyTask::watchLoad()
-{
-    if (!m_loadDueAt) {
-        m_loadDueAt = EventLoop::now() + AcceptGate::Interval;
-        m_loadTimer.startOnce(AcceptGate::Interval);
-    }
-}
-
-void ProxyTask::measureLoad(TimePoint now)
-{
-    const Duration lateness = now - m_loadDueAt.value_or(now);
-    const int newConnections = std::exchange(m_newConnections, 0);
-    m_loadDueAt.reset();
-    const bool isOpen = m_acceptGate.record(lateness, newConnections, now);
-    if (!isOpen && m_callerDoor->isAccepting()) {
-        logChange("proxy", "connections-refused", {{"late_ms", milliseconds(lateness)}, {"new_connections", std::to_string(newConnections)}});
-        m_metrics.counter("cumindyke_accept_pauses_total", "Times that new connections were refused because the event loop was late", {}).add();
-    }
-    m_callerDoor->setAccepting(isOpen);
-    if (!m_callerDoor->isAccepting() || !m_requests.empty()) {
-        watchLoad();
-    }
-}
-
 void ProxyTask::handleRequest(const std::shared_ptr<Exchange> &exchange)
 {
     const TimePoint now = EventLoop::now();
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -6,7 +6,6 @@
 #include "control/controltask.h"
 #include "entry/httpserver.h"
 #include "entry/suspecttracker.h"
-#include "proxy/acceptgate.h"
 #include "proxy/placementhost.h"
 #include "proxy/proxyrequest.h"
 #include "proxy/requestparser.h"
@@ -103,6 +102,9 @@
         std::uint64_t heads = 0;
     };
 
+    /// Until an upstream usually has a free slot again.
+    static constexpr Duration RetryAfterRefusal = std::chrono::milliseconds(200);
+
     ProxyTask(ProxyOptions options, Metrics &metrics);
     std::optional<Error> bind();
 
@@ -120,9 +122,6 @@
     void holdRequest(const std::shared_ptr<Exchange> &exchange, TimePoint now);
     void releaseHeldRequests();
     void refuseNotReady(Exchange &exchange);
-    void onConnectionAccepted();
-    void watchLoad();
-    void measureLoad(TimePoint now);
     bool mayAdmit(TimePoint now) const;
     void handleReadinessRequest(const std::shared_ptr<Exchange> &exchange);
     void refuse(Exchange &exchange, const RequestId &id, const Refusal &reason);
@@ -195,13 +194,6 @@
     /// Distinguishes this process's messages from those of its predecessor.
     const std::uint64_t m_incarnation;
     std::unique_ptr<HttpServer> m_callerDoor;
-    AcceptGate m_acceptGate;
-    /// Runs while requests are under way.
-    Timer m_loadTimer;
-    /// When the timer is due; none: it does not run.
-    std::optional<TimePoint> m_loadDueAt;
-    /// Since the last measurement.
-    int m_newConnections = 0;
     std::unique_ptr<HttpServer> m_readinessDoor;
     std::unique_ptr<PlacementHost> m_placement;
     std::unique_ptr<UpstreamPaths> m_paths;
--- a/tests/proxy/acceptgatetest.cpp
+++ b/tests/entry/acceptgatetest.cpp
@@ -1,4 +1,4 @@
-#include "proxy/acceptgate.h"
+#include "entry/acceptgate.h"
 
 #include <catch2/catch.hpp>
 
