The front door takes an engine's unframed stream that ends with its marker

What callers would see: a whole stream of an engine without a length or chunks was thrown away: the attempt resumed it until it gave up, and the caller got 502. Cause: no answer without framing was taken as complete, though the marker proves it of a stream. Change: engines' streams may end with their connection; plain answers still may not.

--- a/src/entry/upstreamattempt.cpp
+++ b/src/entry/upstreamattempt.cpp
@@ -114,6 +114,8 @@
 void UpstreamAttempt::openCall()
 {
     UpstreamRequest call = makeCall();
+    // The end marker proves that a stream is whole; nothing proves it of a plain body that ends with its connection.
+    call.allowsCloseDelimitedBody = m_stream != nullptr;
     m_relay = m_paths.chooseRelay(m_address, {});
     if (m_relay) {
         call.relay = m_paths.relayAddress(*m_relay);
--- a/tests/platform/crashingpartstest.cpp
+++ b/tests/platform/crashingpartstest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <thread>
 
 using namespace cumindyke;
@@ -76,6 +77,30 @@
     CHECK(system.platform.seenWithCrashingPart() <= before + AllowedRequests);
 }
 
+// Guards against a refusal that a restart of all processes undoes: a VM that has just started knows nothing but what its first lease brings.
+TEST_CASE("process: requests with a prompt part that ends upstreams are still refused after all VMs were killed")
+{
+    constexpr int LaterRequests = 6;
+    System system("", Upstreams);
+    REQUIRE(system.publish(documentOf(3)));
+    REQUIRE(system.waitUntilReady());
+    PromptCaller caller(system);
+    sendCrashing(system, caller);
+    for (auto &[vm, daemon] : system.daemons) {
+        daemon->signal(SIGKILL);
+        daemon->wait();
+    }
+    for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
+        system.start(vm);
+    }
+    REQUIRE(system.waitUntilReady());
+    const std::size_t before = system.platform.seenWithCrashingPart();
+    for (int request = 0; request < LaterRequests; ++request) {
+        caller.sendCrashing();
+    }
+    CHECK(system.platform.seenWithCrashingPart() <= before + AllowedRequests);
+}
+
 // Guards against refusing the callers, or the requests with the same first part, of those that end upstreams.
 TEST_CASE("process: sound requests are served beside those with a prompt part that ends upstreams")
 {
