Log what the check after an unframed answer found, and from which event a stream goes on

The lines could not tell the hypotheses of the incident apart: whether an answer that ended with its connection was checked, with which result, and where a resumed stream goes on. No decision changes.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -112,6 +112,7 @@
                {"version", to.version.value},
                {"waited_ms", std::to_string(wholeMilliseconds(now - request.parsed.arrived))},
                {"rank", std::to_string(request.parsed.rank.value)},
+               {"last_event", request.eventSplitter.lastEventId()},
                {"inputs", request.relay ? inputs + " relay=" + request.relay->value : inputs}});
     m_versionCounts[{request.parsed.service.value, to.version.value}].sent += 1;
     const LocalRequestId localId = request.localId;
@@ -323,6 +324,9 @@
     const bool isOnTrial = request.suspectState.trial.has_value();
     checkUpstreamEnded(request, [this, localId = request.localId, isOnTrial](bool hasEnded) {
         ProxyRequest *ended = find(localId);
+        if (ended) {
+            ended->endCheck = hasEnded ? "ended" : "not-refused";
+        }
         if (ended && hasEnded) {
             if (!isOnTrial) {
                 countAnswer(*ended, false);
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -101,6 +101,8 @@
     /// The answer's head was sent to the caller and can no longer be changed.
     bool headForwarded = false;
     EventSplitter eventSplitter;
+    /// What the check after the end of an unframed answer found: "ended" or "not-refused"; empty: there was none.
+    std::string endCheck;
     /// Measure the pace of the upstream.
     TimePoint firstEventAt;
     TimePoint lastEventAt;
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -335,6 +335,7 @@
                {"upstream", request.upstream.name.value},
                {"attempts", std::to_string(request.attempts.attemptCount())},
                {"framing", toString(request.answerHead.framing)},
+               {"end_check", request.endCheck},
                {"within_event", request.eventSplitter.isWithinEvent() ? "yes" : "no"},
                {"first_ms", request.eventBatches > 0 ? milliseconds(request.firstEventAt - request.parsed.arrived) : ""},
                {"longest_pause_ms", request.eventBatches > 1 ? milliseconds(request.longestPause) : ""},
