Answers of upstreams are read by a parser of our own, bounded in bytes

Callers got answers whose status was 600, 999 or 1000, and a call held a chunk or a chunk-size line without end until its timeout, with memory and processor time growing all the while. libevent's client accepts any status but 0, holds a chunk until it is whole, and reads an answer only after the whole request has been written.

AnswerParser (pure, no I/O) takes an answer in pieces: it accepts a status line only with three digits from 100 to 599 and without 101, headers with one reading, one framing; skips interim answers; passes on each part of a body as it comes; and keeps at most 64 KB of heads and 4 KB between chunks. UpstreamCall reads while it writes, so no more than one read of the socket is held. A framed answer that is whole counts also if the connection breaks after it. A write that fails has consumed the kernel's error, so the end that a later read reports proves nothing. Readers of small answers (lists, loads, orders, cancellations) bound their bodies.

--- a/src/cell/loadpoller.cpp
+++ b/src/cell/loadpoller.cpp
@@ -126,13 +126,10 @@
         m_body.clear();
         m_call = std::make_unique<UpstreamCall>(
             m_owner.m_loop,
-            UpstreamRequest{.id = {}, .address = m_upstream.address, .method = "GET", .target = target, .headers = {}, .body = {}},
+            UpstreamRequest{
+                .id = {}, .address = m_upstream.address, .method = "GET", .target = target, .headers = {}, .body = {}, .maxAnswerBytes = MaxAnswerBytes},
             PollTimeouts);
-        m_call->data().connect([this](std::string_view bytes) {
-            if (m_body.size() + bytes.size() <= MaxAnswerBytes) {
-                m_body += bytes;
-            }
-        });
+        m_call->data().connect([this](std::string_view bytes) { m_body += bytes; });
         m_call->finished().connect([this, handleBody = std::move(handleBody)] {
             m_owner.m_reachable.emit(m_upstream.name);
             handleBody(m_body);
--- a/src/control/orderrunner.cpp
+++ b/src/control/orderrunner.cpp
@@ -34,7 +34,7 @@
 
 UpstreamRequest requestFor(const OrderStep &step, const Address &address)
 {
-    UpstreamRequest request{.id = {}, .address = address, .method = "GET", .target = "/load", .headers = {}, .body = {}};
+    UpstreamRequest request{.id = {}, .address = address, .method = "GET", .target = "/load", .headers = {}, .body = {}, .maxAnswerBytes = MaxBodyBytes};
     if (step.action == OrderStep::Action::Send) {
         const nlohmann::ordered_json order{
             {"epoch", step.epoch.value}, {"kind", toString(step.order.kind)}, {argumentName(step.order.kind), step.order.argument}};
@@ -110,11 +110,7 @@
         logChange("control", "order-given", {{"upstream", step.order.upstream.value}, {"version", step.order.argument}});
     }
     call.call->head().connect([&call](const AnswerHead &head) { call.status = head.status; });
-    call.call->data().connect([&call](std::string_view bytes) {
-        if (call.body.size() < MaxBodyBytes) {
-            call.body += bytes;
-        }
-    });
+    call.call->data().connect([&call](std::string_view bytes) { call.body += bytes; });
     call.call->finished().connect([this, number] { onCallEnded(number, true); });
     call.call->failed().connect([this, number](CallFailure /*failure*/) { onCallEnded(number, false); });
     call.call->start();
--- a/src/proxy/instancelistreader.cpp
+++ b/src/proxy/instancelistreader.cpp
@@ -83,14 +83,14 @@
                             .headers = {},
                             .body = {}};
     request.allowsCloseDelimitedBody = true;
+    request.maxAnswerBytes = MaxPageBytes;
     m_call = std::make_unique<UpstreamCall>(m_loop, std::move(request), ListTimeouts);
     m_call->head().connect([this](const AnswerHead &head) { m_status = head.status; });
-    m_call->data().connect([this](std::string_view bytes) {
-        if (m_body.size() < MaxPageBytes) {
-            m_body += bytes;
-        }
+    m_call->data().connect([this](std::string_view bytes) { m_body += bytes; });
+    m_call->finished().connect([this] {
+        m_call->cancel();
+        handlePage();
     });
-    m_call->finished().connect([this] { handlePage(); });
     m_call->failed().connect([this](CallFailure) { handlePageFailure("the connection failed"); });
     m_call->start();
 }
--- a/src/upstream/chunkscanner.cpp
+++ b/src/upstream/chunkscanner.cpp
@@ -24,19 +24,26 @@
 
 }
 
-void ChunkScanner::scan(std::string_view bytes)
+std::string_view ChunkScanner::takeData(std::string_view &bytes)
 {
     while (!bytes.empty() && m_state != State::Complete && m_state != State::Broken) {
         if (m_state == State::Data) {
             const auto length = static_cast<std::size_t>(std::min<std::uint64_t>(m_remaining, bytes.size()));
+            const std::string_view data = bytes.substr(0, length);
             bytes.remove_prefix(length);
             m_remaining -= length;
+            m_lineBytes = 0;
             m_state = m_remaining == 0 ? State::DataEnd : State::Data;
-            continue;
+            return data;
         }
         m_state = next(bytes.front());
         bytes.remove_prefix(1);
+        const bool isTrailer = m_state == State::Trailer || m_state == State::TrailerEnd;
+        if (++m_lineBytes > (isTrailer ? MaxTrailerBytes : MaxLineBytes)) {
+            m_state = State::Broken;
+        }
     }
+    return {};
 }
 
 ChunkScanner::State ChunkScanner::next(char byte)
--- a/src/upstream/chunkscanner.h
+++ b/src/upstream/chunkscanner.h
@@ -1,17 +1,30 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
 namespace cumindyke
 {
 
-/// Checks the framing of a chunked body (RFC 9112, 7.1) that arrives in pieces: each chunk has to be as long as its size says.
+/// Reads a chunked body (RFC 9112, 7.1) that arrives in pieces: each chunk has to be as long as its size says. Keeps none of its bytes.
 class ChunkScanner
 {
 public:
-    /// Scans the next bytes of the body. What follows its end is not looked at.
-    void scan(std::string_view bytes);
+    /// Bounds what an upstream can send between two chunks, and as the trailer.
+    static constexpr std::size_t MaxLineBytes = 4U << 10;
+    static constexpr std::size_t MaxTrailerBytes = 16U << 10;
+
+    /// Takes bytes from the front until it has taken a part of the body's data, which it returns. Without one it returns nothing and has taken all, or has
+    /// found the body to be complete or broken. What follows the end is not looked at.
+    std::string_view takeData(std::string_view &bytes);
+    /// Takes all of the bytes.
+    void scan(std::string_view bytes)
+    {
+        while (!bytes.empty() && !isComplete() && !isBroken()) {
+            takeData(bytes);
+        }
+    }
     /// Whether the last chunk and the trailer have been scanned.
     bool isComplete() const
     {
@@ -35,6 +48,8 @@
     int m_sizeDigits = 0;
     std::uint64_t m_remaining = 0;
     bool m_isTrailerLineEmpty = true;
+    /// Since the last data.
+    std::size_t m_lineBytes = 0;
 };
 
 }
--- a/src/upstream/platformlist.cpp
+++ b/src/upstream/platformlist.cpp
@@ -95,9 +95,10 @@
                                                 .target = slash == std::string::npos ? "/" : location.substr(slash),
                                                 .headers = {},
                                                 .body = {},
+                                                .maxAnswerBytes = MaxListBytes,
                                             },
                                             FetchTimeouts);
-    m_call->data().connect([this](std::string_view bytes) { m_body += bytes.substr(0, MaxListBytes - std::min(MaxListBytes, m_body.size())); });
+    m_call->data().connect([this](std::string_view bytes) { m_body += bytes; });
     m_call->finished().connect([this] {
         m_call.reset();
         handleContent(m_body);
--- a/src/upstream/streamcanceller.cpp
+++ b/src/upstream/streamcanceller.cpp
@@ -8,6 +8,7 @@
 
 /// Bounds the connections in use when many callers disconnect at once; further cancellations are skipped.
 constexpr std::size_t MaxCalls = 256;
+constexpr std::size_t MaxAnswerBytes = 64U << 10;
 constexpr ProgressTimeouts CancelTimeouts{.connect = std::chrono::seconds(1), .firstByte = std::chrono::seconds(1), .betweenBytes = std::chrono::seconds(1)};
 
 }
@@ -32,6 +33,7 @@
                                                    .headers = {},
                                                    .body = {},
                                                    .relay = relay,
+                                                   .maxAnswerBytes = MaxAnswerBytes,
                                                },
                                                CancelTimeouts);
     call->finished().connect([this, number] { m_calls.erase(number); });
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -1,16 +1,14 @@
 #include "upstream/upstreamcall.h"
 
-#include "upstream/chunkscanner.h"
+#include "common/address.h"
+#include "upstream/answerparser.h"
+#include "upstream/socketend.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 
 #include <algorithm>
-#include <map>
 
 namespace cumindyke
 {
@@ -18,85 +16,39 @@
 namespace
 {
 
-constexpr int MaxHeaderBytes = 64 << 10;
-
-evhttp_cmd_type libeventCommand(const std::string &method)
-{
-    static const std::map<std::string, evhttp_cmd_type> Commands{
-        {"GET", EVHTTP_REQ_GET},
-        {"HEAD", EVHTTP_REQ_HEAD},
-        {"POST", EVHTTP_REQ_POST},
-        {"PUT", EVHTTP_REQ_PUT},
-        {"PATCH", EVHTTP_REQ_PATCH},
-        {"DELETE", EVHTTP_REQ_DELETE},
-        {"OPTIONS", EVHTTP_REQ_OPTIONS},
-    };
-    const auto found = Commands.find(method);
-    return found == Commands.end() ? EVHTTP_REQ_GET : found->second;
-}
+constexpr int StatusOk = 200;
 
 void releaseBody(const void * /*data*/, size_t /*length*/, void *reference)
 {
     delete static_cast<std::shared_ptr<const std::string> *>(reference);
 }
 
-std::string responseHeader(evhttp_request *request, const char *name)
+/// Whether the text can stand in a request's head without ending its line.
+bool isSafeInHead(std::string_view text)
 {
-    const char *value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
-    return value ? value : "";
+    return text.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
 }
 
-/// Returns all values of the header.
-std::vector<std::string_view> responseHeaders(evhttp_request *request, const char *name)
+void appendHeader(std::string &head, std::string_view name, std::string_view value)
 {
-    std::vector<std::string_view> values;
-    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
-    for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next) {
-        if (evutil_ascii_strcasecmp(header->key, name) == 0) {
-            values.emplace_back(header->value);
-        }
+    if (isSafeInHead(name) && isSafeInHead(value)) {
+        head.append(name).append(": ").append(value).append("\r\n");
     }
-    return values;
 }
 
-/// Returns nothing if libevent would see the end of the body in another place than the upstream.
-std::optional<BodyFraming> framingOf(evhttp_request *answer, const std::string &method)
+const std::string *findHeader(const AnswerHead &head, const std::string &name)
 {
-    const int status = evhttp_request_get_response_code(answer);
-    if (status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED || method == "HEAD") {
-        return BodyFraming::Empty;
-    }
-    const std::vector<std::string_view> encodings = responseHeaders(answer, "Transfer-Encoding");
-    const std::vector<std::string_view> lengths = responseHeaders(answer, "Content-Length");
-    if (status < HTTP_OK || encodings.size() > 1 || lengths.size() > 1) {
-        return {};
-    }
-    if (encodings.empty()) {
-        return lengths.empty() ? BodyFraming::ConnectionClose : BodyFraming::Length;
+    for (const auto &[key, value] : head.headers) {
+        if (evutil_ascii_strcasecmp(key.c_str(), name.c_str()) == 0) {
+            return &value;
+        }
     }
-    const bool isChunked = evutil_ascii_strcasecmp(std::string(encodings.front()).c_str(), "chunked") == 0;
-    return isChunked ? std::optional(BodyFraming::Chunked) : std::nullopt;
+    return nullptr;
 }
 
 }
 
-const char *toString(BodyFraming framing)
-{
-    switch (framing) {
-    case BodyFraming::Empty:
-        return "empty";
-    case BodyFraming::Length:
-        return "length";
-    case BodyFraming::Chunked:
-        return "chunked";
-    case BodyFraming::ConnectionClose:
-        return "connection-close";
-    }
-    return "";
-}
-
-/// libevent frees requests and connections inside its own callbacks, so this object must outlive them: close() hands a reference to the
-/// event loop, which frees the connection outside of any callback.
+/// A slot of a signal may cancel or destroy the call, so close() hands a reference to the event loop, which frees the connection outside of any callback.
 class UpstreamCall::Private : public std::enable_shared_from_this<UpstreamCall::Private>
 {
 public:
@@ -105,13 +57,14 @@
         , m_request(std::move(request))
         , m_timeouts(timeouts)
         , m_timer(loop, [this] { onTimeout(); })
+        , m_answer(m_request.method)
     {
     }
 
     ~Private()
     {
         if (m_connection) {
-            evhttp_connection_free(m_connection);
+            bufferevent_free(m_connection);
         }
     }
 
@@ -122,6 +75,7 @@
     {
         return m_anyByteSent;
     }
+    bool hasIntactEnd() const;
 
     sigc::signal<void> m_sentSignal;
     sigc::signal<void, const AnswerHead &> m_headSignal;
@@ -130,106 +84,143 @@
     sigc::signal<void, CallFailure> m_failedSignal;
 
 private:
-    enum class Phase { ConnectingThroughRelay, Connecting, AwaitingHead, ReadingBody };
+    enum class Phase { Connecting, AwaitingRelay, Sending, AwaitingHead, ReadingBody };
+
+    static void onReadable(bufferevent *connection, void *self);
+    static void onWritten(bufferevent *connection, void *self);
+    static void onEvent(bufferevent *connection, short what, void *self);
+    static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
 
-    void requestConnection();
+    void handleConnected();
     void sendRequest();
-    CallFailure failureBeforeSending() const;
-    static void onRelayAnswer(evhttp_request *request, void *self);
-    static void onSent(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
-    static void onReceived(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
-    static int onHead(evhttp_request *request, void *self);
-    static void onData(evhttp_request *request, void *self);
-    static void onEnd(evhttp_request *request, void *self);
-
-    void scanChunks(std::size_t offset, std::size_t length);
-    void handleHead(evhttp_request *request);
-    void handleEnd(evhttp_request *request);
+    void recordSent();
+    void readAnswer();
+    void readRelayAnswer(std::string_view &bytes);
+    void parse(std::string_view bytes);
+    void handleHead();
+    void handleBody(std::string_view bytes);
+    void handleWhole();
+    void handleClosed();
+    void finish();
     void onTimeout();
     void fail(CallFailure failure);
+    CallFailure failureBeforeSending() const;
+    bool hasUnsentBytes() const;
 
     EventLoop &m_loop;
     UpstreamRequest m_request;
     ProgressTimeouts m_timeouts;
     Timer m_timer;
-    evhttp_connection *m_connection = nullptr;
+    bufferevent *m_connection = nullptr;
     Phase m_phase = Phase::Connecting;
     bool m_anyByteSent = false;
     bool m_closed = false;
     bool m_paused = false;
-    BodyFraming m_framing = BodyFraming::Empty;
-    /// libevent skips what it does not expect between two chunks.
-    ChunkScanner m_chunks;
+    /// The connection was reset while the request was written. What was received before is still read, but its end proves nothing.
+    bool m_writeFailed = false;
+    /// The upstream's end of the connection is closed; ours stays open until it is known whether a reset follows.
+    bool m_hasEnded = false;
+    AnswerParser m_relayAnswer{"CONNECT"};
+    AnswerParser m_answer;
+    std::size_t m_bodyBytes = 0;
 };
 
 void UpstreamCall::Private::start()
 {
-    const Address &address = m_request.relay.value_or(m_request.address);
-    m_connection = evhttp_connection_base_new(m_loop.base(), nullptr, address.host.c_str(), address.port);
-    evhttp_connection_set_max_headers_size(m_connection, MaxHeaderBytes);
-    // Every phase has its own timeout; libevent's would end a paused call.
-    evhttp_connection_set_timeout(m_connection, 24 * 3600);
-    bufferevent *buffers = evhttp_connection_get_bufferevent(m_connection);
-    evbuffer_add_cb(bufferevent_get_output(buffers), &Private::onSent, this);
-    evbuffer_add_cb(bufferevent_get_input(buffers), &Private::onReceived, this);
+    m_connection = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(m_connection, &Private::onReadable, &Private::onWritten, &Private::onEvent, this);
+    evbuffer_add_cb(bufferevent_get_output(m_connection), &Private::onOutput, this);
     m_timer.startOnce(m_timeouts.connect);
-    if (m_request.relay) {
-        requestConnection();
-    } else {
-        sendRequest();
-    }
-}
-
-/// Asks the relay to connect to the upstream (RFC 9110, 9.3.6). Afterwards the connection is used as if it went to the upstream.
-void UpstreamCall::Private::requestConnection()
-{
-    m_phase = Phase::ConnectingThroughRelay;
-    evhttp_request *request = evhttp_request_new(&Private::onRelayAnswer, this);
-    const std::string target = toString(m_request.address);
-    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", target.c_str());
+    const std::optional<sockaddr_in> address = socketAddress(m_request.relay.value_or(m_request.address));
     const auto self = shared_from_this();
-    if (evhttp_make_request(m_connection, request, EVHTTP_REQ_CONNECT, target.c_str()) != 0 && !m_closed) {
-        fail(CallFailure::RelayFailed);
+    if (!address || bufferevent_socket_connect(m_connection, reinterpret_cast<const sockaddr *>(&*address), sizeof *address) != 0) {
+        fail(failureBeforeSending());
     }
 }
 
-void UpstreamCall::Private::onRelayAnswer(evhttp_request *request, void *self)
+void UpstreamCall::Private::onEvent(bufferevent * /*connection*/, short what, void *self)
 {
     const auto call = static_cast<Private *>(self)->shared_from_this();
-    if (call->m_closed) {
+    if (call->m_closed || call->m_hasEnded) {
         return;
     }
-    const int status = request ? evhttp_request_get_response_code(request) : 0;
-    if (status == HTTP_OK) {
-        call->m_phase = Phase::Connecting;
-        call->sendRequest();
+    if (what & BEV_EVENT_CONNECTED) {
+        call->handleConnected();
+    } else if ((what & BEV_EVENT_WRITING) && !(what & BEV_EVENT_READING) && call->m_anyByteSent) {
+        // The write has consumed the error: the next read would report an end in order.
+        call->m_writeFailed = true;
+        if (call->m_answer.isWhole()) {
+            call->finish();
+        }
     } else {
-        call->fail(status == StatusUpstreamUnreachable ? CallFailure::NotSent : CallFailure::RelayFailed);
+        call->m_writeFailed = call->m_writeFailed || (what & BEV_EVENT_ERROR) != 0;
+        call->handleClosed();
+    }
+}
+
+void UpstreamCall::Private::handleConnected()
+{
+    bufferevent_enable(m_connection, EV_READ | EV_WRITE);
+    if (!m_request.relay) {
+        sendRequest();
+        return;
     }
+    // RFC 9110, 9.3.6. Afterwards the connection is used as if it went to the upstream.
+    m_phase = Phase::AwaitingRelay;
+    const std::string target = toString(m_request.address);
+    const std::string head = "CONNECT " + target + " HTTP/1.1\r\nHost: " + target + "\r\n\r\n";
+    bufferevent_write(m_connection, head.data(), head.size());
 }
 
 void UpstreamCall::Private::sendRequest()
 {
-    evhttp_request *request = evhttp_request_new(&Private::onEnd, this);
-    evhttp_request_set_header_cb(request, &Private::onHead);
-    evhttp_request_set_chunked_cb(request, &Private::onData);
-    evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", m_request.host.empty() ? toString(m_request.address).c_str() : m_request.host.c_str());
-    evhttp_add_header(headers, m_request.idHeader.c_str(), m_request.id.value.c_str());
-    evhttp_add_header(headers, "Connection", "close");
+    m_phase = Phase::Sending;
+    const std::shared_ptr<const std::string> shared = std::move(m_request.sharedBody);
+    const std::size_t length = shared && !shared->empty() ? shared->size() : m_request.body.size();
+    std::string head
+        = (isSafeInHead(m_request.method) ? m_request.method : "GET") + " " + (isSafeInHead(m_request.target) ? m_request.target : "/") + " HTTP/1.1\r\n";
+    appendHeader(head, "Host", m_request.host.empty() ? toString(m_request.address) : m_request.host);
+    appendHeader(head, m_request.idHeader, m_request.id.value);
+    appendHeader(head, "Connection", "close");
     for (const auto &[name, value] : m_request.headers) {
-        evhttp_add_header(headers, name.c_str(), value.c_str());
+        appendHeader(head, name, value);
+    }
+    if (length > 0 || m_request.method == "POST" || m_request.method == "PUT") {
+        appendHeader(head, "Content-Length", std::to_string(length));
     }
-    if (m_request.sharedBody && !m_request.sharedBody->empty()) {
+    head += "\r\n";
+    evbuffer *output = bufferevent_get_output(m_connection);
+    evbuffer_add(output, head.data(), head.size());
+    if (shared && !shared->empty()) {
         // The buffer holds its own reference until the body is sent: libevent may free the buffer after this object.
-        auto *reference = new std::shared_ptr<const std::string>(std::move(m_request.sharedBody));
-        evbuffer_add_reference(evhttp_request_get_output_buffer(request), (*reference)->data(), (*reference)->size(), &releaseBody, reference);
+        auto *reference = new std::shared_ptr<const std::string>(shared);
+        evbuffer_add_reference(output, shared->data(), shared->size(), &releaseBody, reference);
     } else if (!m_request.body.empty()) {
-        evbuffer_add(evhttp_request_get_output_buffer(request), m_request.body.data(), m_request.body.size());
+        evbuffer_add(output, m_request.body.data(), m_request.body.size());
     }
-    const auto self = shared_from_this();
-    if (evhttp_make_request(m_connection, request, libeventCommand(m_request.method), m_request.target.c_str()) != 0 && !m_closed) {
-        fail(m_anyByteSent ? CallFailure::Lost : failureBeforeSending());
+}
+
+void UpstreamCall::Private::onOutput(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+{
+    auto *call = static_cast<Private *>(self);
+    if (info->n_deleted > 0 && !call->m_closed && call->m_phase == Phase::Sending) {
+        call->recordSent();
+    }
+}
+
+void UpstreamCall::Private::recordSent()
+{
+    m_anyByteSent = true;
+    m_phase = Phase::AwaitingHead;
+    m_timer.startOnce(m_timeouts.firstByte);
+    m_sentSignal.emit();
+}
+
+void UpstreamCall::Private::onWritten(bufferevent * /*connection*/, void *self)
+{
+    const auto call = static_cast<Private *>(self)->shared_from_this();
+    if (!call->m_closed && call->m_answer.isWhole()) {
+        call->finish();
     }
 }
 
@@ -242,9 +233,8 @@
     m_timer.stop();
     if (m_connection) {
         // Until the connection is freed, an event that is already due could still open it or write the request.
-        bufferevent *connection = evhttp_connection_get_bufferevent(m_connection);
-        bufferevent_disable(connection, EV_READ | EV_WRITE);
-        bufferevent_setcb(connection, nullptr, nullptr, nullptr, nullptr);
+        bufferevent_disable(m_connection, EV_READ | EV_WRITE);
+        bufferevent_setcb(m_connection, nullptr, nullptr, nullptr, nullptr);
     }
     // The loop keeps the reference until the current callback has returned; releasing the last one frees the connection.
     m_loop.releaseLater(shared_from_this());
@@ -252,142 +242,162 @@
 
 void UpstreamCall::Private::setPaused(bool paused)
 {
-    if (m_closed || m_paused == paused || m_phase != Phase::ReadingBody) {
+    if (m_closed || m_hasEnded || m_paused == paused || m_phase != Phase::ReadingBody) {
         return;
     }
     m_paused = paused;
-    bufferevent *connection = evhttp_connection_get_bufferevent(m_connection);
     if (paused) {
-        bufferevent_disable(connection, EV_READ);
+        bufferevent_disable(m_connection, EV_READ);
         m_timer.stop();
     } else {
-        bufferevent_enable(connection, EV_READ);
+        bufferevent_enable(m_connection, EV_READ);
         m_timer.startOnce(m_timeouts.betweenBytes);
     }
 }
 
-void UpstreamCall::Private::onSent(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+bool UpstreamCall::Private::hasUnsentBytes() const
 {
-    auto *call = static_cast<Private *>(self);
-    if (info->n_deleted == 0 || call->m_anyByteSent || call->m_phase == Phase::ConnectingThroughRelay) {
-        return;
-    }
-    call->m_anyByteSent = true;
-    if (call->m_phase == Phase::Connecting && !call->m_closed) {
-        call->m_phase = Phase::AwaitingHead;
-        call->m_timer.startOnce(call->m_timeouts.firstByte);
-        call->m_sentSignal.emit();
-    }
+    return evbuffer_get_length(bufferevent_get_output(m_connection)) > 0;
 }
 
-void UpstreamCall::Private::onReceived(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+bool UpstreamCall::Private::hasIntactEnd() const
 {
-    auto *call = static_cast<Private *>(self);
-    if (info->n_added > 0 && call->m_phase == Phase::ReadingBody && !call->m_closed) {
-        call->scanChunks(info->orig_size, info->n_added);
-    }
+    return m_hasEnded && !m_writeFailed && !hasUnsentBytes() && cumindyke::hasIntactEnd(bufferevent_getfd(m_connection));
 }
 
-/// Scans a part of what has been received and not been parsed yet.
-void UpstreamCall::Private::scanChunks(std::size_t offset, std::size_t length)
+void UpstreamCall::Private::onReadable(bufferevent * /*connection*/, void *self)
 {
-    if (m_framing != BodyFraming::Chunked) {
-        return;
-    }
-    evbuffer *received = bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection));
-    evbuffer_ptr position{};
-    evbuffer_ptr_set(received, &position, offset, EVBUFFER_PTR_SET);
-    std::vector<evbuffer_iovec> pieces(static_cast<std::size_t>(evbuffer_peek(received, static_cast<ev_ssize_t>(length), &position, nullptr, 0)));
-    evbuffer_peek(received, static_cast<ev_ssize_t>(length), &position, pieces.data(), static_cast<int>(pieces.size()));
-    for (const evbuffer_iovec &piece : pieces) {
-        m_chunks.scan(std::string_view(static_cast<const char *>(piece.iov_base), std::min(piece.iov_len, length)));
-        length -= std::min(piece.iov_len, length);
+    const auto call = static_cast<Private *>(self)->shared_from_this();
+    if (!call->m_closed) {
+        call->readAnswer();
     }
 }
 
-int UpstreamCall::Private::onHead(evhttp_request *request, void *self)
-{
-    static_cast<Private *>(self)->handleHead(request);
-    return 0;
-}
-
-void UpstreamCall::Private::onData(evhttp_request *request, void *self)
+/// Takes all that has arrived, also while the request is still being written, so that at most one read of the socket is held.
+void UpstreamCall::Private::readAnswer()
 {
-    const auto call = static_cast<Private *>(self)->shared_from_this();
-    if (call->m_closed) {
-        return;
+    evbuffer *input = bufferevent_get_input(m_connection);
+    std::string received(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, received.data(), received.size());
+    std::string_view bytes = received;
+    if (m_phase == Phase::AwaitingRelay) {
+        readRelayAnswer(bytes);
     }
-    if (call->m_chunks.isBroken()) {
-        call->fail(CallFailure::Lost);
-        return;
+    if (!m_closed && m_phase != Phase::AwaitingRelay) {
+        parse(bytes);
     }
-    call->m_timer.startOnce(call->m_timeouts.betweenBytes);
-    evbuffer *body = evhttp_request_get_input_buffer(request);
-    const std::size_t length = evbuffer_get_length(body);
-    const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(body, -1));
-    call->m_dataSignal.emit(std::string_view(bytes, length));
 }
 
-void UpstreamCall::Private::onEnd(evhttp_request *request, void *self)
+void UpstreamCall::Private::readRelayAnswer(std::string_view &bytes)
 {
-    const auto call = static_cast<Private *>(self)->shared_from_this();
-    if (!call->m_closed) {
-        call->handleEnd(request);
+    const AnswerParser::Step step = m_relayAnswer.next(bytes);
+    if (step == AnswerParser::Step::NeedsMore) {
+        return;
+    }
+    const int status = step == AnswerParser::Step::Head ? m_relayAnswer.head().status : 0;
+    if (status == StatusOk) {
+        sendRequest();
+    } else {
+        fail(status == StatusUpstreamUnreachable ? CallFailure::NotSent : CallFailure::RelayFailed);
+    }
+}
+
+void UpstreamCall::Private::parse(std::string_view bytes)
+{
+    while (!m_closed) {
+        switch (m_answer.next(bytes)) {
+        case AnswerParser::Step::NeedsMore:
+            return;
+        case AnswerParser::Step::Head:
+            handleHead();
+            break;
+        case AnswerParser::Step::Body:
+            handleBody(m_answer.body());
+            break;
+        case AnswerParser::Step::Whole:
+            handleWhole();
+            return;
+        case AnswerParser::Step::Broken:
+            fail(m_anyByteSent ? CallFailure::Lost : failureBeforeSending());
+            return;
+        }
     }
 }
 
-void UpstreamCall::Private::handleHead(evhttp_request *request)
+void UpstreamCall::Private::handleHead()
 {
-    if (m_closed) {
-        return;
-    }
-    const auto self = shared_from_this();
     // An upstream that mixes up its connections returns another caller's answer, which must not be passed on.
-    const std::string echoed = responseHeader(request, m_request.idHeader.c_str());
-    if (!echoed.empty() && echoed != m_request.id.value) {
+    const std::string *echoed = findHeader(m_answer.head(), m_request.idHeader);
+    if (echoed && !echoed->empty() && *echoed != m_request.id.value) {
         fail(CallFailure::MismatchedId);
         return;
     }
+    if (!m_anyByteSent) {
+        // It answers no request: none has been sent yet.
+        fail(failureBeforeSending());
+        return;
+    }
     m_phase = Phase::ReadingBody;
     m_timer.startOnce(m_timeouts.betweenBytes);
-    const std::optional<BodyFraming> framing = framingOf(request, m_request.method);
-    if (!framing) {
+    m_headSignal.emit(m_answer.head());
+}
+
+void UpstreamCall::Private::handleBody(std::string_view bytes)
+{
+    m_bodyBytes += bytes.size();
+    if (m_request.maxAnswerBytes && m_bodyBytes > *m_request.maxAnswerBytes) {
         fail(CallFailure::Lost);
         return;
     }
-    m_framing = *framing;
-    // What follows the head has been received with it.
-    scanChunks(0, evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection))));
-    AnswerHead head{
-        .status = evhttp_request_get_response_code(request), .contentType = responseHeader(request, "Content-Type"), .headers = {}, .framing = m_framing};
-    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
-    for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next) {
-        head.headers.emplace_back(header->key, header->value);
+    if (!m_paused) {
+        m_timer.startOnce(m_timeouts.betweenBytes);
     }
-    m_headSignal.emit(head);
+    m_dataSignal.emit(bytes);
 }
 
-void UpstreamCall::Private::handleEnd(evhttp_request *request)
+/// An upstream may answer before it has read the request, and reads the rest later.
+void UpstreamCall::Private::handleWhole()
 {
-    const bool hasResponse = request && evhttp_request_get_response_code(request) != 0;
-    if (!hasResponse) {
-        fail(m_anyByteSent ? CallFailure::Lost : failureBeforeSending());
-        return;
-    }
-    const bool isUnaccepted = m_framing == BodyFraming::ConnectionClose && !m_request.allowsCloseDelimitedBody;
-    if (isUnaccepted || (m_framing == BodyFraming::Chunked && !m_chunks.isComplete())) {
-        fail(CallFailure::Lost);
+    if (hasUnsentBytes() && !m_writeFailed) {
+        bufferevent_disable(m_connection, EV_READ);
         return;
     }
+    finish();
+}
+
+void UpstreamCall::Private::finish()
+{
     close();
     m_finishedSignal.emit();
 }
 
+/// The connection has ended, in order unless m_writeFailed is set.
+void UpstreamCall::Private::handleClosed()
+{
+    const bool mayBeWhole = m_answer.endsWithConnection() && m_request.allowsCloseDelimitedBody && !m_writeFailed && !hasUnsentBytes();
+    if (mayBeWhole) {
+        m_hasEnded = true;
+        m_timer.stop();
+        m_finishedSignal.emit();
+        return;
+    }
+    if (m_phase == Phase::AwaitingRelay) {
+        fail(CallFailure::RelayFailed);
+        return;
+    }
+    fail(m_anyByteSent ? CallFailure::Lost : failureBeforeSending());
+}
+
 void UpstreamCall::Private::onTimeout()
 {
-    if (!m_closed) {
-        fail(m_anyByteSent ? CallFailure::TimedOut : failureBeforeSending());
+    if (m_closed) {
+        return;
+    }
+    if (m_answer.isWhole()) {
+        finish();
+        return;
     }
+    fail(m_anyByteSent ? CallFailure::TimedOut : failureBeforeSending());
 }
 
 CallFailure UpstreamCall::Private::failureBeforeSending() const
@@ -432,6 +442,11 @@
     return d->isSent();
 }
 
+bool UpstreamCall::hasIntactEnd() const
+{
+    return d->hasIntactEnd();
+}
+
 sigc::signal<void> &UpstreamCall::sent()
 {
     return d->m_sentSignal;
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -2,27 +2,19 @@
 
 #include "common/eventloop.h"
 #include "common/types.h"
+#include "upstream/answerhead.h"
 
 #include <sigc++/sigc++.h>
 
-#include <cstdint>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
-
-struct evhttp_connection;
-struct evhttp_request;
-struct evbuffer_cb_info;
-struct evbuffer;
 
 namespace cumindyke
 {
 
-using HeaderList = std::vector<std::pair<std::string, std::string>>;
-
 /// A relay's answer if it has a path to the upstreams, but could not connect to this one.
 constexpr int StatusUpstreamUnreachable = 504;
 
@@ -47,30 +39,15 @@
     std::optional<Address> relay = {};
     /// Sent instead of the body, without a copy; null: the body is sent.
     std::shared_ptr<const std::string> sharedBody = {};
-};
-
-/// How the end of an answer's body is recognised (RFC 9112, 6.3).
-enum class BodyFraming {
-    Empty, ///< the answer has no body
-    Length, ///< the head gives the length
-    Chunked,
-    ConnectionClose, ///< the body ends with the connection, so a reset alone shows that it is incomplete
-};
-const char *toString(BodyFraming framing);
-
-struct AnswerHead
-{
-    int status = 0;
-    std::string contentType;
-    HeaderList headers;
-    BodyFraming framing = BodyFraming::Empty;
+    /// An answer with a longer body is lost; none: any length, for an answer that is passed on as it arrives.
+    std::optional<std::size_t> maxAnswerBytes = {};
 };
 
 /// Why a call got no complete answer.
 enum class CallFailure {
     NotSent, ///< no byte of the request left this process, so the upstream can't have run it
     RelayFailed, ///< as NotSent, but the relay is to blame: nothing is known of the upstream
-    Lost, ///< the connection was closed before the end of the answer
+    Lost, ///< the connection ended before the answer was whole, or its bytes are no answer
     TimedOut, ///< no progress within the timeout
     MismatchedId, ///< the answer has the id of another request
 };
@@ -103,6 +80,9 @@
 
     /// Whether any byte of the request has left this process.
     bool isSent() const;
+    /// Whether an answer that has ended with its connection may be whole: the upstream's system has taken all of the request, and has not reset the connection.
+    /// A process that closes its connection before it has read a long request causes a reset that follows the end, so ask some milliseconds after finished().
+    bool hasIntactEnd() const;
     /// The first byte of the request has left this process.
     sigc::signal<void> &sent();
     sigc::signal<void, const AnswerHead &> &head();
--- a/tests/fuzz/framingfuzz.cpp
+++ b/tests/fuzz/framingfuzz.cpp
@@ -1,3 +1,4 @@
+#include "upstream/answerparser.h"
 #include "upstream/chunkscanner.h"
 #include "upstream/eventboundary.h"
 #include "upstream/eventstream.h"
@@ -44,6 +45,51 @@
     require(scannedInPieces<ChunkScanner>(encoded + "0\r\n\r\n", step).isComplete());
 }
 
+struct ParsedAnswer
+{
+    bool hasHead = false;
+    bool isWhole = false;
+    bool isBroken = false;
+    bool endsWithConnection = false;
+    std::string body;
+
+    bool operator==(const ParsedAnswer &) const = default;
+};
+
+ParsedAnswer parsedInPieces(std::string_view received, std::size_t step)
+{
+    using Step = AnswerParser::Step;
+    AnswerParser parser("POST");
+    ParsedAnswer answer;
+    for (std::size_t start = 0; start < received.size(); start += step) {
+        std::string_view bytes = received.substr(start, step);
+        for (Step found = parser.next(bytes); found != Step::NeedsMore; found = parser.next(bytes)) {
+            answer.hasHead = answer.hasHead || found == Step::Head;
+            answer.isBroken = found == Step::Broken;
+            answer.isWhole = found == Step::Whole;
+            if (answer.isBroken || answer.isWhole) {
+                return answer;
+            }
+            if (found == Step::Body) {
+                answer.body += parser.body();
+            }
+        }
+    }
+    answer.endsWithConnection = parser.endsWithConnection();
+    return answer;
+}
+
+void checkAnswer(std::string_view received, std::size_t step)
+{
+    require(parsedInPieces(received, received.size() + 1) == parsedInPieces(received, step));
+    const std::string body(received);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    // What follows the end of an answer is no part of it.
+    const ParsedAnswer answer = parsedInPieces(head + body + head + body, step);
+    require(answer.isWhole && answer.body == body);
+    require(!parsedInPieces(head + body.substr(0, body.size() / 2), step).isWhole || body.empty());
+}
+
 void checkEvents(std::string_view body, std::size_t step)
 {
     EventBoundary boundary;
@@ -61,12 +107,13 @@
 
 }
 
-/// The framing of answers: chunks, and the events of a stream.
+/// The framing of answers: heads and bodies, chunks, and the events of a stream.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view body(reinterpret_cast<const char *>(data), size);
     const std::size_t step = size % 9 + 1;
     checkChunks(body, step);
+    checkAnswer(body, step);
     checkEvents(body, step);
     return 0;
 }
--- a/tests/upstream/upstreamcalltest.cpp
+++ b/tests/upstream/upstreamcalltest.cpp
@@ -49,17 +49,20 @@
 namespace
 {
 
-/// How a call ends whose answer has these headers and this body; none: it is complete.
-std::optional<CallFailure> failureOf(const std::string &headers, const std::string &body)
+/// A call that has received more is ended.
+constexpr std::size_t EnoughBytes = 256U << 10;
+
+/// How a call ends that gets this answer; none: it is complete. "received" gets the body.
+std::optional<CallFailure> failureOf(const RawUpstream::Answer &answer, const std::string &method = "GET", std::string *received = nullptr)
 {
     const TestNetwork network;
     RawUpstream upstream(network.host(1));
-    upstream.setAnswer({.contentType = "text/plain", .body = body, .moreHeaders = headers});
+    upstream.setAnswer(answer);
     EventLoop loop;
     UpstreamCall call(loop,
                       UpstreamRequest{.id = RequestId{"r"},
                                       .address = upstream.address(),
-                                      .method = "GET",
+                                      .method = method,
                                       .target = "/",
                                       .headers = {},
                                       .body = {},
@@ -72,11 +75,24 @@
         failure = why;
         loop.stop();
     });
+    call.data().connect([&](std::string_view bytes) {
+        if (received) {
+            *received += bytes;
+            if (received->size() > EnoughBytes) {
+                loop.stop();
+            }
+        }
+    });
     call.start();
     loop.run();
     return failure;
 }
 
+std::optional<CallFailure> failureOf(const std::string &headers, const std::string &body)
+{
+    return failureOf(RawUpstream::Answer{.contentType = "text/plain", .body = body, .moreHeaders = headers});
+}
+
 }
 
 // Guards against an answer whose end the HTTP library and the upstream see in different places: a part, or the framing itself, would pass for the body.
@@ -112,3 +128,65 @@
         CHECK(failureOf("Transfer-Encoding: chunked\r\n", body) == CallFailure::Lost);
     }
 }
+
+// Guards against bytes that are no answer and reach a caller as one, from an upstream in trouble.
+TEST_CASE("an answer whose status line is no status line is lost")
+{
+    for (const char *statusLine : {"HTTP/1.1 000 OK",
+                                   "HTTP/1.1 099 OK",
+                                   "HTTP/1.1 101 Switching Protocols",
+                                   "HTTP/1.1 600 OK",
+                                   "HTTP/1.1 999 OK",
+                                   "HTTP/1.1 1000 OK",
+                                   "HTTP/1.1 -200 OK",
+                                   "HTTP/1.1 20 OK",
+                                   "HTTP/1.1 20x OK",
+                                   "HTTP/1.1 200OK",
+                                   "HTTP/1.1  200 OK",
+                                   "HTTP/2.0 200 OK",
+                                   "http/1.1 200 OK",
+                                   "ICY 200 OK",
+                                   "200 OK",
+                                   ""}) {
+        for (const char *method : {"GET", "HEAD", "POST"}) {
+            CAPTURE(statusLine, method);
+            const RawUpstream::Answer answer{.contentType = "text/plain", .body = "body", .moreHeaders = "Content-Length: 4\r\n", .statusLine = statusLine};
+            CHECK(failureOf(answer, method) == CallFailure::Lost);
+        }
+    }
+}
+
+// Guards against a caller that gets an interim answer, or its headers, for the final one.
+TEST_CASE("interim answers are skipped, and their headers are not the final answer's")
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nContent-Length: 70\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK";
+    std::string received;
+    CHECK_FALSE(failureOf({.contentType = "text/plain", .body = "body", .moreHeaders = "Content-Length: 4\r\n", .statusLine = interim}, "GET", &received));
+    CHECK(received == "body");
+    CHECK(failureOf({.contentType = "text/plain", .body = "", .statusLine = "HTTP/1.1 100 Continue"}) == CallFailure::Lost);
+}
+
+// Guards against memory and processor time that bytes without end use up long before any timeout, from an upstream in trouble.
+TEST_CASE("bytes without end in a head or between chunks end the call")
+{
+    const std::string block(16U << 10, 'a');
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    CHECK(failureOf({.endless = block, .raw = "HTTP/1.1 200 "}) == CallFailure::Lost);
+    CHECK(failureOf({.endless = block, .raw = "HTTP/1.1 200 OK\r\nX: "}) == CallFailure::Lost);
+    CHECK(failureOf({.endless = "X: y\r\n", .raw = "HTTP/1.1 200 OK\r\n"}) == CallFailure::Lost);
+    CHECK(failureOf({.endless = interim, .raw = interim}) == CallFailure::Lost);
+    CHECK(failureOf({.contentType = "a", .body = "5;", .moreHeaders = chunked, .endless = block}) == CallFailure::Lost);
+    CHECK(failureOf({.contentType = "a", .body = "00000000", .moreHeaders = chunked, .endless = "0"}) == CallFailure::Lost);
+    CHECK(failureOf({.contentType = "a", .body = "0\r\nX: ", .moreHeaders = chunked, .endless = block}) == CallFailure::Lost);
+    CHECK(failureOf({.contentType = "a", .body = "0\r\n", .moreHeaders = chunked, .endless = "X: y\r\n"}) == CallFailure::Lost);
+}
+
+// Guards against a chunk without end that is held until it is whole: it uses up the VM's memory, and its call's progress timeout ends it while it sends.
+TEST_CASE("the data of a chunk is passed on before the chunk is whole")
+{
+    const std::string block(16U << 10, 'a');
+    std::string received;
+    failureOf({.contentType = "a", .body = "ffffffffffffff\r\n", .moreHeaders = "Transfer-Encoding: chunked\r\n", .endless = block}, "GET", &received);
+    CHECK(received.size() > EnoughBytes);
+}
