An unframed answer whose connection is reset after its end is broken off

Callers got a part of an answer as a complete one (200): an upstream answered early without a length, closed its end in order and reset the connection while the upload was unread. Linux reports the end in order to the reader and a reset that follows it to nobody; a relay passed on the end at once and closed.

When the check of the upstream is done, the answer is complete only if all of the request has been acknowledged and no reset has followed. A relay passes on an end only after the same check, 20 ms later; otherwise it resets the other connection.

A reset more than 20 ms after the end is still not seen if the upload had been acknowledged.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -317,22 +317,24 @@
     }
 }
 
-/// A process that dies closes its connections in order too, so the end of an answer without a length or chunks is the answer's own only if the process
-/// still runs.
+/// A process that dies closes its connections in order too, and one that closes a connection before it has read a long request causes a reset after the end.
+/// So the end of an answer without a length or chunks is the answer's own only if the process still runs, and the connection is still intact.
 void ProxyTask::verifyUnframedEnd(ProxyRequest &request)
 {
     const bool isOnTrial = request.suspectState.trial.has_value();
     checkUpstreamEnded(request, [this, localId = request.localId, isOnTrial](bool hasEnded) {
         ProxyRequest *ended = find(localId);
-        if (ended) {
-            ended->endCheck = hasEnded ? "ended" : "not-refused";
+        if (!ended) {
+            return;
         }
-        if (ended && hasEnded) {
+        const bool wasReset = !ended->call || !ended->call->hasIntactEnd();
+        ended->endCheck = hasEnded ? "ended" : wasReset ? "reset" : "not-refused";
+        if (hasEnded || wasReset) {
             if (!isOnTrial) {
                 countAnswer(*ended, false);
             }
             handleAttemptEnd(*ended, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
-        } else if (ended) {
+        } else {
             completeAnswer(*ended);
         }
     });
--- a/src/relay/relayserver.cpp
+++ b/src/relay/relayserver.cpp
@@ -1,6 +1,7 @@
 #include "relay/relayserver.h"
 
 #include "common/address.h"
+#include "upstream/socketend.h"
 #include "upstream/upstreamcall.h"
 
 #include <event2/buffer.h>
@@ -26,6 +27,8 @@
 constexpr std::size_t MaxRequestBytes = 1024;
 /// Bytes waiting for one end, beyond which the other is not read.
 constexpr std::size_t MaxUnsentBytes = 256 << 10;
+/// An upstream that has not read all of a request may cause a reset within this time after its end.
+constexpr Duration EndCheckDelay = std::chrono::milliseconds(20);
 constexpr std::string_view EndOfHead = "\r\n\r\n";
 
 /// Returns the target of "CONNECT IP:PORT HTTP/1.1"; none: the request is malformed.
@@ -112,6 +115,7 @@
     void onConnected();
     void onConnectFailed(bool hasTimedOut);
     void onTimeout();
+    void passOnEnd();
     void refuse(int status);
     void closeAfterFlush();
     void endInOrder();
@@ -186,7 +190,7 @@
     if (from == m_upstream && m_phase == Phase::Connecting) {
         onConnectFailed(false);
     } else if (from == m_upstream && m_phase == Phase::Open && (what & BEV_EVENT_EOF)) {
-        closeAfterFlush();
+        m_timer.startOnce(EndCheckDelay);
     } else {
         // The other VM has left, so its request is cancelled, or the upstream has reset the connection.
         end();
@@ -222,6 +226,19 @@
     const auto self = shared_from_this();
     if (m_phase == Phase::Connecting) {
         onConnectFailed(true);
+    } else if (m_phase == Phase::Open) {
+        passOnEnd();
+    } else {
+        end();
+    }
+}
+
+/// Passes on the upstream's end in order only if no reset has followed: the other VM would take it for the end of an answer.
+void RelayServer::Tunnel::passOnEnd()
+{
+    const bool isIntact = evbuffer_get_length(bufferevent_get_output(m_upstream)) == 0 && hasIntactEnd(bufferevent_getfd(m_upstream));
+    if (isIntact) {
+        closeAfterFlush();
     } else {
         end();
     }
--- a/tests/proxy/unframedanswerstest.cpp
+++ b/tests/proxy/unframedanswerstest.cpp
@@ -13,6 +13,8 @@
 using End = RawUpstream::End;
 
 constexpr const char *WholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+/// A shorter request has been read with its head.
+constexpr std::size_t SingleRead = 2U << 10;
 constexpr const char *StreamWithinEvent = "id: 1\ndata: a\n\nid: 2\nda";
 
 /// Two entry VMs, the first one with or without a path of its own to the only upstream.
@@ -48,6 +50,12 @@
         const std::string received = connection.readAll();
         return {received, connection.wasReset()};
     }
+    /// An answer that comes before the upstream has read the request's body.
+    HttpAnswer early(std::size_t requestBytes, End end)
+    {
+        m_upstream.setAnswer({.contentType = "text/plain", .body = "part", .end = end, .isEarly = true});
+        return http(vms.callerAddress(0), "POST", "/deposits/a", callerHeaders(nextId()), std::string(requestBytes, 'u'));
+    }
     HttpAnswer plain(const std::string &body, End end = End::Closed)
     {
         m_upstream.setAnswer({.contentType = "text/plain", .body = body, .end = end});
@@ -132,3 +140,20 @@
         CHECK(answers.stream(WholeStream, End::Reset).failure == CallFailure::Lost);
     }
 }
+
+// Guards against a part of an answer that passes for the whole one: its upstream answers a long upload early, and resets the connection while the upload
+// is unread, possibly after it has closed its end in order.
+TEST_CASE("an unframed answer whose connection is reset under an upload is broken off for its caller")
+{
+    for (const Cut cut : {Cut::None, Cut::Refused}) {
+        for (const std::size_t bytes : {std::size_t(1) << 10, std::size_t(200) << 10, std::size_t(1) << 20, std::size_t(4) << 20}) {
+            for (const End end : {End::Closed, End::Reset, End::ClosedThenReset}) {
+                CAPTURE(static_cast<int>(cut), bytes, static_cast<int>(end));
+                // A close resets the connection if a part of the request is unread.
+                const bool isReset = end != End::Closed || bytes > SingleRead;
+                // A new upstream each time: one whose answers fail is left out for a while.
+                CHECK(UnframedAnswers(cut, v1::STREAMING).early(bytes, end).status == (isReset ? 502 : 200));
+            }
+        }
+    }
+}
