Soak of answers: real daemons, upstreams that answer wrongly, kills, and checks from the callers' side

The stand-in faultyupstream is a process of its own that stutters, cuts, resets, answers early, sends other ids and statuses, and bytes without end, seeded. The soak plays six of them, killed and restarted at once, beside signals to the entry VMs, and 24 callers on kept connections. A pure checker with a planted fault for each check looks at every answer's bytes and at the upstreams' logs of runs.

--- a/tests/fakeplatform/fakeplatform.cpp
+++ b/tests/fakeplatform/fakeplatform.cpp
@@ -127,6 +127,7 @@
 void FakePlatform::addUpstream(const std::string &instance, const Address &address)
 {
     const std::lock_guard lock(m_mutex);
+    std::erase_if(m_otherUpstreams, [&address](const auto &upstream) { return upstream.second == address; });
     m_otherUpstreams.emplace_back(instance, address);
 }
 
--- a/tests/fakeplatform/fakeplatform.h
+++ b/tests/fakeplatform/fakeplatform.h
@@ -60,7 +60,8 @@
     /// Number of requests with CrashingPart that upstreams ran.
     std::size_t seenWithCrashingPart() const;
     void setState(const std::string &state);
-    /// From now on the list also names an upstream that the test runs itself, instead of the one that shares the list's address.
+    /// From now on the list also names an upstream that the test runs itself, instead of the one that shares the list's address. A later
+    /// upstream with the same address replaces an earlier one.
     void addUpstream(const std::string &instance, const Address &address);
     /// From now on the list gives each upstream this many slots.
     void setSlots(int slots);
--- /dev/null
+++ b/tests/soak/answerchecker.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Checks answers of the faulty upstream as a caller sees them. Pure: works on the bytes of connections and on the upstreams' logs.
+namespace cumindyke::test
+{
+
+enum class ConnectionEnd { Open, InOrder, Reset };
+
+/// An answer as far as its bytes have come.
+struct CallerAnswer
+{
+    /// 0: no status line has come yet, or it is malformed.
+    int status = 0;
+    /// The names are in lower case.
+    std::map<std::string, std::string> headers;
+    std::string body;
+    bool hasHead = false;
+    /// By its framing, or by an end of the connection in order if it has none.
+    bool isComplete = false;
+    bool isMalformed = false;
+    /// Number of the bytes that belong to this answer, when it is complete.
+    std::size_t bytes = 0;
+};
+
+struct SoakRequest
+{
+    std::string id;
+    bool isStream = false;
+    bool isIdempotent = false;
+    /// Number of parts of the right answer; see contentOf().
+    int count = 0;
+};
+
+/// Name of what is wrong ("truncated", "joined", ...), and details.
+struct Violation
+{
+    std::string kind;
+    std::string id;
+    std::string detail;
+};
+
+/// What one request came to.
+struct SoakOutcome
+{
+    SoakRequest request;
+    CallerAnswer answer;
+};
+
+/// Number of runs of each request, and the fault and framing of the last one, from the upstreams' logs.
+struct RunLog
+{
+    void add(std::string_view lines);
+
+    std::map<std::string, int> starts;
+    std::map<std::string, std::string> faults;
+};
+
+CallerAnswer parseAnswer(std::string_view bytes, ConnectionEnd end);
+
+/// Returns what is wrong with the answer, complete or broken off, and with the bytes that came behind it on its connection.
+std::vector<Violation> checkAnswer(const SoakRequest &request, const CallerAnswer &answer, std::string_view bytesBehind);
+
+/// Returns the requests that ran although their callers were told that they did not, and those that ran more often than they may.
+std::vector<Violation> checkRuns(const std::vector<SoakOutcome> &outcomes, const RunLog &log);
+
+/// Returns a violation for a daemon that uses more memory than the bound.
+std::vector<Violation> checkMemory(const std::string &daemon, std::size_t residentKb, std::size_t boundKb);
+
+}
--- /dev/null
+++ b/tests/soak/answercheckertest.cpp
@@ -0,0 +1,139 @@
+// Planted faults for each check of the soak: a check that finds no planted fault proves nothing about the daemon.
+
+#include "soak/answerchecker.h"
+#include "faultyupstream/soakcontent.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cumindyke::test;
+
+namespace
+{
+
+const SoakRequest Stream{.id = "s-1-7", .isStream = true, .count = 4};
+const SoakRequest Plain{.id = "s-1-8", .count = 4};
+
+std::string answerOf(const std::string &body, const std::string &framing, const std::string &id = "s-1-7", const std::string &status = "200")
+{
+    const std::string head = "HTTP/1.1 " + status + " OK\r\nCumindyke-Request-Id: " + id + "\r\nCumindyke-Runner-Seal: seal\r\n";
+    if (framing == "length") {
+        return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    return head + "\r\n" + body;
+}
+
+/// The kinds of all violations, joined by spaces.
+std::string kindsOf(const std::vector<Violation> &found)
+{
+    std::string kinds;
+    for (const Violation &violation : found) {
+        kinds += (kinds.empty() ? "" : " ") + violation.kind;
+    }
+    return kinds;
+}
+
+std::string check(const SoakRequest &request, const std::string &bytes, ConnectionEnd end = ConnectionEnd::InOrder)
+{
+    const CallerAnswer answer = parseAnswer(bytes, end);
+    return kindsOf(checkAnswer(request, answer, answer.isComplete ? std::string_view(bytes).substr(answer.bytes) : std::string_view()));
+}
+
+std::string part(int number, const std::string &id = "s-1-7")
+{
+    return contentPart(true, id, number, 4);
+}
+
+}
+
+// Guards against a checker that reports right answers: whole ones in each framing, and ones that are seen to be broken off.
+TEST_CASE("the soak's checker accepts whole answers and those that are seen to be broken off")
+{
+    const std::string whole = contentOf(true, Stream.id, Stream.count);
+    CHECK(check(Stream, answerOf(whole, "length"), ConnectionEnd::Open).empty());
+    CHECK(check(Stream, answerOf(whole, "unframed")).empty());
+    CHECK(check(Plain, answerOf(contentOf(false, Plain.id, Plain.count), "length", Plain.id)).empty());
+    CHECK(check(Stream, answerOf(part(1) + "id: 2\nda", "unframed"), ConnectionEnd::Reset).empty());
+    CHECK(check(Stream, "").empty());
+    const std::string chunked = "HTTP/1.1 200 OK\r\nCumindyke-Request-Id: s-1-7\r\nCumindyke-Runner-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string first = whole.substr(0, 16);
+    CHECK(check(Stream, chunked + "10\r\n" + first + "\r\n", ConnectionEnd::InOrder).empty());
+    CHECK_FALSE(parseAnswer(chunked + "10\r\n" + first + "\r\n0\r\n", ConnectionEnd::InOrder).isComplete);
+    CHECK(parseAnswer(chunked + "10\r\n" + first + "\r\n0\r\n\r\n", ConnectionEnd::Open).body == first);
+    CHECK(check(Stream, chunked + "10\r\n" + first + "\r\n0\r\n\r\n", ConnectionEnd::Open) == "truncated");
+    CHECK(check(Stream, chunked + "10\r\n" + first + "xx") == "malformed");
+}
+
+// Guards against a soak that does not see a shortened answer which looks complete: by an end in order, by its length, and to a plain request.
+TEST_CASE("the soak's checker finds a truncated answer that looks complete")
+{
+    CHECK(check(Stream, answerOf(part(1) + part(2), "unframed")) == "truncated");
+    CHECK(check(Stream, answerOf("", "unframed")) == "truncated");
+    CHECK(check(Stream, answerOf(part(1) + "id: 2\nda", "length"), ConnectionEnd::Open) == "truncated");
+    CHECK(check(Plain, answerOf(contentOf(false, Plain.id, 4).substr(0, 30), "length", Plain.id)) == "truncated");
+}
+
+// Guards against a soak that does not see a second answer, or bytes of it, within the body or behind the answer.
+TEST_CASE("the soak's checker finds an answer that is joined to another")
+{
+    const std::string whole = contentOf(true, Stream.id, Stream.count);
+    CHECK(check(Stream, answerOf(whole + answerOf(whole, "unframed"), "unframed")) == "joined");
+    CHECK(check(Stream, answerOf(part(1) + answerOf(whole, "unframed"), "unframed"), ConnectionEnd::Reset) == "joined");
+    CHECK(check(Stream, answerOf(whole, "length") + "HTTP/1.1 200 OK\r\n", ConnectionEnd::Open) == "bytes-behind");
+}
+
+// Guards against a soak that does not see events that are missing, repeated, or go back, in streams that are complete or broken off.
+TEST_CASE("the soak's checker finds events that are missing or repeated")
+{
+    const ConnectionEnd end = GENERATE(ConnectionEnd::InOrder, ConnectionEnd::Reset);
+    CHECK(check(Stream, answerOf(part(1) + part(3) + part(4), "unframed"), end) == "missing-part");
+    CHECK(check(Stream, answerOf(part(2), "unframed"), end) == "missing-part");
+    CHECK(check(Stream, answerOf(part(1) + part(2) + part(2) + part(3) + part(4), "unframed"), end) == "repeated-part");
+    CHECK(check(Stream, answerOf(part(1) + part(2) + part(3) + part(4) + part(1), "unframed"), end) == "repeated-part");
+    CHECK(check(Stream, answerOf(part(1) + "garbage", "unframed"), end) == "wrong-bytes");
+    const std::string lines = contentPart(false, Plain.id, 1, 4) + contentPart(false, Plain.id, 3, 4);
+    CHECK(check(Plain, answerOf(lines, "unframed", Plain.id), end) == "missing-part");
+}
+
+// Guards against a soak that does not see another request's answer: by the echoed id, or by the content alone; or one whose origin is not proved.
+TEST_CASE("the soak's checker finds an answer that is another request's")
+{
+    CHECK(check(Stream, answerOf(contentOf(true, Stream.id, 4), "length", "s-1-70")) == "foreign-id");
+    CHECK(check(Stream, answerOf(contentOf(true, "s-1-70", 4), "length")) == "foreign-body");
+    CHECK(check(Stream, answerOf(part(1) + part(2, "s-1-70"), "unframed"), ConnectionEnd::Reset) == "foreign-body");
+    CHECK(check(Stream, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") == "unproved truncated");
+}
+
+// Guards against a soak that lets statuses pass which no caller can interpret.
+TEST_CASE("the soak's checker finds a status that no caller expects")
+{
+    for (const std::string status : {"000", "099", "101", "204", "304", "400", "600", "999"}) {
+        CAPTURE(status);
+        CHECK(check(Stream, answerOf(contentOf(true, Stream.id, 4), "length", Stream.id, status)) == "status");
+    }
+    CHECK(check(Stream, answerOf("", "length", Stream.id, "503")).empty());
+    CHECK(check(Stream, "HTTP/1.1 2x0 OK\r\n\r\n") == "malformed");
+    CHECK(check(Stream, "id: 3\ndata: x\n\n") == "malformed");
+}
+
+// Guards against a soak that does not see a false "not run", or a request that may not be repeated and ran twice.
+TEST_CASE("the soak's checker finds a refused request that ran, and a second run")
+{
+    RunLog log;
+    log.add("start s-1-8 i-1 none length\nend s-1-8\nstart s-1-9 i-1 reset unframed\nstart s-1-9 i-2 none chunks\n");
+    CHECK(log.faults["s-1-9"] == "none/chunks");
+    for (const int status : {408, 421, 429, 503}) {
+        CHECK(kindsOf(checkRuns({{.request = Plain, .answer = {.status = status}}}, log)) == "not-run-ran");
+    }
+    CHECK(checkRuns({{.request = Plain, .answer = {.status = 502}}, {.request = Stream, .answer = {.status = 503}}}, log).empty());
+    SoakRequest twice{.id = "s-1-9"};
+    CHECK(kindsOf(checkRuns({{.request = twice, .answer = {.status = 200}}}, log)) == "ran-twice");
+    twice.isIdempotent = true;
+    CHECK(checkRuns({{.request = twice, .answer = {.status = 200}}}, log).empty());
+}
+
+// Guards against a soak that does not see a daemon whose memory grows with what upstreams send.
+TEST_CASE("the soak's checker finds a daemon over its memory bound")
+{
+    CHECK(kindsOf(checkMemory("vm 4", 200'001, 200'000)) == "memory");
+    CHECK(checkMemory("vm 4", 200'000, 200'000).empty());
+}
--- /dev/null
+++ b/tests/soak/answersoaktest.cpp
@@ -0,0 +1,273 @@
+#include "fakeplatform/platformsystem.h"
+#include "soak/soakcaller.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+constexpr int Upstreams = 6;
+constexpr int Callers = 24;
+constexpr int SlotsPerUpstream = 8;
+constexpr std::uint16_t UpstreamPort = 9000;
+constexpr std::size_t MemoryBoundKb = 200 << 10;
+/// Violations of each kind that are printed with the daemons' log lines.
+constexpr int PrintedExamples = 2;
+/// All faults: those of the faulty upstream, "kill" for its processes and "signal" for entry VMs.
+constexpr const char *AllFaults = "unframed,stutter,alien,cut,reset,finreset,early,status,foreign,noid,endless,silent,refuse,kill,signal";
+
+/// A setting from the environment; scripts/soak-answers sets them.
+std::string setting(const char *name, const std::string &fallback)
+{
+    const char *text = std::getenv(name);
+    return text ? text : fallback;
+}
+
+std::string soakDocument()
+{
+    nlohmann::json document = nlohmann::json::parse(documentOf(3));
+    nlohmann::json route = document["routes"][0];
+    document["routes"].clear();
+    const auto add = [&](const std::string &name, const std::string &kind, int attempts, bool resumes) {
+        route["name"] = name;
+        route["pathPrefix"] = "/" + name + "/";
+        route["kind"] = kind;
+        route["maxAttempts"] = attempts;
+        route["streamResume"] = resumes;
+        document["routes"].push_back(route);
+    };
+    add("lookups", "idempotent", 3, false);
+    add("deposits", "non_idempotent", 2, false);
+    add("drafts", "streaming", 2, false);
+    add("texts", "streaming", 3, true);
+    return document.dump();
+}
+
+/// The system, the faulty upstreams, and what happens to their processes.
+class Soak
+{
+public:
+    Soak(std::uint64_t seed, const std::string &faults)
+        : m_random(seed)
+        , m_seed(seed)
+    {
+        std::istringstream list(faults);
+        for (std::string fault; std::getline(list, fault, ',');) {
+            m_kills = m_kills || fault == "kill";
+            m_signals = m_signals || fault == "signal";
+            if (fault != "kill" && fault != "signal") {
+                m_upstreamFaults += (m_upstreamFaults.empty() ? "" : ",") + fault;
+            }
+        }
+        m_system.platform.setSlots(SlotsPerUpstream);
+        for (int number = 1; number <= Upstreams; ++number) {
+            startUpstream(number, true);
+        }
+        m_isReady = m_system.publish(soakDocument()) && m_system.waitUntilReady();
+    }
+
+    bool isReady() const
+    {
+        return m_isReady;
+    }
+
+    /// Plays one seed for this long; returns the violations with counts, empty for none.
+    std::string play(std::chrono::seconds length)
+    {
+        std::atomic<bool> stop = false;
+        std::vector<std::unique_ptr<SoakCaller>> callers;
+        std::vector<std::thread> threads;
+        for (int number = 1; number <= Callers; ++number) {
+            const std::vector<Address> entryVms{m_system.callerAddress(ControlVms + 1), m_system.callerAddress(ControlVms + 2)};
+            callers.push_back(std::make_unique<SoakCaller>(entryVms, "s" + std::to_string(m_seed) + "-" + std::to_string(number), m_random(), m_record));
+            threads.emplace_back([caller = callers.back().get(), &stop] { caller->run(stop); });
+        }
+        const auto end = std::chrono::steady_clock::now() + length;
+        while (std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            if (m_kills) {
+                killUpstream();
+            }
+            signalEntryVms();
+            measureMemory();
+        }
+        stop = true;
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+        return report();
+    }
+
+private:
+    std::size_t below(std::size_t bound)
+    {
+        return m_random() % bound;
+    }
+    void startUpstream(int number, bool isRenamed)
+    {
+        const Address address{.host = m_system.network.host(FirstPlatformHost + number), .port = UpstreamPort};
+        std::string &name = m_names[number];
+        if (isRenamed) {
+            name = "u-" + std::to_string(number) + "-" + std::to_string(++m_renamed);
+        }
+        const bool hasFaults = !m_upstreamFaults.empty();
+        m_upstreams[number] = std::make_unique<Process>(std::vector<std::string>{std::string(CUMINDYKE_BIN) + "/faultyupstream",
+                                                                                 address.host,
+                                                                                 std::to_string(UpstreamPort),
+                                                                                 name,
+                                                                                 std::to_string(m_random()),
+                                                                                 hasFaults ? setting("CUMINDYKE_SOAK_PERMILLE", "250") : "0",
+                                                                                 m_system.folder.file("runs"),
+                                                                                 hasFaults ? m_upstreamFaults : "none"},
+                                                        m_system.folder.file("upstreams"),
+                                                        m_system.folder.file("upstreams"));
+        m_system.platform.addUpstream(name, address);
+    }
+    /// About seven a second, each started again at once; a third of them under new names.
+    void killUpstream()
+    {
+        if (below(15) == 0) {
+            const int number = 1 + static_cast<int>(below(Upstreams));
+            m_upstreams[number]->signal(SIGKILL);
+            m_upstreams[number]->wait();
+            startUpstream(number, below(3) == 0);
+            ++m_killCount;
+        }
+    }
+    /// Each entry VM gets a signal about every second, so that one is often in its grace when the next signal comes.
+    void signalEntryVms()
+    {
+        constexpr std::array<int, 4> Signals{SIGTERM, SIGTERM, SIGHUP, SIGKILL};
+        for (int vm = ControlVms + 1; vm <= ControlVms + EntryVms; ++vm) {
+            if (!m_system.daemons[vm]->running()) {
+                const int code = m_system.daemons[vm]->wait();
+                m_crashes += code != 0 && code != 128 + SIGKILL ? 1 : 0;
+                m_system.start(vm);
+            } else if (m_signals && below(100) == 0) {
+                m_system.daemons[vm]->signal(Signals[below(Signals.size())]);
+                ++m_signalCount;
+            }
+        }
+    }
+    void measureMemory()
+    {
+        for (const auto &[vm, daemon] : m_system.daemons) {
+            const std::string status = contentOf("/proc/" + std::to_string(daemon->pid()) + "/status");
+            const std::size_t resident = status.find("VmRSS:");
+            if (resident != std::string::npos) {
+                m_residentKb[vm] = std::max<std::size_t>(m_residentKb[vm], std::strtoul(status.c_str() + resident + 6, nullptr, 10));
+            }
+        }
+    }
+
+    std::string report()
+    {
+        // Writes of the upstreams that were under way when the last caller left.
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        RunLog runs;
+        runs.add(contentOf(m_system.folder.file("runs")));
+        std::vector<Violation> found = std::move(m_record.violations);
+        const auto add = [&found](const std::vector<Violation> &more) { found.insert(found.end(), more.begin(), more.end()); };
+        add(checkRuns(m_record.outcomes, runs));
+        std::size_t mostKb = 0;
+        for (const auto &[vm, kb] : m_residentKb) {
+            add(checkMemory("vm " + std::to_string(vm), kb, MemoryBoundKb));
+            mostKb = std::max(mostKb, kb);
+        }
+        if (m_crashes > 0) {
+            found.push_back({"crash", "entry VM", std::to_string(m_crashes)});
+        }
+        std::map<std::string, int> statuses;
+        for (const SoakOutcome &outcome : m_record.outcomes) {
+            statuses[std::to_string(outcome.answer.status) + (outcome.answer.isComplete ? "" : " broken off")] += 1;
+        }
+        std::cout << "seed " << m_seed << ": " << m_record.outcomes.size() << " requests, " << runs.starts.size() << " ran, " << m_killCount << " kills, "
+                  << m_signalCount << " signals, " << m_record.unanswered << " unanswered, longest body " << m_record.longestBodyBytes << " bytes, memory "
+                  << mostKb << " KB\n   ";
+        for (const auto &[status, count] : statuses) {
+            std::cout << " " << status << ": " << count << ";";
+        }
+        std::cout << "\n";
+        return reportViolations(found, runs);
+    }
+    std::string reportViolations(const std::vector<Violation> &found, const RunLog &runs) const
+    {
+        std::map<std::string, int> counts;
+        std::map<std::string, std::map<std::string, int>> byFault;
+        for (const Violation &violation : found) {
+            const auto fault = runs.faults.find(violation.id);
+            byFault[violation.kind][fault == runs.faults.end() ? "-" : fault->second] += 1;
+            if (++counts[violation.kind] <= PrintedExamples) {
+                std::cout << "    " << violation.kind << " " << violation.id << ": " << violation.detail << "\n" << linesOf(violation.id);
+            }
+        }
+        std::string summary;
+        for (const auto &[kind, count] : counts) {
+            summary += kind + " " + std::to_string(count) + " (";
+            for (const auto &[fault, ofFault] : byFault[kind]) {
+                summary += fault + " " + std::to_string(ofFault) + ", ";
+            }
+            summary.replace(summary.size() - 2, 2, "); ");
+        }
+        std::cout << "    seed " << m_seed << " violations: " << (summary.empty() ? "none" : summary) << std::endl;
+        return summary;
+    }
+    /// The lines of the upstreams' and the daemons' logs that name the request.
+    std::string linesOf(const std::string &id) const
+    {
+        std::string lines;
+        for (const std::string &file : {std::string("runs"), std::string("err4"), std::string("err5"), std::string("out4"), std::string("out5")}) {
+            std::istringstream text(contentOf(m_system.folder.file(file)));
+            for (std::string line; std::getline(text, line);) {
+                const std::size_t at = line.find(id);
+                if (at != std::string::npos && (at + id.size() == line.size() || std::isdigit(static_cast<unsigned char>(line[at + id.size()])) == 0)) {
+                    lines.append("        ").append(file).append(": ").append(line).append("\n");
+                }
+            }
+        }
+        return lines;
+    }
+
+    std::mt19937_64 m_random;
+    const std::uint64_t m_seed;
+    bool m_kills = false;
+    bool m_signals = false;
+    std::string m_upstreamFaults;
+    System m_system;
+    bool m_isReady = false;
+    SoakRecord m_record;
+    std::map<int, std::unique_ptr<Process>> m_upstreams;
+    std::map<int, std::string> m_names;
+    int m_renamed = 0;
+    int m_killCount = 0;
+    int m_signalCount = 0;
+    int m_crashes = 0;
+    std::map<int, std::size_t> m_residentKb;
+};
+
+}
+
+// Guards against answers that are not the caller's own, not whole or out of order although they look right, against a false "not run" and a second run,
+// while upstreams answer wrongly and are killed, and entry VMs are stopped in the middle. Each seed plays other moments of the same faults.
+TEST_CASE("answers are whole, the caller's own and in order while upstreams answer wrongly and processes end")
+{
+    const std::uint64_t firstSeed = std::stoull(setting("CUMINDYKE_FIRST_SEED", "1"));
+    const std::uint64_t seeds = std::stoull(setting("CUMINDYKE_SEEDS", "3"));
+    const std::chrono::seconds length(std::stoi(setting("CUMINDYKE_SOAK_SECONDS", "12")));
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+        CAPTURE(seed);
+        Soak soak(seed, setting("CUMINDYKE_SOAK_FAULTS", AllFaults));
+        REQUIRE(soak.isReady());
+        CHECK(soak.play(length).empty());
+    }
+}
