Answer every request before the platform kills a VM that is stopped

In a planned stop, callers of an entry VM whose requests came late in the grace, or ran for longer than it, saw their connections close without an answer, also for requests that may not be repeated.

Cause: after SIGTERM requests were admitted for 2.8 s whatever they need, waited for a slot until their own deadlines, and were sent to upstreams at any time. Nothing knew when the platform sends SIGKILL.

The setting shutdown_grace_s (bounds.graceS of the platform) says when. ShutdownGrace decides: a request that is not expected to end before the final answers are due is refused with the promise "not run", at its arrival or while it waits for a slot; the expectation is an upper estimate from the route's answers (AnswerTime), or the deadline if there was none or it is earlier. Held requests are refused when the shutdown begins.

Open: the completions front door (EntryTask) does not obey the setting.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -133,6 +133,7 @@
         .headers = adapter.headers,
         .list = adapter.instanceList(settings.proxy->upstreamList),
         .requestReadLimit = settings.requestReadLimit,
+        .shutdownGrace = settings.shutdownGrace,
         // Without datagrams each VM places its own requests.
         .datagrams = plaintextAddress(settings, settings.peerPort),
         .relayAddress = plaintextAddress(settings, settings.relayPort),
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -12,6 +12,7 @@
 constexpr std::int64_t MaxReplaceReplicaAfterMs = 24 * 3'600'000;
 constexpr std::int64_t MaxRequestReadLimitMs = 3'600'000;
 constexpr std::int64_t MaxDrainLimitMs = 24 * 3'600'000;
+constexpr double MaxShutdownGraceS = 24 * 3'600;
 /// More voters slow down every commit, and the platform does not require tolerating more failures.
 constexpr std::int64_t MaxVoters = 9;
 constexpr std::int64_t MaxLimitSlack = 1'000'000'000'000;
@@ -128,6 +129,10 @@
     if (root.has("drain_limit_ms")) {
         settings.drainLimit = std::chrono::milliseconds(root.integer("drain_limit_ms", 0, 0, MaxDrainLimitMs));
     }
+    if (root.has("shutdown_grace_s")) {
+        settings.shutdownGrace
+            = std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(root.number("shutdown_grace_s", 0, 0, MaxShutdownGraceS)));
+    }
     settings.confirmWithin = std::chrono::milliseconds(root.integer("confirm_within_ms", settings.confirmWithin.count(), 0, MaxConfirmWithinMs));
     settings.evacuateWithin = std::chrono::milliseconds(root.integer("evacuate_within_ms", settings.evacuateWithin.count(), 0, MaxConfirmWithinMs));
     settings.keepAdmitting = std::chrono::milliseconds(root.integer("keep_admitting_ms", 0, 0, MaxKeepAdmittingMs));
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -89,6 +89,8 @@
     std::chrono::milliseconds requestReadLimit{30'000};
     /// Maximum duration of a graceful shutdown; none: unlimited.
     std::optional<std::chrono::milliseconds> drainLimit;
+    /// Time from SIGTERM until the platform kills the process; none: it waits for all requests.
+    std::optional<std::chrono::milliseconds> shutdownGrace;
     /// File or "http://HOST:PORT/PATH" of the platform's list of live and leaving VMs. Empty: none.
     std::string platformList;
     /// File for the events of each request, for tests: one JSON object per line. Empty: none.
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -346,8 +346,10 @@
         handleAttemptEnd(request, AttemptEnd::RanAndFailed, v1::PLACEMENT_FAILED);
         return;
     }
+    const TimePoint now = EventLoop::now();
     countAnswer(request, true);
-    endCall(request, v1::PLACEMENT_SERVED, paceOf(request, EventLoop::now()));
+    m_answerTimes[request.parsed.route->name()].record(now - request.sentAt);
+    endCall(request, v1::PLACEMENT_SERVED, paceOf(request, now));
     if (request.headForwarded) {
         request.exchange->endStream();
     } else {
--- a/src/proxy/proxyplacement.cpp
+++ b/src/proxy/proxyplacement.cpp
@@ -82,6 +82,8 @@
         requestPlacementOrRefuse(*request, EventLoop::now());
     } else if (request && (!mayRunAt(*request, granted.upstream.dataCentre) || isHeld(granted.upstream))) {
         returnGrant(*request, granted.upstream, EventLoop::now());
+    } else if (request && !endsInGrace(*request, EventLoop::now())) {
+        endForShutdown(*request);
     } else if (request) {
         request->paceWanted = granted.paceWanted;
         send(*request, granted.upstream, granted.inputs, EventLoop::now());
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -193,16 +193,19 @@
     logChange("proxy", "drain-began", {{"requests", std::to_string(m_requests.size())}});
     m_drain = std::move(drain);
     m_drainStartedAt = EventLoop::now();
+    m_grace.emplace(m_drainStartedAt, m_options.shutdownGrace);
     m_placement->startLeaving();
     m_paths->setDraining();
     m_drainTimer.startEvery(DrainCheckInterval);
+    releaseHeldRequests();
     sendTally();
 }
 
 bool ProxyTask::mayAdmit(TimePoint now) const
 {
     const bool isPastDetection = m_drain && now - m_drainStartedAt >= m_options.balancerDetectionTime;
-    return m_routes && now < m_admitUntil && !isPastDetection;
+    const bool isGraceOver = m_grace && m_grace->areFinalAnswersDue(now);
+    return m_routes && now < m_admitUntil && !isPastDetection && !isGraceOver;
 }
 
 void ProxyTask::handleReadinessRequest(const std::shared_ptr<Exchange> &exchange)
@@ -257,14 +260,14 @@
     m_holdTimer.startOnceIfStopped(MaxHoldTime);
 }
 
-/// Admits all held requests if the VM is ready; otherwise refuses those that were held for MaxHoldTime.
+/// Admits all held requests if the VM is ready; otherwise refuses those that were held for MaxHoldTime, or all if the VM shuts down.
 void ProxyTask::releaseHeldRequests()
 {
     const TimePoint now = EventLoop::now();
     const bool ready = mayAdmit(now);
     std::vector<HeldRequest> released;
     for (auto held = m_heldRequests.begin(); held != m_heldRequests.end();) {
-        if (ready || now - held->second.arrived >= MaxHoldTime) {
+        if (ready || m_drain || now - held->second.arrived >= MaxHoldTime) {
             released.push_back(held->second);
             held = m_heldRequests.erase(held);
         } else {
@@ -292,6 +295,11 @@
         refuse(*exchange, id, *refusal);
         return;
     }
+    const ParsedRequest &valid = std::get<ParsedRequest>(parsed);
+    if (m_grace && !m_grace->endsInTime(now, expectedTime(valid, now))) {
+        refuseNotReady(*exchange);
+        return;
+    }
     const LocalRequestId localId{m_nextLocalId++};
     auto &request = *m_requests.emplace(localId, std::make_unique<ProxyRequest>(localId, std::move(std::get<ParsedRequest>(parsed)), exchange)).first->second;
     exchange->callerDisconnected().connect([this, localId] { onCallerLeft(localId); });
@@ -361,10 +369,62 @@
     finishDrainIfDone();
 }
 
+/// A request is answered at its deadline at the latest.
+Duration ProxyTask::expectedTime(const ParsedRequest &request, TimePoint now) const
+{
+    const Duration untilDeadline = request.deadline - now;
+    const auto times = m_answerTimes.find(request.route->name());
+    return times == m_answerTimes.end() ? untilDeadline : std::min(untilDeadline, times->second.upperEstimate().value_or(untilDeadline));
+}
+
+/// Whether the request may be sent now. A stream that is resumed has a part of its time behind it.
+bool ProxyTask::endsInGrace(const ProxyRequest &request, TimePoint now) const
+{
+    return !m_grace || request.headForwarded || m_grace->endsInTime(now, expectedTime(request.parsed, now));
+}
+
+/// Ends the requests that wait for a slot and can't end in time any more, and shortly before the end of the grace all others.
+void ProxyTask::enforceGrace(TimePoint now)
+{
+    const bool endsAll = m_grace && m_grace->areFinalAnswersDue(now);
+    std::vector<LocalRequestId> ending;
+    for (const auto &[localId, request] : m_requests) {
+        if (endsAll || (!request->call && !endsInGrace(*request, now))) {
+            ending.push_back(localId);
+        }
+    }
+    for (const LocalRequestId localId : ending) {
+        if (ProxyRequest *request = find(localId)) {
+            endForShutdown(*request);
+        }
+    }
+}
+
+/// Answers with what is known of the request's run.
+void ProxyTask::endForShutdown(ProxyRequest &request)
+{
+    if (request.call && !request.call->isSent()) {
+        releaseCall(request);
+        request.attempts.recordEnd(AttemptEnd::NotSent);
+    }
+    if (request.attempts.mayHaveRun()) {
+        replyFailure(request, ErrorKind::OutcomeUnknown, "this VM shuts down before the answer is complete");
+    } else {
+        replyRefusal(request, ErrorKind::Unavailable, "this VM is shutting down", Duration::zero());
+    }
+}
+
 void ProxyTask::finishDrainIfDone()
 {
-    const bool isBusy = !m_requests.empty() || m_paths->relayedCount() > 0;
-    if (!m_drain || isBusy || EventLoop::now() - m_drainStartedAt < m_options.balancerDetectionTime + m_options.refusalTime) {
+    if (!m_drain) {
+        return;
+    }
+    const TimePoint now = EventLoop::now();
+    enforceGrace(now);
+    const bool isBusy = !m_requests.empty() || !m_exchangesToAbort.empty() || m_paths->relayedCount() > 0;
+    const bool refusesLateRequests
+        = now - m_drainStartedAt < m_options.balancerDetectionTime + m_options.refusalTime && !(m_grace && m_grace->areFinalAnswersDue(now));
+    if (isBusy || refusesLateRequests) {
         return;
     }
     const std::function<void()> drained = std::move(m_drain->drained);
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -6,11 +6,13 @@
 #include "control/controltask.h"
 #include "entry/httpserver.h"
 #include "entry/suspecttracker.h"
+#include "proxy/answertime.h"
 #include "proxy/bufferbudget.h"
 #include "proxy/placementhost.h"
 #include "proxy/proxyrequest.h"
 #include "proxy/requestparser.h"
 #include "proxy/retrybudget.h"
+#include "proxy/shutdowngrace.h"
 #include "relay/upstreampaths.h"
 
 #include <functional>
@@ -45,6 +47,8 @@
     Duration balancerDetectionTime = std::chrono::milliseconds(2800);
     /// How much longer the process runs to refuse late requests instead of resetting their connections.
     Duration refusalTime = std::chrono::milliseconds(700);
+    /// Time from SIGTERM until the platform kills the process; none: it waits for all requests.
+    std::optional<Duration> shutdownGrace = {};
     /// Address of the placement datagrams; all VMs use the same port. Without it each VM places its own requests.
     std::optional<Address> datagrams;
     /// Where connections are opened for VMs without a path to the upstreams; all VMs use the same port. Without it none is opened by or for this VM.
@@ -196,6 +200,11 @@
     std::size_t maxUnreadBytes() const;
     void recordBufferedBytes();
 
+    // Shutdown.
+    Duration expectedTime(const ParsedRequest &request, TimePoint now) const;
+    bool endsInGrace(const ProxyRequest &request, TimePoint now) const;
+    void enforceGrace(TimePoint now);
+    void endForShutdown(ProxyRequest &request);
     void finishDrainIfDone();
 
     void countAnswer(const ProxyRequest &request, bool good);
@@ -240,6 +249,10 @@
     Timer m_tallyTimer;
     std::optional<ProxyDrain> m_drain;
     TimePoint m_drainStartedAt{};
+    /// None before the shutdown.
+    std::optional<ShutdownGrace> m_grace;
+    /// By route.
+    std::map<std::string, AnswerTime> m_answerTimes;
     std::thread m_thread;
 };
 
--- a/tests/daemon/settingstest.cpp
+++ b/tests/daemon/settingstest.cpp
@@ -53,6 +53,17 @@
     CHECK(problemOf("lease_port = 7601\n").find("needs peer_port") != std::string::npos);
 }
 
+// Guards against a VM that does not start since the platform gives a part of a second, and one that takes a missing grace for one of nothing.
+TEST_CASE("the time until the platform kills the process may have a part of a second and may be missing")
+{
+    const auto grace = [](const std::string &toml) { return valueOf(parseSettings(toml, "vm.toml")).shutdownGrace; };
+    CHECK(grace("shutdown_grace_s = 8\n") == std::chrono::milliseconds(8000));
+    CHECK(grace("shutdown_grace_s = 7.25\n") == std::chrono::milliseconds(7250));
+    CHECK(grace("shutdown_grace_s = 0\n") == std::chrono::milliseconds(0));
+    CHECK_FALSE(grace(""));
+    CHECK(problemOf("shutdown_grace_s = -1\n").find("out of range") != std::string::npos);
+}
+
 // Guards against a budget of nothing, under which each answer would be broken off.
 TEST_CASE("bounded_buffers requires memory_limit_mb")
 {
