Keep the 408 for a slow request out of an answer that is being sent

A caller that sent bytes of its next request while a long answer came, and more of them after request_read_limit_ms, got a 408 with its own head and body in the middle of its answer: after a whole chunk, where a chunked answer is broken, or anywhere in an answer with a length, where the bytes count as the answer's. While a request still ran, the 408 also said "not run" of it.

Cause: libevent reads during an answer, so the time of the next request began with its first bytes, and the 408 is written straight into the socket.

Bytes that come between the end of a request and the end of its answer do not start the time any more; it starts when libevent has written the answer, if there are bytes by then.

--- a/src/entry/httpserver.cpp
+++ b/src/entry/httpserver.cpp
@@ -147,7 +147,7 @@
     server->onAccepted();
     bufferevent *connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     evbuffer *input = bufferevent_get_input(connection);
-    server->m_pendingReads[input] = PendingRead{.connection = connection, .startedAt = {}, .counted = {}};
+    server->m_pendingReads[input] = PendingRead{.connection = connection, .startedAt = {}, .isAnswering = false, .counted = {}};
     evbuffer_add_cb(input, &HttpServer::onInput, server);
     return connection;
 }
@@ -202,10 +202,14 @@
 /// Guards against slow callers that exhaust the VM's connections. libevent restarts its timeout with each byte, so a caller that sends
 /// one byte a minute would keep its connection for days, and a few thousand such callers would use all connections that the VM may
 /// open. The limit is checked whenever bytes are received; a caller that sends nothing runs into libevent's timeout instead, so a request
-/// takes at most the sum of both.
+/// takes at most the sum of both. Bytes that come during an answer belong to the next request, whose time begins with the end of the answer: status 408 would
+/// be written into the answer.
 void HttpServer::enforceReadLimit(evbuffer *input)
 {
     PendingRead &pending = m_pendingReads[input];
+    if (pending.isAnswering) {
+        return;
+    }
     const TimePoint now = EventLoop::now();
     if (!pending.startedAt) {
         pending.startedAt = now;
@@ -214,17 +218,29 @@
     if (now - *pending.startedAt < m_requestReadLimit) {
         return;
     }
-    // A connection that is still receiving has no answer under way that these bytes could corrupt. libevent then detects the close.
+    // libevent then detects the close.
     const evutil_socket_t socket = bufferevent_getfd(pending.connection);
     send(socket, ReadTimeoutResponse.data(), ReadTimeoutResponse.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     shutdown(socket, SHUT_RDWR);
 }
 
+void HttpServer::onAnswerWritten(evhttp_request *request, void *self)
+{
+    evbuffer *input = bufferevent_get_input(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)));
+    PendingRead &pending = static_cast<HttpServer *>(self)->m_pendingReads[input];
+    pending.isAnswering = false;
+    if (evbuffer_get_length(input) > 0) {
+        pending.startedAt = EventLoop::now();
+    }
+}
+
 void HttpServer::onRequest(evhttp_request *request, void *self)
 {
     auto *server = static_cast<HttpServer *>(self);
     PendingRead &pending = server->m_pendingReads[bufferevent_get_input(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)))];
     pending.startedAt.reset();
+    pending.isAnswering = true;
+    evhttp_request_set_on_complete_cb(request, &HttpServer::onAnswerWritten, server);
     server->watchLoad();
     const auto exchange = std::make_shared<Exchange>(server->m_loop, request);
     if (pending.counted) {
--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -60,6 +60,7 @@
     static void onRequest(evhttp_request *request, void *self);
     static bufferevent *onConnection(event_base *base, void *self);
     static void onInput(evbuffer *input, const evbuffer_cb_info *info, void *self);
+    static void onAnswerWritten(evhttp_request *request, void *self);
     void enforceReadLimit(evbuffer *input);
     void countInput(evbuffer *input, const evbuffer_cb_info &info);
     void limitSendBuffers();
@@ -80,6 +81,8 @@
     {
         bufferevent *connection = nullptr;
         std::optional<TimePoint> startedAt;
+        /// A request was received whose answer is not written completely.
+        bool isAnswering = false;
         /// Null unless bytes are counted, and before the first byte.
         std::shared_ptr<CallerConnection> counted;
     };
