--- a/tests/fakeplatform/rawupstream.cpp
+++ b/tests/fakeplatform/rawupstream.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <string_view>
 #include <sys/socket.h>
+#include <utility>
 
 namespace cumindyke::test
 {
@@ -46,7 +47,11 @@
     }
     ~Connection()
     {
+        m_answer.late.clear();
         end();
+        if (m_connection) {
+            bufferevent_free(m_connection);
+        }
     }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
@@ -72,24 +77,50 @@
         }
         const std::string head = request.substr(0, headLength + 2);
         const std::string bodyLength = headerOf(head, "Content-Length");
-        if (request.size() < headLength + EndOfHead.size() + (bodyLength.empty() ? 0 : std::stoul(bodyLength))) {
+        m_answer = m_upstream.answer();
+        if (!m_answer.isEarly && request.size() < headLength + EndOfHead.size() + (bodyLength.empty() ? 0 : std::stoul(bodyLength))) {
             return;
         }
+        if (m_answer.isEarly) {
+            bufferevent_disable(m_connection, EV_READ);
+        }
         evbuffer_drain(input, request.size());
-        m_answer = m_upstream.answer();
-        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: " + m_answer.contentType + "\r\nCumindyke-Request-Id: "
-            + headerOf(head, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n" + m_answer.moreHeaders + "\r\n" + m_answer.body;
+        m_id = headerOf(head, "Cumindyke-Request-Id");
+        const std::string whole = m_answer.statusLine + "\r\nContent-Type: " + m_answer.contentType + "\r\nCumindyke-Request-Id: " + m_id
+            + "\r\nCumindyke-Runner-Seal: seal\r\n" + m_answer.moreHeaders + "\r\n" + m_answer.body;
+        const std::string &answer = m_answer.raw.empty() ? whole : m_answer.raw;
         bufferevent_write(m_connection, answer.data(), answer.size());
-        if (m_answer.end != End::Never) {
+        if (!m_answer.endless.empty()) {
+            bufferevent_setcb(m_connection, &Connection::onRead, &Connection::onWritten, &Connection::onEvent, this);
+        } else if (m_answer.end != End::Never) {
             m_timer.startOnce(TimeBeforeEnd);
         }
     }
 
+    static void onWritten(bufferevent * /*connection*/, void *self)
+    {
+        auto *connection = static_cast<Connection *>(self);
+        bufferevent_write(connection->m_connection, connection->m_answer.endless.data(), connection->m_answer.endless.size());
+    }
+
     void end()
     {
         if (!m_connection) {
             return;
         }
+        if (const std::string late = std::exchange(m_answer.late, {}); !late.empty()) {
+            const std::size_t id = late.find("ID");
+            const std::string bytes = id == std::string::npos ? late : late.substr(0, id) + m_id + late.substr(id + 2);
+            bufferevent_write(m_connection, bytes.data(), bytes.size());
+            m_timer.startOnce(TimeBeforeEnd);
+            return;
+        }
+        if (m_answer.end == End::ClosedThenReset) {
+            shutdown(bufferevent_getfd(m_connection), SHUT_WR);
+            m_answer.end = End::Reset;
+            m_timer.startOnce(TimeBeforeReset);
+            return;
+        }
         if (m_answer.end == End::Reset) {
             const linger discard{.l_onoff = 1, .l_linger = 0};
             setsockopt(bufferevent_getfd(m_connection), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
@@ -104,6 +135,7 @@
     RawUpstream &m_upstream;
     bufferevent *m_connection;
     Answer m_answer;
+    std::string m_id;
     Timer m_timer;
 };
 
--- a/tests/fakeplatform/rawupstream.h
+++ b/tests/fakeplatform/rawupstream.h
@@ -21,6 +21,7 @@
     enum class End {
         Closed, ///< in order, as a process does that has sent all
         Reset,
+        ClosedThenReset, ///< in order, and reset TimeBeforeReset later
         ProcessEnded, ///< in order too, and the address refuses connections from then on
         Never, ///< the connection stays open
     };
@@ -31,7 +32,17 @@
         End end = End::Closed;
         /// Whole lines.
         std::string moreHeaders = {};
+        std::string statusLine = "HTTP/1.1 200 OK";
+        /// Answers when the request's head has arrived, and reads no more of the request.
+        bool isEarly = false;
+        /// Sent a while after the body, on the same connection; ID stands for the request's id.
+        std::string late = {};
+        /// Sent again and again instead of an end.
+        std::string endless = {};
+        /// Sent instead of a head and the body.
+        std::string raw = {};
     };
+    static constexpr Duration TimeBeforeReset = std::chrono::milliseconds(5);
 
     explicit RawUpstream(const std::string &host);
     ~RawUpstream();
