One numbering for a stream over all its answers, on both paths

Callers of resumable streams got events twice, out of order, or a stream with a gap that looked complete: the routed path took any event id as the last one. An upstream that ignores, repeats or skips after Last-Event-Id, or that sends its stream twice on one connection, was passed on as it came. The front door dropped repeated numbers, but took those of a second answer on the same connection for a resume's overlap and went on with that answer's later events.

StreamNumbering (pure) judges every event of a caller's stream: within one answer ids must increase; in a resumed answer, events that the caller has are dropped, and skipping a number ends the attempt if the ids were consecutive so far. Events without an id, or with one that is no number, pass, except where a resumed answer repeats them. A caller's own Last-Event-Id counts as received on a route whose streams may be resumed; whether its ids are consecutive is not known yet, so the first event after it may skip. An attempt that is out of order ends as lost before the event is passed on.

Evidence: on the code before, with two upstreams over real sockets, the new tests got "1 2 1 2 3" (Last-Event-Id ignored), "1 2 2 3" (begun before it), "1 2 4" complete (skipped), "1 2 1 2" (sent twice), and "1 2 3" for a caller that had 2; the front door's got token2 and the end of the second answer. All pass now.

An answer that is no success and has over 256 KB of events goes through the same splitter from its first byte; before, it began in the middle.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -7,6 +7,7 @@
 #include "upstream/requestlimit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cumindyke
 {
@@ -85,7 +86,10 @@
     request.answerHead = {};
     request.bufferedBody.clear();
     request.exchange->setHeldAnswer(0);
-    request.eventSplitter.discardPartial();
+    if (request.isResumable() && request.eventSplitter.lastEventId().empty()) {
+        request.eventSplitter.setCallerHas(request.exchange->header(m_options.headers.lastEventId.c_str()));
+    }
+    request.eventSplitter.startAnswer();
     request.relay = m_paths->chooseRelay(to.address, request.parsed.homeRegions);
     UpstreamRequest upstreamRequest{
         .id = request.parsed.id,
@@ -254,6 +258,14 @@
     }
     recordEvents(*request, now);
     forwardBody(*request, bytes);
+    if (request->eventSplitter.isOutOfOrder()) {
+        logWarning("proxy",
+                   "events-out-of-order",
+                   {{"id", request->parsed.id.value}, {"upstream", request->upstream.name.value}, {"last_event", request->eventSplitter.lastEventId()}});
+        countAnswer(*request, false);
+        handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
+        return;
+    }
     if (request->eventSplitter.isTooLong()) {
         handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
         return;
@@ -272,10 +284,9 @@
         return;
     }
     forwardHead(request);
-    request.exchange->streamData(request.bufferedBody);
-    // Frees the memory, which clear() would keep.
-    request.bufferedBody = {};
     request.exchange->setHeldAnswer(0);
+    // Frees the memory, which clear() would keep.
+    forwardBody(request, std::exchange(request.bufferedBody, {}));
 }
 
 std::size_t ProxyTask::maxUnreadBytes() const
--- a/src/upstream/eventboundary.h
+++ b/src/upstream/eventboundary.h
@@ -13,6 +13,8 @@
 public:
     /// Scans the next bytes of the body. Returns the position in them after the end of the last whole event, or 0 if none ends there.
     std::size_t scan(std::string_view bytes);
+    /// As scan(), but stops after the first whole event, or line end between events.
+    std::size_t scanEvent(std::string_view bytes);
     /// Whether the body so far ends within an event.
     bool isWithinEvent() const
     {
@@ -25,6 +27,8 @@
     }
 
 private:
+    void scanByte(char byte);
+
     bool m_isWithinEvent = false;
     bool m_isLineEmpty = true;
     /// A newline that follows belongs to the same line end.
--- a/src/upstream/resumablestream.h
+++ b/src/upstream/resumablestream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "upstream/eventstream.h"
+#include "upstream/streamnumbering.h"
 
 #include <cstdint>
 #include <vector>
@@ -12,8 +13,8 @@
 ///
 /// Engines number the events of tokens from 0 ("id: N"); the closing events (usage, end marker) have no number. A resumed connection may
 /// repeat events and a faulty one may omit some, and a caller would see duplicate or missing words in an answer that looks complete.
-/// Events numbered below offset() are dropped, a number above it breaks the stream, and closing events returned before are skipped by
-/// count, so the returned events have neither gaps nor duplicates.
+/// Events numbered below offset() are dropped, a number above it or one that goes back within a connection breaks the stream, and closing events
+/// returned before are skipped by count, so the returned events have neither gaps nor duplicates (StreamNumbering).
 class ResumableStream
 {
 public:
@@ -24,14 +25,14 @@
     /// Number of the next expected event.
     std::uint64_t offset() const
     {
-        return m_offset;
+        return m_numbering.next();
     }
     /// Whether the end marker was received.
     bool isComplete() const
     {
         return m_isComplete;
     }
-    /// Whether this connection omitted events or sent one that is too large. The stream can be resumed on a new connection.
+    /// Whether this connection omitted events, went back or sent an event that is too large. The stream can be resumed on a new connection.
     bool isBroken() const
     {
         return m_broken || m_parser.isBroken();
@@ -42,15 +43,12 @@
     }
 
 private:
-    /// Returns whether the event is the next one, and advances the stream past it.
+    /// Returns whether the event is to be returned.
     bool acceptEvent(const StreamEvent &event);
 
     EventStreamParser m_parser;
-    std::uint64_t m_offset = 0;
+    StreamNumbering m_numbering{EventIds::FromZero};
     std::uint64_t m_duplicateCount = 0;
-    /// Unnumbered events returned since the last numbered one, and how many of them this connection is yet to repeat.
-    std::uint64_t m_unnumberedCount = 0;
-    std::uint64_t m_expectedRepeats = 0;
     bool m_isComplete = false;
     bool m_broken = false;
 };
--- a/tests/proxy/entryvmtasks.h
+++ b/tests/proxy/entryvmtasks.h
@@ -32,7 +32,11 @@
 class EntryVmTasks
 {
 public:
-    explicit EntryVmTasks(int count, int upstreamCount = 4, v1::RouteKind draftsKind = v1::STREAMING, std::size_t bufferBudgetBytes = 0)
+    explicit EntryVmTasks(int count,
+                          int upstreamCount = 4,
+                          v1::RouteKind draftsKind = v1::STREAMING,
+                          std::size_t bufferBudgetBytes = 0,
+                          std::uint32_t draftsAttempts = 1)
         : platform(network.host(FirstPlatformHost), "i-1", "desk", upstreamHosts(upstreamCount))
         , hanging(network.host(FirstPlatformHost - 1))
         , cuts(count)
@@ -43,6 +47,7 @@
         for (v1::Route &route : *valueOf(routes).mutable_routes()) {
             if (route.name() == "drafts") {
                 route.set_kind(draftsKind);
+                route.set_max_attempts(draftsAttempts);
             }
         }
         v1::FleetTally fleet;
--- a/tests/proxy/eventsplittertest.cpp
+++ b/tests/proxy/eventsplittertest.cpp
@@ -24,7 +24,7 @@
 {
     EventSplitter splitter;
     splitter.extractWholeEvents("id: 1\ndata: a\n\nid: 2\ndata: ha");
-    splitter.discardPartial();
+    splitter.startAnswer();
     CHECK(splitter.extractWholeEvents("id: 2\ndata: half\n\n") == "id: 2\ndata: half\n\n");
 }
 
@@ -59,3 +59,26 @@
     CHECK(splitter.extractWholeEvents("x").empty());
     CHECK(splitter.isTooLong());
 }
+
+// Guards against duplicate events in a resumed stream, and against a comment or an empty line that is taken for an event.
+TEST_CASE("a resumed answer's events that were returned before are left out")
+{
+    EventSplitter splitter;
+    splitter.extractWholeEvents("id: 1\ndata: a\n\n: ping\n\nid: 2\r\ndata: b\r\n\r\n");
+    splitter.startAnswer();
+    CHECK(splitter.extractWholeEvents("id:1\ndata: a\n\n: ping\n\nid: 2\ndata: b\n\nid: 3\nda") == ": ping\n\n");
+    CHECK(splitter.extractWholeEvents("ta: c\n\n") == "id: 3\ndata: c\n\n");
+    CHECK_FALSE(splitter.isOutOfOrder());
+}
+
+// Guards against a stream that is sent twice on one connection.
+TEST_CASE("nothing is returned from the event on that goes back")
+{
+    EventSplitter splitter;
+    CHECK(splitter.extractWholeEvents("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 1\ndata: a\n\nid: 3\ndata: c\n\n") == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(splitter.isOutOfOrder());
+    CHECK(splitter.extractWholeEvents("id: 4\ndata: d\n\n").empty());
+    splitter.startAnswer();
+    CHECK_FALSE(splitter.isOutOfOrder());
+    CHECK(splitter.extractWholeEvents("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+}
--- a/tests/upstream/resumablestreamtest.cpp
+++ b/tests/upstream/resumablestreamtest.cpp
@@ -81,3 +81,14 @@
     feedStream(stream, streamFrom(0, 1) + streamFrom(0, 1), received);
     CHECK(received == completeAnswer(1));
 }
+
+// Guards against a second answer on the same connection, whose repeated events are taken for a resume's overlap and whose later ones continue the first.
+TEST_CASE("a connection whose numbers go back breaks the stream")
+{
+    ResumableStream stream;
+    std::vector<std::string> received;
+    feedStream(stream, "id: 0\ndata: token0\n\nid: 1\ndata: token1\n\n" + streamFrom(0, 3), received);
+    CHECK(stream.isBroken());
+    CHECK_FALSE(stream.isComplete());
+    CHECK(received == std::vector<std::string>{"token0", "token1"});
+}
