Streams that may not be resumed are numbered too, and passed on in whole events

A caller of such a stream got it twice if its upstream sent it twice on one connection: the bytes were passed on as they came, and only the event boundaries were followed. They go through EventSplitter now, as resumable streams do, so an event whose id goes back ends the attempt before the caller gets it. A whole event is passed on in the callback in which its last byte arrives, as before; only the part of an event waits, at most MaxEventBytes, counted as held.

Evidence: before, "a stream whose ids go back ..." failed for the kind STREAMING with "1 2 1 2" and an end in order.

--- a/src/proxy/eventsplitter.h
+++ b/src/proxy/eventsplitter.h
@@ -27,11 +27,6 @@
     /// Appends bytes and returns the whole events in them that the caller is to get; the rest is kept for the next call. Once the answer is out of order,
     /// returns nothing more of it.
     std::string extractWholeEvents(std::string_view bytes);
-    /// Follows the events of a stream whose bytes are not held back.
-    void scan(std::string_view bytes)
-    {
-        m_boundary.scan(bytes);
-    }
     /// Whether the stream so far ends within an event.
     bool isWithinEvent() const
     {
--- a/src/proxy/proxyreplies.cpp
+++ b/src/proxy/proxyreplies.cpp
@@ -35,16 +35,12 @@
 
 void ProxyTask::forwardBody(ProxyRequest &request, std::string_view bytes)
 {
-    const bool isEventStream = request.isStream() && hasEvents(request.answerHead);
-    if (isEventStream && request.isResumable()) {
+    if (request.isStream() && hasEvents(request.answerHead)) {
         request.exchange->streamData(request.eventSplitter.extractWholeEvents(bytes));
         request.exchange->setHeldAnswer(request.eventSplitter.partialBytes());
-        return;
-    }
-    if (isEventStream) {
-        request.eventSplitter.scan(bytes);
+    } else {
+        request.exchange->streamData(bytes);
     }
-    request.exchange->streamData(bytes);
 }
 
 void ProxyTask::forwardWholeAnswer(ProxyRequest &request)
--- a/tests/proxy/joinedstreamstest.cpp
+++ b/tests/proxy/joinedstreamstest.cpp
@@ -84,7 +84,7 @@
 // Guards against a stream that is sent twice on one connection, and reaches the caller twice.
 TEST_CASE("a stream whose ids go back is broken off before the event that goes back")
 {
-    for (const v1::RouteKind kind : {v1::RESUMABLE_STREAMING}) {
+    for (const v1::RouteKind kind : {v1::RESUMABLE_STREAMING, v1::STREAMING}) {
         CAPTURE(kind);
         TwoUpstreams upstreams(kind);
         const std::string events = "id: 1\ndata: first 1\n\nid: 2\ndata: first 2\n\n";
