A second answer behind an unframed one ends the attempt

Callers got another answer's head and body inside their own: an upstream that stutters sends its answer again late on the same connection, and an answer without a length or chunks ends only with the connection, so all that comes before is its body, and it looked complete.

SecondAnswer (pure) finds a second head in such a body: a status line of HTTP/1 anywhere, followed by header lines of which one is the id header, with the request's own id or another's. It holds back at most 8 KB that may still become such a head, so reads may cut it anywhere; a body that merely contains a status line passes unchanged, and a whole event is never held back, as the empty line at its end also ends a head. The attempt ends as lost, since nothing shows that the first part is whole; so does one whose connection ends within header lines behind a status line.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -85,6 +85,7 @@
     request.tried.insert(to.name);
     request.answerHead = {};
     request.bufferedBody.clear();
+    request.secondAnswer.reset();
     request.exchange->setHeldAnswer(0);
     if (request.isResumable() && request.eventSplitter.lastEventId().empty()) {
         request.eventSplitter.setCallerHas(request.exchange->header(m_options.headers.lastEventId.c_str()));
@@ -217,6 +218,9 @@
     }
     const TimePoint now = EventLoop::now();
     request->answerHead = head;
+    if (head.framing == BodyFraming::ConnectionClose) {
+        request->secondAnswer.emplace(m_options.headers.requestId);
+    }
     recordRequestLimit(*request, head);
     recordSignals(*request, head);
     if (isNotRun(head)) {
@@ -250,29 +254,46 @@
     if (!request) {
         return;
     }
-    const TimePoint now = EventLoop::now();
-    if (!request->headForwarded) {
-        request->bufferedBody += bytes;
-        limitHeldAnswer(*request);
-        return;
+    const std::string_view body = request->secondAnswer ? request->secondAnswer->scan(bytes) : bytes;
+    if (handleBody(*request, body) && request->secondAnswer && request->secondAnswer->isFound()) {
+        // Nothing shows that what came before it is whole.
+        dropAnswer(*request, "second-answer");
     }
-    recordEvents(*request, now);
-    forwardBody(*request, bytes);
-    if (request->eventSplitter.isOutOfOrder()) {
-        logWarning("proxy",
-                   "events-out-of-order",
-                   {{"id", request->parsed.id.value}, {"upstream", request->upstream.name.value}, {"last_event", request->eventSplitter.lastEventId()}});
-        countAnswer(*request, false);
-        handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
-        return;
+}
+
+/// Returns whether the attempt goes on.
+bool ProxyTask::handleBody(ProxyRequest &request, std::string_view bytes)
+{
+    if (!request.headForwarded) {
+        request.bufferedBody += bytes;
+        limitHeldAnswer(request);
+    } else if (!bytes.empty()) {
+        recordEvents(request, EventLoop::now());
+        forwardBody(request, bytes);
+    } else {
+        request.exchange->setHeldAnswer(request.heldBytes());
     }
-    if (request->eventSplitter.isTooLong()) {
-        handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
-        return;
+    if (request.eventSplitter.isOutOfOrder()) {
+        dropAnswer(request, "events-out-of-order");
+        return false;
+    }
+    if (request.eventSplitter.isTooLong()) {
+        handleAttemptEnd(request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
+        return false;
     }
-    if (request->exchange->unreadBytes() > maxUnreadBytes()) {
-        request->call->setPaused(true);
+    if (request.headForwarded && request.exchange->unreadBytes() > maxUnreadBytes()) {
+        request.call->setPaused(true);
     }
+    return true;
+}
+
+/// Ends the attempt because of a fault in the answer; the upstream may still run.
+void ProxyTask::dropAnswer(ProxyRequest &request, const char *change)
+{
+    logWarning(
+        "proxy", change, {{"id", request.parsed.id.value}, {"upstream", request.upstream.name.value}, {"last_event", request.eventSplitter.lastEventId()}});
+    countAnswer(request, false);
+    handleAttemptEnd(request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
 }
 
 /// Forwards a plain answer that is too large to be held until it is complete.
@@ -280,11 +301,10 @@
 {
     const std::size_t limit = m_buffers ? std::min(MaxBufferedBytes, m_buffers->readAheadLimit()) : MaxBufferedBytes;
     if (request.bufferedBody.size() <= limit) {
-        request.exchange->setHeldAnswer(request.bufferedBody.size());
+        request.exchange->setHeldAnswer(request.heldBytes());
         return;
     }
     forwardHead(request);
-    request.exchange->setHeldAnswer(0);
     // Frees the memory, which clear() would keep.
     forwardBody(request, std::exchange(request.bufferedBody, {}));
 }
@@ -315,6 +335,13 @@
     if (!request) {
         return;
     }
+    if (request->secondAnswer && request->secondAnswer->endsWithinHead()) {
+        dropAnswer(*request, "second-answer");
+        return;
+    }
+    if (request->secondAnswer && !handleBody(*request, request->secondAnswer->takeRest())) {
+        return;
+    }
     if (request->eventSplitter.isWithinEvent()) {
         // The upstream ended the stream in order, but before the end of an event.
         onCallFailed(localId, CallFailure::Lost);
--- a/src/proxy/proxyreplies.cpp
+++ b/src/proxy/proxyreplies.cpp
@@ -37,10 +37,10 @@
 {
     if (request.isStream() && hasEvents(request.answerHead)) {
         request.exchange->streamData(request.eventSplitter.extractWholeEvents(bytes));
-        request.exchange->setHeldAnswer(request.eventSplitter.partialBytes());
     } else {
         request.exchange->streamData(bytes);
     }
+    request.exchange->setHeldAnswer(request.heldBytes());
 }
 
 void ProxyTask::forwardWholeAnswer(ProxyRequest &request)
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -7,6 +7,7 @@
 #include "proxy/eventsplitter.h"
 #include "proxy/proxytypes.h"
 #include "proxy/routeindex.h"
+#include "upstream/secondanswer.h"
 #include "upstream/upstreamcall.h"
 
 #include <memory>
@@ -65,6 +66,12 @@
         return parsed.route->kind() == v1::RESUMABLE_STREAMING;
     }
 
+    /// Bytes of the answer that are held back from the caller.
+    std::size_t heldBytes() const
+    {
+        return bufferedBody.size() + eventSplitter.partialBytes() + (secondAnswer ? secondAnswer->heldBytes() : 0);
+    }
+
     RequestContent content() const
     {
         return RequestContent{.organisation = parsed.organisation.value,
@@ -101,6 +108,8 @@
     /// The answer's head was sent to the caller and can no longer be changed.
     bool headForwarded = false;
     EventSplitter eventSplitter;
+    /// Set while the answer ends only with its connection.
+    std::optional<SecondAnswer> secondAnswer;
     /// What the check after the end of an unframed answer found: "ended" or "not-refused"; empty: there was none.
     std::string endCheck;
     /// Measure the pace of the upstream.
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -149,6 +149,8 @@
     ProgressTimeouts timeoutsFor(const ProxyRequest &request, TimePoint now) const;
     void onAnswerHead(LocalRequestId localId, const AnswerHead &head);
     void onAnswerData(LocalRequestId localId, std::string_view bytes);
+    bool handleBody(ProxyRequest &request, std::string_view bytes);
+    void dropAnswer(ProxyRequest &request, const char *change);
     void onAnswerEnd(LocalRequestId localId);
     void verifyUnframedEnd(ProxyRequest &request);
     void completeAnswer(ProxyRequest &request);
