No further attempt once the caller has a part that can't be continued

A caller that had a part of a plain answer (over 256 KB, or less under the buffer budget) got the events of another run behind it, if the next upstream answered with events; otherwise the second run was for nothing. A resumable stream whose events have no ids was joined to another run's events.

Attempts permits another attempt after the head was forwarded only if the stream is resumable, the first answer was a successful event stream, and it has numbered events or none was passed on. Otherwise the request ends at once.

Evidence: on the code before, over real sockets, the caller of a reset plain answer of 300 KB got "id: 1 / data: b1" behind it and an end in order, and the stream without ids got "first 1, b1, b2". Both are broken off after the first part now.

--- a/src/proxy/attempts.h
+++ b/src/proxy/attempts.h
@@ -43,20 +43,21 @@
         m_inFlight = true;
         ++m_attemptCount;
     }
-    /// Records the end of the current attempt without an answer for the caller, and returns the next step.
-    NextStep recordEnd(AttemptEnd end)
+    /// Records the end of the current attempt without an answer for the caller, and returns the next step. "mayContinue": the caller has nothing of an
+    /// answer yet, or has a part that another upstream's answer can continue.
+    NextStep recordEnd(AttemptEnd end, bool mayContinue = true)
     {
         m_inFlight = false;
         if (end == AttemptEnd::NotSent) {
             // It reached no upstream, so it does not count as an attempt.
             --m_attemptCount;
             ++m_unreachableCount;
-            return m_unreachableCount < MaxUnreachable ? NextStep::Retry : finalStep(end);
+            return mayContinue && m_unreachableCount < MaxUnreachable ? NextStep::Retry : finalStep(end);
         }
         m_mayHaveRun = m_mayHaveRun || end != AttemptEnd::RefusedNotRun;
         const bool repeatable = m_kind == v1::IDEMPOTENT || m_kind == v1::RESUMABLE_STREAMING;
         const bool allowed = !m_mayHaveRun || repeatable;
-        return allowed && m_attemptCount < m_maxAttempts ? NextStep::Retry : finalStep(end);
+        return allowed && mayContinue && m_attemptCount < m_maxAttempts ? NextStep::Retry : finalStep(end);
     }
     /// Takes back a start: not even a connection to the upstream was attempted.
     void retractStart()
--- a/src/proxy/headerfields.cpp
+++ b/src/proxy/headerfields.cpp
@@ -43,4 +43,11 @@
     return head.contentType.empty() || toLower(head.contentType).starts_with("text/event-stream");
 }
 
+bool isSuccess(const AnswerHead &head)
+{
+    constexpr int FirstSuccess = 200;
+    constexpr int FirstRedirect = 300;
+    return head.status >= FirstSuccess && head.status < FirstRedirect;
+}
+
 }
--- a/src/proxy/headerfields.h
+++ b/src/proxy/headerfields.h
@@ -18,5 +18,7 @@
 
 /// Whether the body is an event stream. On a route for streams an upstream may also answer with a plain body.
 bool hasEvents(const AnswerHead &head);
+/// Whether the status is 2xx.
+bool isSuccess(const AnswerHead &head);
 
 }
--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -21,8 +21,6 @@
 constexpr std::size_t MaxBufferedBytes = 256 << 10;
 /// Number of events from which an upstream's pace is measured.
 constexpr std::uint32_t EventsForPace = 4;
-constexpr int FirstSuccess = 200;
-constexpr int FirstRedirect = 300;
 constexpr int FirstServerError = 500;
 /// When a caller has this many bytes unread, reading from its upstream is paused; with a buffer budget, BufferBudget::readAheadLimit() applies.
 constexpr std::size_t MaxUnreadBytes = 256 << 10;
@@ -157,7 +155,7 @@
 bool ProxyTask::isAnswerToRequest(const ProxyRequest &request, const AnswerHead &head) const
 {
     const std::string *echoed = headerOf(head, m_options.headers.requestId);
-    const bool success = head.status >= FirstSuccess && head.status < FirstRedirect;
+    const bool success = isSuccess(head);
     if (success && (!headerOf(head, m_options.headers.answerProof) || headerOf(head, "content-encoding"))) {
         return false;
     }
@@ -237,7 +235,7 @@
     VersionCount &counts = m_versionCounts[{request->parsed.service.value, request->upstream.version.value}];
     counts.headMs += static_cast<std::uint64_t>(wholeMilliseconds(now - request->sentAt));
     counts.heads += 1;
-    const bool success = head.status >= FirstSuccess && head.status < FirstRedirect;
+    const bool success = isSuccess(head);
     if (request->headForwarded && !(success && hasEvents(head))) {
         // The stream can't be resumed, and the caller already has the first upstream's head.
         handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_CANCELLED);
@@ -419,7 +417,7 @@
     endCall(request, outcome);
     request.eventBatches = 0;
     request.longestPause = {};
-    const NextStep next = request.attempts.recordEnd(end);
+    const NextStep next = request.attempts.recordEnd(end, request.mayContinue());
     retryOrFinish(request, end, next);
 }
 
--- a/src/proxy/proxycrashes.cpp
+++ b/src/proxy/proxycrashes.cpp
@@ -16,7 +16,7 @@
     endCall(request, v1::PLACEMENT_FAILED);
     request.eventBatches = 0;
     request.longestPause = {};
-    const NextStep next = request.attempts.recordEnd(AttemptEnd::Lost);
+    const NextStep next = request.attempts.recordEnd(AttemptEnd::Lost, request.mayContinue());
     if (next != NextStep::Retry) {
         checkUpstreamEnded(request);
         retryOrFinish(request, AttemptEnd::Lost, next);
--- a/src/proxy/proxyreplies.cpp
+++ b/src/proxy/proxyreplies.cpp
@@ -22,6 +22,7 @@
 void ProxyTask::forwardHead(ProxyRequest &request)
 {
     request.headForwarded = true;
+    request.eventsForwarded = request.isStream() && isSuccess(request.answerHead) && hasEvents(request.answerHead);
     addAnswerHeaders(request);
     const LocalRequestId localId = request.localId;
     request.exchange->drained().connect([this, localId] {
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -66,6 +66,11 @@
         return parsed.route->kind() == v1::RESUMABLE_STREAMING;
     }
 
+    /// Whether another upstream's answer can be joined to what the caller has of the first one.
+    bool mayContinue() const
+    {
+        return !headForwarded || (isResumable() && eventsForwarded && eventSplitter.canResume());
+    }
     /// Bytes of the answer that are held back from the caller.
     std::size_t heldBytes() const
     {
@@ -107,6 +112,8 @@
     std::string bufferedBody;
     /// The answer's head was sent to the caller and can no longer be changed.
     bool headForwarded = false;
+    /// The head that was sent to the caller is that of a successful event stream.
+    bool eventsForwarded = false;
     EventSplitter eventSplitter;
     /// Set while the answer ends only with its connection.
     std::optional<SecondAnswer> secondAnswer;
--- a/tests/proxy/attemptstest.cpp
+++ b/tests/proxy/attemptstest.cpp
@@ -62,3 +62,15 @@
     CHECK(attempts.recordEnd(AttemptEnd::NotSent) == NextStep::RefuseNotRun);
     CHECK(attempts.attemptCount() == 0);
 }
+
+// Guards against two runs joined in one answer, and against a run whose answer nobody can use: the caller has a part that nothing can continue.
+TEST_CASE("a request is not retried when its caller has a part that can't be continued")
+{
+    Attempts attempts(v1::RESUMABLE_STREAMING, 3);
+    attempts.recordStart();
+    CHECK(attempts.recordEnd(AttemptEnd::Lost, true) == NextStep::Retry);
+    attempts.recordStart();
+    CHECK(attempts.recordEnd(AttemptEnd::NotSent, false) == NextStep::FailUnknownOutcome);
+    attempts.recordStart();
+    CHECK(attempts.recordEnd(AttemptEnd::Lost, false) == NextStep::FailUnknownOutcome);
+}
--- a/tests/proxy/joinedstreamstest.cpp
+++ b/tests/proxy/joinedstreamstest.cpp
@@ -104,3 +104,24 @@
     CHECK(answer.body == "id: 3\ndata: first 3\n\n");
     CHECK_FALSE(answer.failure);
 }
+
+// Guards against the beginning of one run joined to another run of the same request: nothing tells the upstream where to go on.
+TEST_CASE("a stream without ids is not resumed once the caller has events")
+{
+    TwoUpstreams upstreams;
+    const HttpAnswer answer
+        = upstreams.stream({.contentType = Events, .body = "data: first 1\n\ndata: fi"}, {.contentType = Events, .body = "data: b1\n\ndata: b2\n\n"});
+    CHECK(answer.body == "data: first 1\n\n");
+    CHECK(answer.failure == CallFailure::Lost);
+}
+
+// Guards against a second run of a request whose caller has a part of the first answer that nothing can follow, and against its events behind that part.
+TEST_CASE("a plain answer that was forwarded in part is not sent to another upstream")
+{
+    TwoUpstreams upstreams;
+    const std::string part = "first " + std::string(std::size_t(300) << 10, 'x');
+    const HttpAnswer answer
+        = upstreams.stream({.contentType = "text/plain", .body = part, .end = End::Reset}, {.contentType = Events, .body = "id: 1\ndata: b1\n\n"});
+    CHECK(answer.body.find("b1") == std::string::npos);
+    CHECK(answer.failure == CallFailure::Lost);
+}
