Fuzz the numbering of streams and the search for a second answer

Neither may depend on how reads cut the bytes; passed ids increase over all answers of a stream; a second head is found behind any body; what is held is bounded.

--- a/tests/fuzz/framingfuzz.cpp
+++ b/tests/fuzz/framingfuzz.cpp
@@ -1,10 +1,13 @@
 #include "upstream/chunkscanner.h"
 #include "upstream/eventboundary.h"
 #include "upstream/eventstream.h"
+#include "upstream/secondanswer.h"
+#include "upstream/streamnumbering.h"
 
 #include <cstdint>
 #include <cstdlib>
 #include <string>
+#include <tuple>
 
 namespace
 {
@@ -59,14 +62,68 @@
     require(all.feed(body) == whole.feed(body.substr(0, wholeLength)));
 }
 
+/// What is found, and the bytes before it, must not depend on how the body is split.
+void checkSecondAnswer(std::string_view body, std::size_t step)
+{
+    const auto scanned = [body](std::size_t size) {
+        SecondAnswer second("x-id");
+        std::string returned;
+        for (std::size_t start = 0; start < body.size(); start += size) {
+            returned += second.scan(body.substr(start, size));
+            require(second.heldBytes() <= SecondAnswer::MaxHeadBytes);
+        }
+        const bool endsWithinHead = second.endsWithinHead();
+        returned += second.takeRest();
+        return std::tuple(returned, second.isFound(), endsWithinHead);
+    };
+    const auto whole = scanned(body.size() + 1);
+    require(whole == scanned(step));
+    const auto &[returned, isFound, endsWithinHead] = whole;
+    require(body.starts_with(returned) && (isFound || returned == body));
+    // Behind any body, a second head is found.
+    SecondAnswer second("x-id");
+    second.scan(body);
+    second.scan("\r\rHTTP/1.1 200 OK\r\nx-id: 1\r\n");
+    require(second.isFound());
+}
+
+/// Each byte is an event: its id, none, or the start of the next answer. The ids that pass increase over all answers.
+void checkNumbering(std::string_view events, EventIds ids)
+{
+    constexpr unsigned NextAnswer = 31;
+    StreamNumbering numbering(ids);
+    std::uint64_t next = 0;
+    bool isBroken = false;
+    for (const char event : events) {
+        const unsigned kind = static_cast<unsigned char>(event) % (NextAnswer + 1);
+        if (kind == NextAnswer) {
+            numbering.startAnswer();
+            isBroken = false;
+        } else if (kind == 0) {
+            require(isBroken || numbering.judge("") != EventVerdict::Break);
+        } else if (!isBroken) {
+            const std::uint64_t number = kind - 1;
+            const EventVerdict verdict = numbering.judge(std::to_string(number));
+            require(verdict != EventVerdict::Pass || (number >= next && (ids == EventIds::Increasing || number == next)));
+            require(verdict != EventVerdict::Drop || number < next);
+            isBroken = verdict == EventVerdict::Break;
+            next = verdict == EventVerdict::Pass ? number + 1 : next;
+        }
+    }
+    require(numbering.next() == next);
+}
+
 }
 
-/// The framing of answers: chunks, and the events of a stream.
+/// The framing of answers: chunks, second answers, and the events and numbers of a stream.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view body(reinterpret_cast<const char *>(data), size);
     const std::size_t step = size % 9 + 1;
     checkChunks(body, step);
     checkEvents(body, step);
+    checkSecondAnswer(body, step);
+    checkNumbering(body, EventIds::FromZero);
+    checkNumbering(body, EventIds::Increasing);
     return 0;
 }
