--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -7,6 +7,7 @@
 #include "upstream/requestlimit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cumindyke
 {
@@ -20,8 +21,6 @@
 constexpr std::size_t MaxBufferedBytes = 256 << 10;
 /// Number of events from which an upstream's pace is measured.
 constexpr std::uint32_t EventsForPace = 4;
-constexpr int FirstSuccess = 200;
-constexpr int FirstRedirect = 300;
 constexpr int FirstServerError = 500;
 /// When a caller has this many bytes unread, reading from its upstream is paused; with a buffer budget, BufferBudget::readAheadLimit() applies.
 constexpr std::size_t MaxUnreadBytes = 256 << 10;
@@ -84,8 +83,12 @@
     request.tried.insert(to.name);
     request.answerHead = {};
     request.bufferedBody.clear();
+    request.secondAnswer.reset();
     request.exchange->setHeldAnswer(0);
-    request.eventSplitter.discardPartial();
+    if (request.isResumable() && request.eventSplitter.lastEventId().empty()) {
+        request.eventSplitter.setCallerHas(request.exchange->header(m_options.headers.lastEventId.c_str()));
+    }
+    request.eventSplitter.startAnswer();
     request.relay = m_paths->chooseRelay(to.address, request.parsed.homeRegions);
     UpstreamRequest upstreamRequest{
         .id = request.parsed.id,
@@ -152,7 +155,7 @@
 bool ProxyTask::isAnswerToRequest(const ProxyRequest &request, const AnswerHead &head) const
 {
     const std::string *echoed = headerOf(head, m_options.headers.requestId);
-    const bool success = head.status >= FirstSuccess && head.status < FirstRedirect;
+    const bool success = isSuccess(head);
     if (success && (!headerOf(head, m_options.headers.answerProof) || headerOf(head, "content-encoding"))) {
         return false;
     }
@@ -213,6 +216,9 @@
     }
     const TimePoint now = EventLoop::now();
     request->answerHead = head;
+    if (head.framing == BodyFraming::ConnectionClose) {
+        request->secondAnswer.emplace(m_options.headers.requestId);
+    }
     recordRequestLimit(*request, head);
     recordSignals(*request, head);
     if (isNotRun(head)) {
@@ -229,7 +235,7 @@
     VersionCount &counts = m_versionCounts[{request->parsed.service.value, request->upstream.version.value}];
     counts.headMs += static_cast<std::uint64_t>(wholeMilliseconds(now - request->sentAt));
     counts.heads += 1;
-    const bool success = head.status >= FirstSuccess && head.status < FirstRedirect;
+    const bool success = isSuccess(head);
     if (request->headForwarded && !(success && hasEvents(head))) {
         // The stream can't be resumed, and the caller already has the first upstream's head.
         handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_CANCELLED);
@@ -246,21 +252,46 @@
     if (!request) {
         return;
     }
-    const TimePoint now = EventLoop::now();
-    if (!request->headForwarded) {
-        request->bufferedBody += bytes;
-        limitHeldAnswer(*request);
-        return;
+    const std::string_view body = request->secondAnswer ? request->secondAnswer->scan(bytes) : bytes;
+    if (handleBody(*request, body) && request->secondAnswer && request->secondAnswer->isFound()) {
+        // Nothing shows that what came before it is whole.
+        dropAnswer(*request, "second-answer");
     }
-    recordEvents(*request, now);
-    forwardBody(*request, bytes);
-    if (request->eventSplitter.isTooLong()) {
-        handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
-        return;
+}
+
+/// Returns whether the attempt goes on.
+bool ProxyTask::handleBody(ProxyRequest &request, std::string_view bytes)
+{
+    if (!request.headForwarded) {
+        request.bufferedBody += bytes;
+        limitHeldAnswer(request);
+    } else if (!bytes.empty()) {
+        recordEvents(request, EventLoop::now());
+        forwardBody(request, bytes);
+    } else {
+        request.exchange->setHeldAnswer(request.heldBytes());
+    }
+    if (request.eventSplitter.isOutOfOrder()) {
+        dropAnswer(request, "events-out-of-order");
+        return false;
+    }
+    if (request.eventSplitter.isTooLong()) {
+        handleAttemptEnd(request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
+        return false;
     }
-    if (request->exchange->unreadBytes() > maxUnreadBytes()) {
-        request->call->setPaused(true);
+    if (request.headForwarded && request.exchange->unreadBytes() > maxUnreadBytes()) {
+        request.call->setPaused(true);
     }
+    return true;
+}
+
+/// Ends the attempt because of a fault in the answer; the upstream may still run.
+void ProxyTask::dropAnswer(ProxyRequest &request, const char *change)
+{
+    logWarning(
+        "proxy", change, {{"id", request.parsed.id.value}, {"upstream", request.upstream.name.value}, {"last_event", request.eventSplitter.lastEventId()}});
+    countAnswer(request, false);
+    handleAttemptEnd(request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
 }
 
 /// Forwards a plain answer that is too large to be held until it is complete.
@@ -268,14 +299,12 @@
 {
     const std::size_t limit = m_buffers ? std::min(MaxBufferedBytes, m_buffers->readAheadLimit()) : MaxBufferedBytes;
     if (request.bufferedBody.size() <= limit) {
-        request.exchange->setHeldAnswer(request.bufferedBody.size());
+        request.exchange->setHeldAnswer(request.heldBytes());
         return;
     }
     forwardHead(request);
-    request.exchange->streamData(request.bufferedBody);
     // Frees the memory, which clear() would keep.
-    request.bufferedBody = {};
-    request.exchange->setHeldAnswer(0);
+    forwardBody(request, std::exchange(request.bufferedBody, {}));
 }
 
 std::size_t ProxyTask::maxUnreadBytes() const
@@ -304,6 +333,13 @@
     if (!request) {
         return;
     }
+    if (request->secondAnswer && request->secondAnswer->endsWithinHead()) {
+        dropAnswer(*request, "second-answer");
+        return;
+    }
+    if (request->secondAnswer && !handleBody(*request, request->secondAnswer->takeRest())) {
+        return;
+    }
     if (request->eventSplitter.isWithinEvent()) {
         // The upstream ended the stream in order, but before the end of an event.
         onCallFailed(localId, CallFailure::Lost);
@@ -385,7 +421,7 @@
     endCall(request, outcome);
     request.eventBatches = 0;
     request.longestPause = {};
-    const NextStep next = request.attempts.recordEnd(end);
+    const NextStep next = request.attempts.recordEnd(end, request.mayContinue());
     retryOrFinish(request, end, next);
 }
 
--- a/src/proxy/proxyreplies.cpp
+++ b/src/proxy/proxyreplies.cpp
@@ -22,6 +22,7 @@
 void ProxyTask::forwardHead(ProxyRequest &request)
 {
     request.headForwarded = true;
+    request.eventsForwarded = request.isStream() && isSuccess(request.answerHead) && hasEvents(request.answerHead);
     addAnswerHeaders(request);
     const LocalRequestId localId = request.localId;
     request.exchange->drained().connect([this, localId] {
@@ -35,16 +36,12 @@
 
 void ProxyTask::forwardBody(ProxyRequest &request, std::string_view bytes)
 {
-    const bool isEventStream = request.isStream() && hasEvents(request.answerHead);
-    if (isEventStream && request.isResumable()) {
+    if (request.isStream() && hasEvents(request.answerHead)) {
         request.exchange->streamData(request.eventSplitter.extractWholeEvents(bytes));
-        request.exchange->setHeldAnswer(request.eventSplitter.partialBytes());
-        return;
-    }
-    if (isEventStream) {
-        request.eventSplitter.scan(bytes);
+    } else {
+        request.exchange->streamData(bytes);
     }
-    request.exchange->streamData(bytes);
+    request.exchange->setHeldAnswer(request.heldBytes());
 }
 
 void ProxyTask::forwardWholeAnswer(ProxyRequest &request)
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -7,6 +7,7 @@
 #include "proxy/eventsplitter.h"
 #include "proxy/proxytypes.h"
 #include "proxy/routeindex.h"
+#include "upstream/secondanswer.h"
 #include "upstream/upstreamcall.h"
 
 #include <memory>
@@ -65,6 +66,17 @@
         return parsed.route->kind() == v1::RESUMABLE_STREAMING;
     }
 
+    /// Whether another upstream's answer can be joined to what the caller has of the first one.
+    bool mayContinue() const
+    {
+        return !headForwarded || (isResumable() && eventsForwarded && eventSplitter.canResume());
+    }
+    /// Bytes of the answer that are held back from the caller.
+    std::size_t heldBytes() const
+    {
+        return bufferedBody.size() + eventSplitter.partialBytes() + (secondAnswer ? secondAnswer->heldBytes() : 0);
+    }
+
     RequestContent content() const
     {
         return RequestContent{.organisation = parsed.organisation.value,
@@ -100,7 +112,11 @@
     std::string bufferedBody;
     /// The answer's head was sent to the caller and can no longer be changed.
     bool headForwarded = false;
+    /// The head that was sent to the caller is that of a successful event stream.
+    bool eventsForwarded = false;
     EventSplitter eventSplitter;
+    /// Set while the answer ends only with its connection.
+    std::optional<SecondAnswer> secondAnswer;
     /// What the check after the end of an unframed answer found: "ended" or "not-refused"; empty: there was none.
     std::string endCheck;
     /// Measure the pace of the upstream.
