An unframed answer is complete only if its process is proved to run still

Callers saw a part of an answer without a length or chunks, with a proper end, when the upstream's process was killed and a successor listened at its address at once. The check after the answer's end took everything but a refused connection for the same process: a successor, silence, a connection that was accepted and reset.

A connection that is opened after the end proves nothing, since the successor can listen before the end is seen. So a second connection is opened while the answer is under way and must still be open 20 ms after the answer's end: it is in the backlog of that process or accepted by it, and ends with it. It goes through the same relay as the answer. As a short answer can end with its head, the connection is opened with the request for an upstream whose last answer on the route was unframed. What is not proved is a lost answer, for which the check for ended processes runs as before.

An answer that says that its upstream is leaving is also accepted if the connection was refused: such an upstream may have closed its listening socket. It was accepted without any check before.

RawUpstream closes all its connections when its process "ends", as the kernel does; it closed only the listening one and the answer's.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t MaxBufferedBytes = 256 << 10;
 /// Number of events from which an upstream's pace is measured.
 constexpr std::uint32_t EventsForPace = 4;
+/// Bounds the memory of upstreams that have ended.
+constexpr std::size_t MaxUnframedAnswers = 4096;
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
 constexpr int FirstServerError = 500;
@@ -136,6 +138,7 @@
 /// The call's signals may still be running, so it is cancelled here and destroyed from the loop.
 void ProxyTask::releaseCall(ProxyRequest &request)
 {
+    request.processWatch.reset();
     if (request.call) {
         request.call->cancel();
         m_loop.releaseLater(std::shared_ptr<UpstreamCall>(std::move(request.call)));
@@ -226,6 +229,7 @@
         handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
         return;
     }
+    recordFraming(*request, head.framing);
     VersionCount &counts = m_versionCounts[{request->parsed.service.value, request->upstream.version.value}];
     counts.headMs += static_cast<std::uint64_t>(wholeMilliseconds(now - request->sentAt));
     counts.heads += 1;
@@ -240,6 +244,36 @@
     }
 }
 
+/// The watch of an unframed answer begins with its head at the latest. A short answer may have ended by then, so for an upstream whose last answer was
+/// unframed it begins with the request.
+void ProxyTask::recordFraming(ProxyRequest &request, BodyFraming framing)
+{
+    const std::pair<InstanceName, std::string> key{request.upstream.name, request.parsed.route->name()};
+    if (framing != BodyFraming::ConnectionClose) {
+        m_unframedAnswers.erase(key);
+        request.processWatch.reset();
+        return;
+    }
+    if (m_unframedAnswers.size() >= MaxUnframedAnswers) {
+        m_unframedAnswers.clear();
+    }
+    m_unframedAnswers.insert(key);
+    if (!request.processWatch) {
+        watchProcess(request);
+    }
+}
+
+/// Must begin while the answer is under way: after its end a successor of the process may already listen at the address.
+void ProxyTask::watchProcess(ProxyRequest &request)
+{
+    const Address &upstream = request.upstream.address;
+    if (request.relay) {
+        request.processWatch = std::make_shared<ProcessWatch>(m_loop, upstream, m_paths->relayAddress(*request.relay));
+    } else {
+        request.processWatch = std::make_shared<ProcessWatch>(m_loop, m_paths->connectAddress(upstream), std::nullopt);
+    }
+}
+
 void ProxyTask::onAnswerData(LocalRequestId localId, std::string_view bytes)
 {
     ProxyRequest *request = find(localId);
@@ -309,8 +343,7 @@
         onCallFailed(localId, CallFailure::Lost);
         return;
     }
-    const bool isLeaving = parseAnswerSignals(request->answerHead, m_options.headers.signals).isLeaving;
-    if (request->answerHead.framing == BodyFraming::ConnectionClose && !isLeaving) {
+    if (request->answerHead.framing == BodyFraming::ConnectionClose) {
         verifyUnframedEnd(*request);
     } else {
         completeAnswer(*request);
@@ -318,22 +351,23 @@
 }
 
 /// A process that dies closes its connections in order too, so the end of an answer without a length or chunks is the answer's own only if the process
-/// still runs.
+/// is proved to run still.
 void ProxyTask::verifyUnframedEnd(ProxyRequest &request)
 {
-    const bool isOnTrial = request.suspectState.trial.has_value();
-    checkUpstreamEnded(request, [this, localId = request.localId, isOnTrial](bool hasEnded) {
+    request.processWatch->verifyEnd([this, localId = request.localId](AnswerEndProof proof) {
         ProxyRequest *ended = find(localId);
-        if (ended) {
-            ended->endCheck = hasEnded ? "ended" : "not-refused";
+        if (!ended) {
+            return;
         }
-        if (ended && hasEnded) {
-            if (!isOnTrial) {
-                countAnswer(*ended, false);
-            }
-            handleAttemptEnd(*ended, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
-        } else if (ended) {
+        // The watch is still running this callback.
+        m_loop.releaseLater(std::move(ended->processWatch));
+        ended->endCheck = toString(proof);
+        // An upstream that is leaving may have closed its listening socket, and its answer is whole all the same.
+        const bool mayRefuse = parseAnswerSignals(ended->answerHead, m_options.headers.signals).isLeaving;
+        if (proof == AnswerEndProof::Held || proof == AnswerEndProof::HeldLate || (proof == AnswerEndProof::Refused && mayRefuse)) {
             completeAnswer(*ended);
+        } else {
+            onCallFailed(localId, CallFailure::Lost);
         }
     });
 }
--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -9,8 +9,14 @@
 
 void ProxyTask::onSent(LocalRequestId localId)
 {
-    const ProxyRequest *request = find(localId);
-    if (request && !request->relay) {
+    ProxyRequest *request = find(localId);
+    if (!request) {
+        return;
+    }
+    if (m_unframedAnswers.contains({request->upstream.name, request->parsed.route->name()})) {
+        watchProcess(*request);
+    }
+    if (!request->relay) {
         m_paths->recordConnected(request->upstream.address);
         m_placement->recordReached(processOf(request->upstream));
     }
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -7,6 +7,7 @@
 #include "proxy/eventsplitter.h"
 #include "proxy/proxytypes.h"
 #include "proxy/routeindex.h"
+#include "relay/processwatch.h"
 #include "upstream/upstreamcall.h"
 
 #include <memory>
@@ -101,7 +102,9 @@
     /// The answer's head was sent to the caller and can no longer be changed.
     bool headForwarded = false;
     EventSplitter eventSplitter;
-    /// What the check after the end of an unframed answer found: "ended" or "not-refused"; empty: there was none.
+    /// Of the current call; null unless its answer has neither a length nor chunks.
+    std::shared_ptr<ProcessWatch> processWatch;
+    /// What was found at the end of an unframed answer; empty: no answer without a length or chunks came to its end.
     std::string endCheck;
     /// Measure the pace of the upstream.
     TimePoint firstEventAt;
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <thread>
 #include <variant>
 
@@ -150,6 +151,8 @@
     void onAnswerHead(LocalRequestId localId, const AnswerHead &head);
     void onAnswerData(LocalRequestId localId, std::string_view bytes);
     void onAnswerEnd(LocalRequestId localId);
+    void recordFraming(ProxyRequest &request, BodyFraming framing);
+    void watchProcess(ProxyRequest &request);
     void verifyUnframedEnd(ProxyRequest &request);
     void completeAnswer(ProxyRequest &request);
     void onCallFailed(LocalRequestId localId, CallFailure failure);
@@ -235,6 +238,8 @@
     /// Ended requests. Their signals may still be running, so they are destroyed from the loop.
     std::vector<std::unique_ptr<ProxyRequest>> m_endedRequests;
     std::vector<std::shared_ptr<Exchange>> m_exchangesToAbort;
+    /// Upstreams and routes whose last answer had neither a length nor chunks.
+    std::set<std::pair<InstanceName, std::string>> m_unframedAnswers;
     Timer m_cleanUpTimer;
     Timer m_drainTimer;
     Timer m_tallyTimer;
--- a/tests/fakeplatform/rawupstream.cpp
+++ b/tests/fakeplatform/rawupstream.cpp
@@ -46,11 +46,19 @@
     }
     ~Connection()
     {
-        end();
+        close();
     }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
+    void close()
+    {
+        if (m_connection) {
+            bufferevent_free(m_connection);
+            m_connection = nullptr;
+        }
+    }
+
 private:
     static void onRead(bufferevent * /*connection*/, void *self)
     {
@@ -95,10 +103,9 @@
             setsockopt(bufferevent_getfd(m_connection), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
         }
         if (m_answer.end == End::ProcessEnded) {
-            m_upstream.refuseConnections();
+            m_upstream.endProcess();
         }
-        bufferevent_free(m_connection);
-        m_connection = nullptr;
+        close();
     }
 
     RawUpstream &m_upstream;
@@ -144,6 +151,15 @@
     }
 }
 
+/// Closes all sockets, as the kernel does when a process ends.
+void RawUpstream::endProcess()
+{
+    refuseConnections();
+    for (const std::unique_ptr<Connection> &connection : m_connections) {
+        connection->close();
+    }
+}
+
 void RawUpstream::setAnswer(const Answer &answer)
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/fakeplatform/rawupstream.h
+++ b/tests/fakeplatform/rawupstream.h
@@ -50,6 +50,7 @@
 
     static void onAccepted(evconnlistener *listener, int socket, sockaddr *from, int length, void *self);
     Answer answer() const;
+    void endProcess();
     void refuseConnections();
 
     Address m_address;
--- /dev/null
+++ b/tests/proxy/killedupstreamtest.cpp
@@ -0,0 +1,146 @@
+#include "proxy/entryvmtasks.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <thread>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+constexpr std::uint16_t UpstreamPort = 7777;
+/// Longer than an answer takes, so that some are whole.
+constexpr int MaxKillMicroseconds = 30'000;
+
+/// An upstream that is killed and succeeded at the same address at once.
+class KilledUpstream
+{
+public:
+    explicit KilledUpstream(const std::string &host)
+        : m_host(host)
+    {
+        succeed();
+    }
+
+    Address address() const
+    {
+        return Address{.host = m_host, .port = UpstreamPort};
+    }
+    /// Starts the process that listens as soon as the present one has ended.
+    void prepareSuccessor()
+    {
+        const std::string out = m_folder.file("out" + std::to_string(++m_count));
+        m_successor = std::make_unique<Process>(
+            std::vector<std::string>{std::string(CUMINDYKE_BIN) + "/unframedupstream", m_host, std::to_string(UpstreamPort)}, out, m_folder.file("error"));
+        REQUIRE(waitFor(out, "started"));
+    }
+    void kill()
+    {
+        m_process->signal(SIGKILL);
+    }
+    void awaitSuccessor()
+    {
+        REQUIRE(waitFor(m_folder.file("out" + std::to_string(m_count)), "listening"));
+        m_process = std::move(m_successor);
+    }
+
+private:
+    void succeed()
+    {
+        prepareSuccessor();
+        awaitSuccessor();
+    }
+    static bool waitFor(const std::string &file, const std::string &text)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + WaitTimeout;
+        while (contentOf(file).find(text) == std::string::npos) {
+            if (std::chrono::steady_clock::now() > deadline) {
+                return false;
+            }
+            std::this_thread::sleep_for(std::chrono::microseconds(200));
+        }
+        return true;
+    }
+
+    const std::string m_host;
+    TemporaryFolder m_folder;
+    int m_count = 0;
+    std::unique_ptr<Process> m_process;
+    std::unique_ptr<Process> m_successor;
+};
+
+struct Tally
+{
+    int whole = 0;
+    int brokenOff = 0;
+    /// Only a part came, with a proper end.
+    int looksComplete = 0;
+};
+
+int valueFromEnvironment(const char *name, int otherwise)
+{
+    const char *text = std::getenv(name);
+    return text ? std::atoi(text) : otherwise;
+}
+
+/// Kills the upstream at random moments of its answers.
+Tally killDuringAnswers(Cut cut, const std::string &target, int kills)
+{
+    // As the daemon does: a request may be written to a connection of a killed process.
+    std::signal(SIGPIPE, SIG_IGN);
+    EntryVmTasks vms(2, 0, v1::STREAMING);
+    KilledUpstream upstream(vms.network.host(FirstPlatformHost + 1));
+    vms.platform.addUpstream("i-killed", upstream.address());
+    vms.cuts[0] = cut;
+    std::string whole;
+    REQUIRE(eventually([&] {
+        const HttpAnswer answer = vms.request(0, "first", target);
+        whole = answer.status == 200 && !answer.failure ? answer.body : "";
+        return !whole.empty();
+    }));
+    std::mt19937 random(static_cast<std::mt19937::result_type>(valueFromEnvironment("CUMINDYKE_FIRST_SEED", 1)));
+    Tally tally;
+    for (int kill = 0; kill < kills; ++kill) {
+        upstream.prepareSuccessor();
+        HttpAnswer answer;
+        std::thread caller([&] { answer = vms.request(0, "killed-" + std::to_string(kill), target); });
+        std::this_thread::sleep_for(std::chrono::microseconds(random() % MaxKillMicroseconds));
+        upstream.kill();
+        caller.join();
+        upstream.awaitSuccessor();
+        if (answer.status != 200 || answer.failure) {
+            ++tally.brokenOff;
+        } else if (answer.body == whole) {
+            ++tally.whole;
+        } else {
+            ++tally.looksComplete;
+        }
+    }
+    return tally;
+}
+
+}
+
+// Guards against an answer without a length or chunks that looks complete although the process that made it was killed, since a successor listens at its
+// address at once. CUMINDYKE_KILLS: the kills of each kind.
+TEST_CASE("an unframed answer of a killed upstream that is succeeded at once is broken off for its caller")
+{
+    const int kills = valueFromEnvironment("CUMINDYKE_KILLS", 60);
+    for (const Cut cut : {Cut::None, Cut::Refused}) {
+        for (const std::string target : {"/drafts/a", "/deposits/a"}) {
+            const Tally tally = killDuringAnswers(cut, target, kills);
+            std::cout << (cut == Cut::None ? "direct " : "relay  ") << target << ": kills " << kills << ", whole " << tally.whole << ", broken off "
+                      << tally.brokenOff << ", looks complete " << tally.looksComplete << "\n";
+            CAPTURE(static_cast<int>(cut), target);
+            CHECK(tally.looksComplete == 0);
+            // Guards against a test that kills too early or too late.
+            CHECK(tally.brokenOff > 0);
+        }
+    }
+}
