--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <thread>
 #include <variant>
 
@@ -156,6 +157,8 @@
     bool handleBody(ProxyRequest &request, std::string_view bytes);
     void dropAnswer(ProxyRequest &request, const char *change);
     void onAnswerEnd(LocalRequestId localId);
+    void recordFraming(ProxyRequest &request, BodyFraming framing);
+    void watchProcess(ProxyRequest &request);
     void verifyUnframedEnd(ProxyRequest &request);
     void completeAnswer(ProxyRequest &request);
     void onCallFailed(LocalRequestId localId, CallFailure failure);
@@ -246,6 +249,8 @@
     /// Ended requests. Their signals may still be running, so they are destroyed from the loop.
     std::vector<std::unique_ptr<ProxyRequest>> m_endedRequests;
     std::vector<std::shared_ptr<Exchange>> m_exchangesToAbort;
+    /// Upstreams and routes whose last answer had neither a length nor chunks.
+    std::set<std::pair<InstanceName, std::string>> m_unframedAnswers;
     Timer m_cleanUpTimer;
     Timer m_drainTimer;
     Timer m_tallyTimer;
--- a/tests/fuzz/framingfuzz.cpp
+++ b/tests/fuzz/framingfuzz.cpp
@@ -131,6 +131,7 @@
     second.scan(body);
     second.scan("\r\rHTTP/1.1 200 OK\r\nx-id: 1\r\n");
     require(second.isFound());
+}
 
 /// Each byte is an event: its id, none, or the start of the next answer. The ids that pass increase over all answers.
 void checkNumbering(std::string_view events, EventIds ids)
