Soak of answers: a daemon that crashes is a violation; repeated events, resumes from a wrong place; figures by fault

A stream may now repeat an event, or be resumed before or after the event that Last-Event-Id asks for. The totals by fault and framing are printed.

--- a/tests/faultyupstream/main.cpp
+++ b/tests/faultyupstream/main.cpp
@@ -14,6 +14,8 @@
 //     endless      bytes without end in the head, a chunk's size or a chunk
 //     silent       nothing comes after a part of the answer
 //     refuse       the request is refused without running it
+//     repeat       an event of a stream comes again
+//     resume       half of the resumed streams begin before or after the event that follows Last-Event-Id
 
 #include "soakcontent.h"
 
@@ -217,6 +219,9 @@
         if (m_random.below(1000) < m_options.permille) {
             m_fault = m_options.faults[m_random.below(m_options.faults.size())];
         }
+        if (m_options.has("resume") && !headerOf(m_head, "Last-Event-Id").empty() && m_random.below(2) == 0) {
+            m_fault = "resume";
+        }
         m_framing = static_cast<Framing>(m_random.below(m_options.has("unframed") ? 3 : 2));
         // An unframed plain answer that ends early in order can't be told from a whole one.
         if (m_fault == "cut" && m_framing == Framing::ConnectionEnd && !m_isStream) {
@@ -300,8 +305,18 @@
     {
         const std::string otherId = m_id.substr(0, m_id.rfind('-')) + "-" + std::to_string(m_random.below(20));
         const std::string lastEvent = headerOf(m_head, "Last-Event-Id");
-        const int first = m_isStream && !lastEvent.empty() ? std::atoi(lastEvent.c_str()) + 1 : 1;
-        const std::vector<std::string> pieces = piecesFor(m_fault == "foreign" ? otherId : m_id, first);
+        const bool resumes = m_isStream && !lastEvent.empty();
+        int first = resumes ? std::atoi(lastEvent.c_str()) + 1 : 1;
+        if (m_fault == "resume" && resumes) {
+            // Without any event, a skipped rest could not be told from a whole one.
+            first = std::clamp(first + 1 - static_cast<int>(m_random.below(5)), 1, m_count);
+        }
+        std::vector<std::string> pieces = piecesFor(m_fault == "foreign" ? otherId : m_id, first);
+        if (m_fault == "repeat" && m_isStream && m_framing != Framing::Length && pieces.size() > 3) {
+            // An event before the last one, so that an event follows in both framings.
+            const auto event = pieces.begin() + 1 + static_cast<std::ptrdiff_t>(m_random.below(pieces.size() - 3));
+            pieces.insert(event, std::string(*event));
+        }
         if (m_fault == "endless") {
             sendEndless(pieces);
             return;
--- a/tests/soak/answerchecker.cpp
+++ b/tests/soak/answerchecker.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <csignal>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -116,7 +117,9 @@
     const std::string expected = contentOf(request.isStream, request.id, request.count);
     if (expected.starts_with(answer.body)) {
         if (answer.isComplete && answer.body.size() < expected.size()) {
-            found.push_back({"truncated", request.id, std::to_string(answer.body.size()) + " of " + std::to_string(expected.size()) + " bytes"});
+            found.push_back({answer.isFramed ? "truncated" : "truncated-http10",
+                             request.id,
+                             std::to_string(answer.body.size()) + " of " + std::to_string(expected.size()) + " bytes"});
         }
         return;
     }
@@ -145,7 +148,8 @@
         words >> event >> id >> upstream >> fault >> framing;
         if (event == "start") {
             starts[id] += 1;
-            faults[id] = fault.append("/").append(framing);
+            std::string &faultsOfRuns = faults[id];
+            faultsOfRuns.append(faultsOfRuns.empty() ? "" : "+").append(fault).append("/").append(framing);
         }
     }
 }
@@ -165,6 +169,7 @@
     }
     const std::size_t bodyBegin = endOfHead + 4;
     const auto length = answer.headers.find("content-length");
+    answer.isFramed = answer.headers.contains("transfer-encoding") || length != answer.headers.end();
     if (answer.headers.contains("transfer-encoding")) {
         parseChunks(bytes, bodyBegin, answer);
     } else if (length != answer.headers.end()) {
@@ -230,4 +235,9 @@
     return residentKb > boundKb ? std::vector<Violation>{{"memory", daemon, std::to_string(residentKb) + " KB"}} : std::vector<Violation>{};
 }
 
+std::vector<Violation> checkExit(const std::string &daemon, int code)
+{
+    return code != 0 && code != 128 + SIGKILL ? std::vector<Violation>{{"crash", daemon, "exit code " + std::to_string(code)}} : std::vector<Violation>{};
+}
+
 }
--- a/tests/soak/answerchecker.h
+++ b/tests/soak/answerchecker.h
@@ -23,6 +23,8 @@
     /// By its framing, or by an end of the connection in order if it has none.
     bool isComplete = false;
     bool isMalformed = false;
+    /// Has a length or chunks; an answer to HTTP/1.0 may end with its connection.
+    bool isFramed = false;
     /// Number of the bytes that belong to this answer, when it is complete.
     std::size_t bytes = 0;
 };
@@ -51,7 +53,7 @@
     CallerAnswer answer;
 };
 
-/// Number of runs of each request, and the fault and framing of the last one, from the upstreams' logs.
+/// Number of runs of each request, and the faults and framings of all, from the upstreams' logs.
 struct RunLog
 {
     void add(std::string_view lines);
@@ -71,4 +73,7 @@
 /// Returns a violation for a daemon that uses more memory than the bound.
 std::vector<Violation> checkMemory(const std::string &daemon, std::size_t residentKb, std::size_t boundKb);
 
+/// Returns a violation for a daemon that ended otherwise than by its own decision or SIGKILL; the code is that of Process::wait().
+std::vector<Violation> checkExit(const std::string &daemon, int code);
+
 }
--- a/tests/soak/answercheckertest.cpp
+++ b/tests/soak/answercheckertest.cpp
@@ -66,8 +66,8 @@
 // Guards against a soak that does not see a shortened answer which looks complete: by an end in order, by its length, and to a plain request.
 TEST_CASE("the soak's checker finds a truncated answer that looks complete")
 {
-    CHECK(check(Stream, answerOf(part(1) + part(2), "unframed")) == "truncated");
-    CHECK(check(Stream, answerOf("", "unframed")) == "truncated");
+    CHECK(check(Stream, answerOf(part(1) + part(2), "unframed")) == "truncated-http10");
+    CHECK(check(Stream, answerOf("", "unframed")) == "truncated-http10");
     CHECK(check(Stream, answerOf(part(1) + "id: 2\nda", "length"), ConnectionEnd::Open) == "truncated");
     CHECK(check(Plain, answerOf(contentOf(false, Plain.id, 4).substr(0, 30), "length", Plain.id)) == "truncated");
 }
@@ -120,7 +120,7 @@
 {
     RunLog log;
     log.add("start s-1-8 i-1 none length\nend s-1-8\nstart s-1-9 i-1 reset unframed\nstart s-1-9 i-2 none chunks\n");
-    CHECK(log.faults["s-1-9"] == "none/chunks");
+    CHECK(log.faults["s-1-9"] == "reset/unframed+none/chunks");
     for (const int status : {408, 421, 429, 503}) {
         CHECK(kindsOf(checkRuns({{.request = Plain, .answer = {.status = status}}}, log)) == "not-run-ran");
     }
@@ -137,3 +137,12 @@
     CHECK(kindsOf(checkMemory("vm 4", 200'001, 200'000)) == "memory");
     CHECK(checkMemory("vm 4", 200'000, 200'000).empty());
 }
+
+// Guards against a soak that does not see a daemon that crashes, because it is started again at once.
+TEST_CASE("the soak's checker finds a daemon that crashed")
+{
+    CHECK(kindsOf(checkExit("vm 4", 128 + 11)) == "crash");
+    CHECK(kindsOf(checkExit("vm 4", 1)) == "crash");
+    CHECK(checkExit("vm 4", 0).empty());
+    CHECK(checkExit("vm 4", 128 + 9).empty());
+}
--- a/tests/soak/answersoaktest.cpp
+++ b/tests/soak/answersoaktest.cpp
@@ -24,7 +24,18 @@
 /// Violations of each kind that are printed with the daemons' log lines.
 constexpr int PrintedExamples = 2;
 /// All faults: those of the faulty upstream, "kill" for its processes and "signal" for entry VMs.
-constexpr const char *AllFaults = "unframed,stutter,alien,cut,reset,finreset,early,status,foreign,noid,endless,silent,refuse,kill,signal";
+constexpr const char *AllFaults = "unframed,stutter,alien,cut,reset,finreset,early,status,foreign,noid,endless,silent,refuse,repeat,resume,kill,signal";
+
+using Counts = std::map<std::string, int>;
+
+std::string textOf(const Counts &counts)
+{
+    std::string text;
+    for (const auto &[name, count] : counts) {
+        text += (text.empty() ? "" : ", ") + name + ": " + std::to_string(count);
+    }
+    return text.empty() ? "none" : text;
+}
 
 /// A setting from the environment; scripts/soak-answers sets them.
 std::string setting(const char *name, const std::string &fallback)
@@ -81,8 +92,8 @@
         return m_isReady;
     }
 
-    /// Plays one seed for this long; returns the violations with counts, empty for none.
-    std::string play(std::chrono::seconds length)
+    /// Plays one seed for this long; returns the number of violations by kind, and by the faults and framings of the request's runs.
+    Counts play(std::chrono::seconds length)
     {
         std::atomic<bool> stop = false;
         std::vector<std::unique_ptr<SoakCaller>> callers;
@@ -150,8 +161,8 @@
         constexpr std::array<int, 4> Signals{SIGTERM, SIGTERM, SIGHUP, SIGKILL};
         for (int vm = ControlVms + 1; vm <= ControlVms + EntryVms; ++vm) {
             if (!m_system.daemons[vm]->running()) {
-                const int code = m_system.daemons[vm]->wait();
-                m_crashes += code != 0 && code != 128 + SIGKILL ? 1 : 0;
+                const std::vector<Violation> crash = checkExit("vm " + std::to_string(vm), m_system.daemons[vm]->wait());
+                m_crashes.insert(m_crashes.end(), crash.begin(), crash.end());
                 m_system.start(vm);
             } else if (m_signals && below(100) == 0) {
                 m_system.daemons[vm]->signal(Signals[below(Signals.size())]);
@@ -170,7 +181,7 @@
         }
     }
 
-    std::string report()
+    Counts report()
     {
         // Writes of the upstreams that were under way when the last caller left.
         std::this_thread::sleep_for(std::chrono::milliseconds(200));
@@ -184,43 +195,29 @@
             add(checkMemory("vm " + std::to_string(vm), kb, MemoryBoundKb));
             mostKb = std::max(mostKb, kb);
         }
-        if (m_crashes > 0) {
-            found.push_back({"crash", "entry VM", std::to_string(m_crashes)});
-        }
-        std::map<std::string, int> statuses;
+        add(m_crashes);
+        Counts statuses;
         for (const SoakOutcome &outcome : m_record.outcomes) {
             statuses[std::to_string(outcome.answer.status) + (outcome.answer.isComplete ? "" : " broken off")] += 1;
         }
         std::cout << "seed " << m_seed << ": " << m_record.outcomes.size() << " requests, " << runs.starts.size() << " ran, " << m_killCount << " kills, "
                   << m_signalCount << " signals, " << m_record.unanswered << " unanswered, longest body " << m_record.longestBodyBytes << " bytes, memory "
-                  << mostKb << " KB\n   ";
-        for (const auto &[status, count] : statuses) {
-            std::cout << " " << status << ": " << count << ";";
-        }
-        std::cout << "\n";
+                  << mostKb << " KB; " << textOf(statuses) << "\n";
         return reportViolations(found, runs);
     }
-    std::string reportViolations(const std::vector<Violation> &found, const RunLog &runs) const
+    Counts reportViolations(const std::vector<Violation> &found, const RunLog &runs) const
     {
-        std::map<std::string, int> counts;
-        std::map<std::string, std::map<std::string, int>> byFault;
+        Counts ofKind;
+        Counts counts;
         for (const Violation &violation : found) {
-            const auto fault = runs.faults.find(violation.id);
-            byFault[violation.kind][fault == runs.faults.end() ? "-" : fault->second] += 1;
-            if (++counts[violation.kind] <= PrintedExamples) {
+            const auto faults = runs.faults.find(violation.id);
+            counts[violation.kind + " " + (faults == runs.faults.end() ? "-" : faults->second)] += 1;
+            if (++ofKind[violation.kind] <= PrintedExamples) {
                 std::cout << "    " << violation.kind << " " << violation.id << ": " << violation.detail << "\n" << linesOf(violation.id);
             }
         }
-        std::string summary;
-        for (const auto &[kind, count] : counts) {
-            summary += kind + " " + std::to_string(count) + " (";
-            for (const auto &[fault, ofFault] : byFault[kind]) {
-                summary += fault + " " + std::to_string(ofFault) + ", ";
-            }
-            summary.replace(summary.size() - 2, 2, "); ");
-        }
-        std::cout << "    seed " << m_seed << " violations: " << (summary.empty() ? "none" : summary) << std::endl;
-        return summary;
+        std::cout << "    seed " << m_seed << " violations: " << textOf(ofKind) << std::endl;
+        return counts;
     }
     /// The lines of the upstreams' and the daemons' logs that name the request.
     std::string linesOf(const std::string &id) const
@@ -251,7 +248,7 @@
     int m_renamed = 0;
     int m_killCount = 0;
     int m_signalCount = 0;
-    int m_crashes = 0;
+    std::vector<Violation> m_crashes;
     std::map<int, std::size_t> m_residentKb;
 };
 
@@ -264,10 +261,15 @@
     const std::uint64_t firstSeed = std::stoull(setting("CUMINDYKE_FIRST_SEED", "1"));
     const std::uint64_t seeds = std::stoull(setting("CUMINDYKE_SEEDS", "3"));
     const std::chrono::seconds length(std::stoi(setting("CUMINDYKE_SOAK_SECONDS", "12")));
+    Counts total;
     for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
         CAPTURE(seed);
         Soak soak(seed, setting("CUMINDYKE_SOAK_FAULTS", AllFaults));
         REQUIRE(soak.isReady());
-        CHECK(soak.play(length).empty());
+        for (const auto &[kind, count] : soak.play(length)) {
+            total[kind] += count;
+        }
     }
+    std::cout << "violations of all seeds: " << textOf(total) << std::endl;
+    CHECK(total.empty());
 }
