Close the test server's connections before its counts are destroyed

The server's connections were closed after the map that their counts are entered in had been destroyed.

--- a/tests/entry/callerbufferstest.cpp
+++ b/tests/entry/callerbufferstest.cpp
@@ -43,6 +43,8 @@
         m_loop.stop();
         m_thread.join();
         m_held.clear();
+        // Open connections are still counted when they are closed.
+        m_door.reset();
     }
     CountingServer(const CountingServer &) = delete;
     CountingServer &operator=(const CountingServer &) = delete;
