Let callers read their answers before a VM that is stopped exits

A caller that read slowly while its VM was stopped got a part of its answer and then a closed connection, although the upstream was done: its request had ended for the VM, which exited with the rest of the answer in its buffers. A request that was read between the decision to exit and the exit could get no answer in the same way.

The HTTP server knows which connections have a request whose answer is not written completely: from the request until libevent has written the answer or the connection is closed. A shutdown waits for them; what is too slow ends by libevent's timeout, or with the platform's kill. Before the exit all connections are closed, so that nothing is read that is not answered.

Open: the completions front door does not wait for unread answers.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -289,6 +289,9 @@
     evhttp_request *request = m_request;
     detachRequest();
     if (connection) {
+        if (m_closeCallback) {
+            m_closeCallback(connection, m_closeArgument);
+        }
         if (m_streamStarted && endsWithConnection(request)) {
             // libevent would end the connection in order first.
             bufferevent *buffers = evhttp_connection_get_bufferevent(connection);
@@ -316,6 +319,12 @@
     m_counted = std::move(connection);
 }
 
+void Exchange::setCloseCallback(void (*callback)(evhttp_connection *connection, void *argument), void *argument)
+{
+    m_closeCallback = callback;
+    m_closeArgument = argument;
+}
+
 void Exchange::setHeldAnswer(std::size_t bytes)
 {
     if (m_counted) {
@@ -337,10 +346,13 @@
     static_cast<Exchange *>(self)->notifyCallerDisconnected();
 }
 
-void Exchange::onConnectionFreed(evhttp_connection * /*connection*/, void *self)
+void Exchange::onConnectionFreed(evhttp_connection *connection, void *self)
 {
     auto *exchange = static_cast<Exchange *>(self);
     exchange->m_connectionFreed = true;
+    if (exchange->m_closeCallback) {
+        exchange->m_closeCallback(connection, exchange->m_closeArgument);
+    }
     if (exchange->m_counted) {
         std::exchange(exchange->m_counted, nullptr)->handleClosed();
     }
@@ -361,7 +373,7 @@
     }
 }
 
-/// Returns the request to libevent, which sends pending output and frees it. No callback refers to this object afterwards.
+/// Returns the request to libevent, which sends pending output and frees it. No callback of this object is called afterwards.
 void Exchange::detachRequest()
 {
     if (m_closedEvent) {
@@ -370,7 +382,7 @@
     }
     evhttp_connection *connection = m_connectionFreed ? nullptr : evhttp_request_get_connection(m_request);
     if (connection) {
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        evhttp_connection_set_closecb(connection, m_closeCallback, m_closeArgument);
     }
     if (m_counted) {
         std::exchange(m_counted, nullptr)->endExchange();
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -87,6 +87,8 @@
     void setHeldAnswer(std::size_t bytes);
     /// Counts the bytes of this exchange; none by default.
     void setConnection(std::shared_ptr<CallerConnection> connection);
+    /// Called when the connection is closed before another request on it, also after the end of this exchange.
+    void setCloseCallback(void (*callback)(evhttp_connection *connection, void *argument), void *argument);
     /// Saves a copy of the answer from now on, also after the caller has disconnected. A copy larger than the limit is discarded.
     void saveAnswer(std::size_t limitBytes);
     /// Returns the saved answer, or nothing when there is none or it was too large.
@@ -128,6 +130,8 @@
     std::shared_ptr<const std::string> m_body;
     /// Null unless bytes are counted.
     std::shared_ptr<CallerConnection> m_counted;
+    void (*m_closeCallback)(evhttp_connection *connection, void *argument) = nullptr;
+    void *m_closeArgument = nullptr;
     std::optional<SavedAnswer> m_savedAnswer;
     /// 0: the answer is not saved.
     std::size_t m_saveLimitBytes = 0;
--- a/src/entry/httpserver.cpp
+++ b/src/entry/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <string_view>
 #include <utility>
@@ -80,7 +81,21 @@
 
 HttpServer::~HttpServer()
 {
-    evhttp_free(m_server);
+    close();
+}
+
+void HttpServer::close()
+{
+    m_load.reset();
+    m_socket = nullptr;
+    if (evhttp *server = std::exchange(m_server, nullptr)) {
+        evhttp_free(server);
+    }
+}
+
+bool HttpServer::hasAnswersUnderWay() const
+{
+    return std::ranges::any_of(m_pendingReads, [](const auto &entry) { return entry.second.isAnswering; });
 }
 
 void HttpServer::refuseWhileLate(Metrics &metrics)
@@ -188,7 +203,9 @@
     PendingRead &pending = m_pendingReads[input];
     if (!pending.counted) {
         pending.counted = std::make_shared<CallerConnection>(nextCallerId(), pending.connection, m_buffersChanged, [this](CallerConnection &closed) {
-            m_pendingReads[closed.input()].counted = nullptr;
+            PendingRead &closing = m_pendingReads[closed.input()];
+            closing.counted = nullptr;
+            closing.isAnswering = false;
             // Its close callback is still running.
             if (const auto held = m_countedConnections.extract(closed.id().value)) {
                 m_loop.releaseLater(held.mapped());
@@ -234,6 +251,11 @@
     }
 }
 
+void HttpServer::onClosed(evhttp_connection *connection, void *self)
+{
+    static_cast<HttpServer *>(self)->m_pendingReads[bufferevent_get_input(evhttp_connection_get_bufferevent(connection))].isAnswering = false;
+}
+
 void HttpServer::onRequest(evhttp_request *request, void *self)
 {
     auto *server = static_cast<HttpServer *>(self);
@@ -243,6 +265,7 @@
     evhttp_request_set_on_complete_cb(request, &HttpServer::onAnswerWritten, server);
     server->watchLoad();
     const auto exchange = std::make_shared<Exchange>(server->m_loop, request);
+    exchange->setCloseCallback(&HttpServer::onClosed, server);
     if (pending.counted) {
         exchange->setConnection(pending.counted);
         pending.counted->beginExchange(exchange);
--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -17,6 +17,7 @@
 
 struct evhttp;
 struct evhttp_bound_socket;
+struct evhttp_connection;
 struct bufferevent;
 struct evbuffer;
 struct evbuffer_cb_info;
@@ -47,6 +48,10 @@
     /// From now on reports the bytes that are held for each connection whenever they change, all 0 when it is closed. Also limits what the kernel holds of
     /// answers that are not read.
     void countBuffers(std::function<void(CallerId, const CallerBuffers &)> changed);
+    /// Whether any request was received whose answer is not written completely, on a connection that is open.
+    bool hasAnswersUnderWay() const;
+    /// Closes all connections and accepts none any more.
+    void close();
     /// The connection whose bytes are counted; null if it was closed.
     std::shared_ptr<CallerConnection> connection(CallerId id) const;
     /// A complete request was received.
@@ -61,6 +66,7 @@
     static bufferevent *onConnection(event_base *base, void *self);
     static void onInput(evbuffer *input, const evbuffer_cb_info *info, void *self);
     static void onAnswerWritten(evhttp_request *request, void *self);
+    static void onClosed(evhttp_connection *connection, void *self);
     void enforceReadLimit(evbuffer *input);
     void countInput(evbuffer *input, const evbuffer_cb_info &info);
     void limitSendBuffers();
@@ -70,6 +76,7 @@
     void setAccepting(bool accepting);
 
     EventLoop &m_loop;
+    /// Null after close().
     evhttp *m_server;
     /// Null while new connections are refused.
     evhttp_bound_socket *m_socket;
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -421,12 +421,14 @@
     }
     const TimePoint now = EventLoop::now();
     enforceGrace(now);
-    const bool isBusy = !m_requests.empty() || !m_exchangesToAbort.empty() || m_paths->relayedCount() > 0;
+    const bool isBusy = !m_requests.empty() || !m_exchangesToAbort.empty() || m_paths->relayedCount() > 0 || m_callerDoor->hasAnswersUnderWay();
     const bool refusesLateRequests
         = now - m_drainStartedAt < m_options.balancerDetectionTime + m_options.refusalTime && !(m_grace && m_grace->areFinalAnswersDue(now));
     if (isBusy || refusesLateRequests) {
         return;
     }
+    // A request that is read from now on might get no answer.
+    m_callerDoor->close();
     const std::function<void()> drained = std::move(m_drain->drained);
     m_drain->drained = [] {};
     drained();
