--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -201,6 +201,10 @@
         return;
     }
     addHeader("Content-Type", contentType);
+    if (endsWithConnection(m_request)) {
+        // libevent adds it for HTTP/1.1 only. Without it a part of the answer looks like all of it if this process ends meanwhile.
+        addHeader("Content-Length", std::to_string(body.size()));
+    }
     evhttp_request *request = m_request;
     detachRequest();
     evbuffer *content = evbuffer_new();
--- a/tests/proxy/unframedanswerstest.cpp
+++ b/tests/proxy/unframedanswerstest.cpp
@@ -50,6 +50,15 @@
         const std::string received = connection.readAll();
         return {received, connection.wasReset()};
     }
+    /// The bytes that an HTTP/1.0 caller gets.
+    std::string plainToHttp10(const std::string &body)
+    {
+        m_upstream.setAnswer({.contentType = "text/plain", .body = body, .moreHeaders = "Content-Length: " + std::to_string(body.size()) + "\r\n"});
+        RawConnection connection(vms.callerAddress(0));
+        connection.send("POST /deposits/a HTTP/1.0\r\nHost: desk.example\r\nCumindyke-Request-Id: " + nextId()
+                        + "\r\nCumindyke-Key: key-1\r\nContent-Length: 0\r\n\r\n");
+        return connection.readAll();
+    }
     /// An answer that comes before the upstream has read the request's body.
     HttpAnswer early(std::size_t requestBytes, End end)
     {
@@ -157,3 +166,15 @@
         }
     }
 }
+
+// Guards against a part of a plain answer that passes for all of it: a VM that is killed while it writes the answer closes its connections in order, and an
+// HTTP/1.0 caller got no length.
+TEST_CASE("a plain answer to an HTTP/1.0 caller has a length")
+{
+    UnframedAnswers answers(Cut::None, v1::STREAMING);
+    for (const std::string &body : {std::string("whole"), std::string(100 << 10, 'a')}) {
+        const std::string received = answers.plainToHttp10(body);
+        CHECK(received.find("Content-Length: " + std::to_string(body.size()) + "\r\n") != std::string::npos);
+        CHECK(received.ends_with("\r\n\r\n" + body));
+    }
+}
