A refused watch stays refused, and tests of leaving upstreams

A watch that was refused during an answer connected again and again. An upstream that no longer listens while it answers can be succeeded at its address, so a later connection would be the successor's and would pass as proof.

--- a/src/relay/processwatch.cpp
+++ b/src/relay/processwatch.cpp
@@ -155,8 +155,13 @@
         m_timer.startOnce(Duration::zero());
         return;
     }
-    m_reopenDelay = wasShort ? std::min(m_reopenDelay * 2, MaxReopenDelay) : Duration(HoldTime);
+    if (proof == AnswerEndProof::Refused) {
+        // The process no longer listens, so a later connection would be a successor's. A relay would also take repeated refusals for a lost path.
+        return;
+    }
+    m_reopenDelay = wasShort ? m_reopenDelay : Duration(HoldTime);
     m_timer.startOnce(m_reopenDelay);
+    m_reopenDelay = std::min(m_reopenDelay * 2, MaxReopenDelay);
 }
 
 void ProcessWatch::onTimer()
--- a/tests/fakeplatform/rawupstream.cpp
+++ b/tests/fakeplatform/rawupstream.cpp
@@ -19,6 +19,8 @@
 
 /// Lets the other end read the answer before its connection ends.
 constexpr Duration TimeBeforeEnd = std::chrono::milliseconds(30);
+/// Longer than the other end takes to find out that the address refuses connections.
+constexpr Duration TimeWithoutListening = std::chrono::milliseconds(300);
 constexpr std::string_view EndOfHead = "\r\n\r\n";
 
 std::string headerOf(const std::string &head, const std::string &name)
@@ -85,11 +87,14 @@
         }
         evbuffer_drain(input, request.size());
         m_answer = m_upstream.answer();
+        if (m_answer.end == End::StoppedListening) {
+            m_upstream.refuseConnections();
+        }
         const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: " + m_answer.contentType + "\r\nCumindyke-Request-Id: "
             + headerOf(head, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n" + m_answer.moreHeaders + "\r\n" + m_answer.body;
         bufferevent_write(m_connection, answer.data(), answer.size());
         if (m_answer.end != End::Never) {
-            m_timer.startOnce(TimeBeforeEnd);
+            m_timer.startOnce(m_answer.end == End::StoppedListening ? TimeWithoutListening : TimeBeforeEnd);
         }
     }
 
--- a/tests/fakeplatform/rawupstream.h
+++ b/tests/fakeplatform/rawupstream.h
@@ -22,6 +22,7 @@
         Closed, ///< in order, as a process does that has sent all
         Reset,
         ProcessEnded, ///< in order too, and the address refuses connections from then on
+        StoppedListening, ///< in order, and the address refuses connections from the request on, while the process still runs
         Never, ///< the connection stays open
     };
     struct Answer
--- a/tests/proxy/unframedanswerstest.cpp
+++ b/tests/proxy/unframedanswerstest.cpp
@@ -12,6 +12,7 @@
 
 using End = RawUpstream::End;
 
+constexpr const char *Leaving = "Server-Leaving: 1\r\n";
 constexpr const char *WholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 constexpr const char *StreamWithinEvent = "id: 1\ndata: a\n\nid: 2\nda";
 
@@ -48,9 +49,9 @@
         const std::string received = connection.readAll();
         return {received, connection.wasReset()};
     }
-    HttpAnswer plain(const std::string &body, End end = End::Closed)
+    HttpAnswer plain(const std::string &body, End end = End::Closed, const std::string &moreHeaders = {})
     {
-        m_upstream.setAnswer({.contentType = "text/plain", .body = body, .end = end});
+        m_upstream.setAnswer({.contentType = "text/plain", .body = body, .end = end, .moreHeaders = moreHeaders});
         return vms.request(0, nextId());
     }
 
@@ -132,3 +133,15 @@
         CHECK(answers.stream(WholeStream, End::Reset).failure == CallFailure::Lost);
     }
 }
+
+// Guards against losing whole answers of an upstream that is leaving and no longer listens, and against a part of one that looks complete since an upstream
+// that is leaving was not checked at all.
+TEST_CASE("an unframed answer of a leaving upstream is broken off only if its process ends")
+{
+    for (const Cut cut : {Cut::None, Cut::Refused}) {
+        CAPTURE(static_cast<int>(cut));
+        CHECK(UnframedAnswers(cut, v1::STREAMING).plain("whole", End::Closed, Leaving).body == "whole");
+        CHECK(UnframedAnswers(cut, v1::STREAMING).plain("whole", End::StoppedListening, Leaving).body == "whole");
+        CHECK(UnframedAnswers(cut, v1::STREAMING).plain("part", End::ProcessEnded, Leaving).status == 502);
+    }
+}
--- a/tests/relay/processwatchtest.cpp
+++ b/tests/relay/processwatchtest.cpp
@@ -21,11 +21,12 @@
 class Listener
 {
 public:
-    explicit Listener(const std::string &host)
+    explicit Listener(const std::string &host, std::uint16_t port = 0)
         : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         sockaddr_in bound{};
         bound.sin_family = AF_INET;
+        bound.sin_port = htons(port);
         inet_pton(AF_INET, host.c_str(), &bound.sin_addr);
         REQUIRE(bind(m_socket, reinterpret_cast<const sockaddr *>(&bound), sizeof bound) == 0);
         REQUIRE(listen(m_socket, 16) == 0);
@@ -160,3 +161,17 @@
     watch.runFor(std::chrono::milliseconds(5));
     CHECK(watch.proofAtEnd() == AnswerEndProof::Closed);
 }
+
+// Guards against a successor's connection that is taken for the process's own, since the process had stopped listening during its answer.
+TEST_CASE("a watch whose connection was refused during the answer stays unproved when a successor listens")
+{
+    const TestNetwork network;
+    Listener upstream(network.host(1));
+    const Address address = upstream.address;
+    upstream.end();
+    Watch watch(address);
+    watch.runFor(Settled);
+    const Listener successor(network.host(1), address.port);
+    watch.runFor(std::chrono::milliseconds(100));
+    CHECK(watch.proofAtEnd() == AnswerEndProof::Refused);
+}
