--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -234,7 +234,7 @@
     }
     addHeader("Content-Type", contentType);
     if (!m_connectionFreed && endsWithConnection(m_request)) {
-        // Only endStream() may look like the end of the answer.
+        // Only an answer that was ended and written may look like a whole one.
         setResetOnClose(m_request, true);
         addHeader("Connection", "close");
     }
@@ -277,13 +277,17 @@
         return;
     }
     evhttp_request *request = m_request;
-    if (!m_connectionFreed && endsWithConnection(request)) {
-        setResetOnClose(request, false);
-    }
     detachRequest();
     evhttp_send_reply_end(request);
 }
 
+void Exchange::allowEndInOrder(evhttp_request *request)
+{
+    if (endsWithConnection(request)) {
+        setResetOnClose(request, false);
+    }
+}
+
 void Exchange::abort()
 {
     if (!m_request) {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -87,6 +87,8 @@
     void setHeldAnswer(std::size_t bytes);
     /// Counts the bytes of this exchange; none by default.
     void setConnection(std::shared_ptr<CallerConnection> connection);
+    /// Lets the connection of an HTTP/1.0 caller end in order: all of the answer has been written. Until then the end of this process resets it.
+    static void allowEndInOrder(evhttp_request *request);
     /// Called when the connection is closed before another request on it, also after the end of this exchange.
     void setCloseCallback(void (*callback)(evhttp_connection *connection, void *argument), void *argument);
     /// Saves a copy of the answer from now on, also after the caller has disconnected. A copy larger than the limit is discarded.
--- a/src/entry/httpserver.cpp
+++ b/src/entry/httpserver.cpp
@@ -243,6 +243,7 @@
 
 void HttpServer::onAnswerWritten(evhttp_request *request, void *self)
 {
+    Exchange::allowEndInOrder(request);
     evbuffer *input = bufferevent_get_input(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)));
     PendingRead &pending = static_cast<HttpServer *>(self)->m_pendingReads[input];
     pending.isAnswering = false;
--- a/src/relay/processwatch.cpp
+++ b/src/relay/processwatch.cpp
@@ -26,7 +26,7 @@
 /// A connection that is opened within this time before the end may belong to a successor.
 constexpr Duration SettleTime = std::chrono::milliseconds(1);
 constexpr Duration RelaySettleTime = std::chrono::milliseconds(25);
-/// Bounds the connections to an upstream that closes those without a request soon.
+/// Bounds the attempts to connect to an upstream that does not answer.
 constexpr Duration MaxReopenDelay = std::chrono::seconds(1);
 constexpr std::size_t MaxRelayAnswerBytes = 4096;
 constexpr std::string_view EndOfHead = "\r\n\r\n";
@@ -134,7 +134,6 @@
 void ProcessWatch::onOpen()
 {
     m_phase = Phase::Open;
-    m_openedAt = EventLoop::now();
     if (m_then) {
         m_timer.startOnce(HoldTime);
     } else {
@@ -142,21 +141,20 @@
     }
 }
 
-/// While the answer goes on, an upstream may close a connection without a request. It is opened again only once the end of the answer would have
-/// followed, if the process had ended.
+/// A connection that is opened again after one was refused or closed may be a successor's: the answer's end can be seen much later than it happens, since
+/// its caller reads slowly or the link is slow.
 void ProcessWatch::onEnd(AnswerEndProof proof)
 {
-    const bool wasShort = m_phase != Phase::Open || EventLoop::now() - m_openedAt < MaxReopenDelay;
     m_phase = Phase::Ended;
     m_isInTime = false;
     m_lastEnd = proof;
     disconnect();
     if (m_then) {
         m_timer.startOnce(Duration::zero());
-        return;
+    } else if (proof == AnswerEndProof::NoAnswer) {
+        m_timer.startOnce(m_reopenDelay);
+        m_reopenDelay = std::min(m_reopenDelay * 2, MaxReopenDelay);
     }
-    m_reopenDelay = wasShort ? std::min(m_reopenDelay * 2, MaxReopenDelay) : Duration(HoldTime);
-    m_timer.startOnce(m_reopenDelay);
 }
 
 void ProcessWatch::onTimer()
--- a/src/relay/processwatch.h
+++ b/src/relay/processwatch.h
@@ -25,7 +25,7 @@
 ///
 /// A killed process closes its connections in order, as one does that has sent a whole answer without a length or chunks. A connection to the address
 /// after the end proves nothing: a supervisor's successor may already listen. The held connection is in the backlog of the process, or accepted by it, so
-/// it ends with that process, and no successor can hold it.
+/// it ends with that process, and no successor can hold it, unless processes share one listening socket.
 class ProcessWatch
 {
 public:
@@ -64,10 +64,9 @@
     bool m_isInTime = false;
     /// Why the last connection ended.
     AnswerEndProof m_lastEnd = AnswerEndProof::NoAnswer;
-    TimePoint m_openedAt{};
     Duration m_reopenDelay = HoldTime;
     std::function<void(AnswerEndProof)> m_then;
-    /// Before the answer's end: until an open connection is in time, or until one that has ended is opened again. After it: until the result.
+    /// Before the answer's end: until an open connection is in time, or until another attempt to open one. After it: until the result.
     Timer m_timer;
 };
 
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -374,6 +374,10 @@
 /// The connection has ended, in order unless m_writeFailed is set.
 void UpstreamCall::Private::handleClosed()
 {
+    if (m_answer.isWhole()) {
+        finish();
+        return;
+    }
     const bool mayBeWhole = m_answer.endsWithConnection() && m_request.allowsCloseDelimitedBody && !m_writeFailed && !hasUnsentBytes();
     if (mayBeWhole) {
         m_hasEnded = true;
--- a/tests/fakeplatform/rawupstream.h
+++ b/tests/fakeplatform/rawupstream.h
@@ -23,6 +23,7 @@
         Reset,
         ClosedThenReset, ///< in order, and reset TimeBeforeReset later
         ProcessEnded, ///< in order too, and the address refuses connections from then on
+        StoppedListening, ///< in order, and the address refuses connections from the request on, while the process still runs
         Never, ///< the connection stays open
     };
     struct Answer
