An unframed answer whose process was not watched in time is broken off

The watch had been opened only as the answer ended, for an upstream whose answer before had been framed, so a successor could hold it, and it was accepted all the same.

held-late is no proof any more. So that sound answers are not lost with it, the watch begins with the request unless all answers of the upstream on the route had a length or chunks so far, and an upstream that has sent an unframed answer once is watched from then on. It costs one connection for each upstream and route that has not answered yet.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t MaxBufferedBytes = 256 << 10;
 /// Number of events from which an upstream's pace is measured.
 constexpr std::uint32_t EventsForPace = 4;
-/// Bounds the memory of upstreams that have ended.
+/// Bounds the memory of upstreams and routes that are gone.
 constexpr std::size_t MaxUnframedAnswers = 4096;
 constexpr int FirstServerError = 500;
 /// When a caller has this many bytes unread, reading from its upstream is paused; with a buffer budget, BufferBudget::readAheadLimit() applies.
@@ -250,20 +250,19 @@
     }
 }
 
-/// The watch of an unframed answer begins with its head at the latest. A short answer may have ended by then, so for an upstream whose last answer was
-/// unframed it begins with the request.
+/// A short answer may have ended when its head is read, so the watch begins with the request, unless all answers of the upstream on the route had a length
+/// or chunks so far.
 void ProxyTask::recordFraming(ProxyRequest &request, BodyFraming framing)
 {
-    const std::pair<InstanceName, std::string> key{request.upstream.name, request.parsed.route->name()};
+    if (m_unframedAnswers.size() >= MaxUnframedAnswers) {
+        m_unframedAnswers.clear();
+    }
+    bool &hasUnframed = m_unframedAnswers[{request.upstream.name, request.parsed.route->name()}];
     if (framing != BodyFraming::ConnectionClose) {
-        m_unframedAnswers.erase(key);
         request.processWatch.reset();
         return;
     }
-    if (m_unframedAnswers.size() >= MaxUnframedAnswers) {
-        m_unframedAnswers.clear();
-    }
-    m_unframedAnswers.insert(key);
+    hasUnframed = true;
     if (!request.processWatch) {
         watchProcess(request);
     }
@@ -401,7 +400,7 @@
         ended->endCheck = isIntact ? toString(proof) : "reset";
         // An upstream that is leaving may have closed its listening socket, and its answer is whole all the same.
         const bool mayRefuse = parseAnswerSignals(ended->answerHead, m_options.headers.signals).isLeaving;
-        const bool isProved = proof == AnswerEndProof::Held || proof == AnswerEndProof::HeldLate || (proof == AnswerEndProof::Refused && mayRefuse);
+        const bool isProved = proof == AnswerEndProof::Held || (proof == AnswerEndProof::Refused && mayRefuse);
         if (isIntact && isProved) {
             completeAnswer(*ended);
         } else {
--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -13,7 +13,8 @@
     if (!request) {
         return;
     }
-    if (m_unframedAnswers.contains({request->upstream.name, request->parsed.route->name()})) {
+    const auto answers = m_unframedAnswers.find({request->upstream.name, request->parsed.route->name()});
+    if (answers == m_unframedAnswers.end() || answers->second) {
         watchProcess(*request);
     }
     if (!request->relay) {
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -249,8 +249,8 @@
     /// Ended requests. Their signals may still be running, so they are destroyed from the loop.
     std::vector<std::unique_ptr<ProxyRequest>> m_endedRequests;
     std::vector<std::shared_ptr<Exchange>> m_exchangesToAbort;
-    /// Upstreams and routes whose last answer had neither a length nor chunks.
-    std::set<std::pair<InstanceName, std::string>> m_unframedAnswers;
+    /// Upstreams and routes that have answered: whether an answer had neither a length nor chunks.
+    std::map<std::pair<InstanceName, std::string>, bool> m_unframedAnswers;
     Timer m_cleanUpTimer;
     Timer m_drainTimer;
     Timer m_tallyTimer;
