--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -437,6 +437,8 @@
     std::atomic<bool> ended{false};
     /// Each of so many answers has no length and is broken off by a reset; 0: none.
     std::atomic<int> breakEvery{0};
+    /// Each of so many answers is lost: the request runs, and the channel is reset before the answer; 0: none.
+    std::atomic<int> loseEvery{0};
     std::atomic<int> answers{0};
     Listener listener;
     std::mutex mutex;
@@ -567,6 +569,12 @@
             record.line("run      %s %s id=%s", id.c_str(), ended ? "ends and cuts off" : "drops", request.header("Cumindyke-Request-Id").c_str());
             return false;
         }
+        if (loseEvery > 0 && ++answers % loseEvery == 0) {
+            runs.setEnd(index, "answer lost");
+            record.line("run      %s loses its answer to id=%s", id.c_str(), request.header("Cumindyke-Request-Id").c_str());
+            channel.reset();
+            return false;
+        }
         if (breakEvery > 0 && ++answers % breakEvery == 0) {
             const std::string whole = "answer of " + id + " to " + request.header("Cumindyke-Request-Id");
             channel.send("HTTP/1.1 200 OK\r\nCumindyke-Request-Id: " + request.header("Cumindyke-Request-Id")
