--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -755,6 +755,13 @@
         waitpid(m_processes.at(ip), nullptr, 0);
         m_processes.erase(ip);
     }
+    /// To be called while the process of the core doesn't run.
+    void loseDisk(int core)
+    {
+        record.line("disk     of %s is lost", coreIp(core).c_str());
+        std::error_code ignored;
+        std::filesystem::remove_all(dataFolder(coreIp(core)), ignored);
+    }
     pid_t processOf(const std::string &ip) const
     {
         return m_processes.at(ip);
@@ -828,6 +835,10 @@
     int runnerPort = 0;
 
 private:
+    std::string dataFolder(const std::string &ip) const
+    {
+        return m_folder + "/data-" + ip;
+    }
     /// What the platform makes of platform/settings.toml.template.
     std::string settings(const std::string &ip, const std::string &zoneName, bool isCore, bool bootstrap) const
     {
@@ -841,7 +852,7 @@
              << "]\nform_cluster = " << (bootstrap ? "true" : "false")
              << "\nwanted_voters = 7\nreplace_replica_after_ms = 1500\nkeep_admitting_ms = 1800\nconfirm_within_ms = 2000\nlimit_slack = 190000\n"
                 "shutdown_grace_s = 8\ndata_folder = \""
-             << (isCore ? m_folder + "/data-" + ip : "") << "\"\n";
+             << (isCore ? dataFolder(ip) : "") << "\"\n";
         if (isCore) {
             text << "operator_api = \"" << ip << ":" << controlPort << "\"\n";
         } else {
