--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -195,7 +195,6 @@
         pollfd state{.fd = m_socket, .events = POLLIN, .revents = 0};
         const double left = deadline - now();
         if (left <= 0 || poll(&state, 1, static_cast<int>(left * 1000) + 1) <= 0) {
-            m_timedOut = true;
             return false;
         }
         char bytes[16384];
@@ -217,7 +216,7 @@
         pollfd state{.fd = m_socket, .events = POLLRDHUP, .revents = 0};
         return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
-    /// Reads a request, or a response; "hasBody" is false for a response to HEAD.
+    /// Reads a request or a response. Returns nothing if the connection ended before it was complete, or at the deadline.
     std::optional<Message> read(double deadline, bool isRequest)
     {
         std::size_t end = 0;
@@ -300,7 +299,6 @@
 
     int m_socket;
     bool m_ended = false;
-    bool m_timedOut = false;
     std::string m_buffer;
 };
 
