A relay passes a reset on as a reset while bytes wait for the other VM

Cause: Tunnel::end() set the phase Closing and left the tunnel to the loop. If bytes of the answer still waited for the other VM, their write callback came before the release, and written() took Closing for the end of closeAfterFlush(): it switched the reset on close off. One phase had two meanings. They are two now, FlushingEnd and Ended, and an ended tunnel has no callbacks and writes nothing any more. The time between the upstream's end and the check for a reset has a phase of its own too (UpstreamEnded): a second end of it can't start the check again.

Evidence: the new test resets 400 connections right behind the last bytes.

--- a/src/relay/relayserver.cpp
+++ b/src/relay/relayserver.cpp
@@ -92,7 +92,14 @@
     Tunnel &operator=(const Tunnel &) = delete;
 
 private:
-    enum class Phase { ReadingRequest, Connecting, Open, Closing };
+    enum class Phase {
+        ReadingRequest,
+        Connecting,
+        Open,
+        UpstreamEnded, ///< the upstream has ended its connection in order; a reset may still follow
+        FlushingEnd, ///< the other VM's connection ends in order as soon as all bytes are written
+        Ended, ///< the other VM's connection is reset, unless endInOrder() came first
+    };
 
     static void onRead(bufferevent *from, void *self)
     {
@@ -117,7 +124,7 @@
     void onTimeout();
     void passOnEnd();
     void refuse(int status);
-    void closeAfterFlush();
+    void endAfterFlush();
     void endInOrder();
     void end();
 
@@ -136,7 +143,8 @@
         readRequest();
         return;
     }
-    if (m_phase != Phase::Open) {
+    const bool isOpen = m_phase == Phase::Open || (m_phase == Phase::UpstreamEnded && from == m_caller);
+    if (!isOpen) {
         return;
     }
     bufferevent *to = from == m_caller ? m_upstream : m_caller;
@@ -190,6 +198,7 @@
     if (from == m_upstream && m_phase == Phase::Connecting) {
         onConnectFailed(false);
     } else if (from == m_upstream && m_phase == Phase::Open && (what & BEV_EVENT_EOF)) {
+        m_phase = Phase::UpstreamEnded;
         m_timer.startOnce(EndCheckDelay);
     } else {
         // The other VM has left, so its request is cancelled, or the upstream has reset the connection.
@@ -226,7 +235,7 @@
     const auto self = shared_from_this();
     if (m_phase == Phase::Connecting) {
         onConnectFailed(true);
-    } else if (m_phase == Phase::Open) {
+    } else if (m_phase == Phase::UpstreamEnded) {
         passOnEnd();
     } else {
         end();
@@ -238,7 +247,7 @@
 {
     const bool isIntact = evbuffer_get_length(bufferevent_get_output(m_upstream)) == 0 && hasIntactEnd(bufferevent_getfd(m_upstream));
     if (isIntact) {
-        closeAfterFlush();
+        endAfterFlush();
     } else {
         end();
     }
@@ -249,25 +258,23 @@
     const std::string head = answer(status);
     bufferevent_write(m_caller, head.data(), head.size());
     m_timer.startOnce(m_server.m_options.connectTimeout);
-    closeAfterFlush();
+    endAfterFlush();
 }
 
 void RelayServer::Tunnel::written(bufferevent *to)
 {
-    if (m_phase == Phase::Closing) {
-        if (to == m_caller) {
-            endInOrder();
-        }
-        return;
-    }
-    if (m_phase == Phase::Open) {
+    if (m_phase == Phase::FlushingEnd && to == m_caller) {
+        endInOrder();
+    } else if (m_phase == Phase::Open) {
         bufferevent_enable(to == m_caller ? m_upstream : m_caller, EV_READ);
+    } else if (m_phase == Phase::UpstreamEnded && to == m_upstream) {
+        bufferevent_enable(m_caller, EV_READ);
     }
 }
 
-void RelayServer::Tunnel::closeAfterFlush()
+void RelayServer::Tunnel::endAfterFlush()
 {
-    m_phase = Phase::Closing;
+    m_phase = Phase::FlushingEnd;
     if (m_upstream) {
         bufferevent_disable(m_upstream, EV_READ | EV_WRITE);
     }
@@ -282,10 +289,17 @@
     end();
 }
 
+/// The loop frees the connections later, so until then no callback may run and nothing may be written.
 void RelayServer::Tunnel::end()
 {
-    m_phase = Phase::Closing;
+    m_phase = Phase::Ended;
     m_timer.stop();
+    for (bufferevent *connection : {m_caller, m_upstream}) {
+        if (connection) {
+            bufferevent_disable(connection, EV_READ | EV_WRITE);
+            bufferevent_setcb(connection, nullptr, nullptr, nullptr, nullptr);
+        }
+    }
     m_server.remove(*this);
 }
 
--- a/tests/relay/relayservertest.cpp
+++ b/tests/relay/relayservertest.cpp
@@ -3,12 +3,19 @@
 #include "common/mailbox.h"
 #include "entry/httpserver.h"
 #include "fakeplatform/rawupstream.h"
+#include "support/listeningsocket.h"
 #include "support/processes.h"
 #include "support/rawconnection.h"
 
 #include <catch2/catch.hpp>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
 #include <atomic>
+#include <string_view>
 #include <thread>
 
 using namespace cumindyke;
@@ -110,6 +117,50 @@
     std::thread m_thread;
 };
 
+/// An upstream that sends the head and a part of the body of an unframed answer, and resets the connection at once.
+class ResettingUpstream
+{
+public:
+    explicit ResettingUpstream(const std::string &host)
+        : m_listener(host)
+        , m_thread([this] { serve(); })
+    {
+    }
+    ~ResettingUpstream()
+    {
+        m_listener.shutDown();
+        m_thread.join();
+    }
+    ResettingUpstream(const ResettingUpstream &) = delete;
+    ResettingUpstream &operator=(const ResettingUpstream &) = delete;
+
+    const Address &address() const
+    {
+        return m_listener.address();
+    }
+
+private:
+    void serve() const
+    {
+        constexpr std::string_view Part = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nCumindyke-Request-Id: r\r\n\r\npart";
+        for (int connection = m_listener.accept(); connection >= 0; connection = m_listener.accept()) {
+            std::string request;
+            std::array<char, 4096> bytes{};
+            for (ssize_t got = 1; got > 0 && request.find("\r\n\r\n") == std::string::npos;) {
+                got = recv(connection, bytes.data(), bytes.size(), 0);
+                request.append(bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+            }
+            send(connection, Part.data(), Part.size(), MSG_NOSIGNAL);
+            const linger discard{.l_onoff = 1, .l_linger = 0};
+            setsockopt(connection, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+            close(connection);
+        }
+    }
+
+    const ListeningSocket m_listener;
+    std::thread m_thread;
+};
+
 }
 
 TEST_CASE("an answer comes whole through a relay")
@@ -130,6 +181,24 @@
     CHECK(answer.failure == CallFailure::Lost);
 }
 
+// Guards against a reset that is passed on as an end in order: part of an answer without a length or chunks would look complete behind the relay.
+TEST_CASE("an unframed answer whose connection is reset right behind its last bytes is broken off behind a relay")
+{
+    constexpr int Requests = 400;
+    const Relay relay;
+    const ResettingUpstream upstream(relay.network.host(3));
+    int ended = 0;
+    int received = 0;
+    for (int request = 0; request < Requests; ++request) {
+        const HttpAnswer answer = relay.request("/", upstream.address());
+        ended += answer.failure ? 0 : 1;
+        received += answer.body.empty() ? 0 : 1;
+    }
+    CHECK(ended == 0);
+    // Guards against a test whose upstream resets the connection before its answer is read.
+    CHECK(received > 0);
+}
+
 // Guards against an answer without a length or chunks that looks complete because the relay's process ended.
 TEST_CASE("an unframed answer is broken off when its relay ends")
 {
