The end of an unframed answer is proved by an answer of its process

Cause: a second connection that had not ended 20 ms after the answer's was taken for proof that the process runs. A kill ends both connections, but by packets of their own: one that is lost comes 200 ms later and more, and a process that loses the processor while it is killed closes its sockets one after the other. Silence proves nothing, for however long.

Now the second connection is opened before the request is sent, and a health check is sent on it after the answer's end. Only the process that held it before the request can answer, so the process that answered the request still runs. A reset, silence until the deadline, a 408 that may have been sent before, a 421 or another upstream's name prove nothing, and the answer is broken off. An upstream that says that it leaves needs the proof like any other. What it costs: the request waits for the second connection, which is opened beside its own (250 ms at most; it is sent without a watch then), a probe an unframed answer, and the first unframed answer of an upstream on a route whose answers were framed so far is broken off ("unwatched"). The tests of the watch have a stand-in that answers now; that an unaccepted connection stays open is no proof any more, so that section expects "unanswered".

Evidence: "an unframed answer of an ended upstream whose other connections end later is broken off for its caller" plays a process whose other connections end 250 ms later.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -126,6 +126,10 @@
     request.call->data().connect([this, localId](std::string_view bytes) { onAnswerData(localId, bytes); });
     request.call->finished().connect([this, localId] { onAnswerEnd(localId); });
     request.call->failed().connect([this, localId](CallFailure failure) { onCallFailed(localId, failure); });
+    if (mayBeUnframed(request)) {
+        request.call->holdRequest();
+        watchProcess(request);
+    }
     request.call->start();
 }
 
@@ -250,33 +254,45 @@
     }
 }
 
-/// A short answer may have ended when its head is read, so the watch begins with the request, unless all answers of the upstream on the route had a length
-/// or chunks so far.
 void ProxyTask::recordFraming(ProxyRequest &request, BodyFraming framing)
 {
     if (m_unframedAnswers.size() >= MaxUnframedAnswers) {
         m_unframedAnswers.clear();
     }
     bool &hasUnframed = m_unframedAnswers[{request.upstream.name, request.parsed.route->name()}];
+    hasUnframed = hasUnframed || framing == BodyFraming::ConnectionClose;
     if (framing != BodyFraming::ConnectionClose) {
         request.processWatch.reset();
-        return;
-    }
-    hasUnframed = true;
-    if (!request.processWatch) {
-        watchProcess(request);
     }
 }
 
-/// Must begin while the answer is under way: after its end a successor of the process may already listen at the address.
+/// A watch costs a connection, so it is opened only until all answers of the upstream on the route have a length or chunks.
+bool ProxyTask::mayBeUnframed(const ProxyRequest &request) const
+{
+    const auto answers = m_unframedAnswers.find({request.upstream.name, request.parsed.route->name()});
+    return answers == m_unframedAnswers.end() || answers->second;
+}
+
+/// The request is sent when the watch is open: a connection that was opened later may be a successor's.
 void ProxyTask::watchProcess(ProxyRequest &request)
 {
+    const v1::RoutedService *service = request.parsed.routes->service(request.parsed.service.value);
+    const bool hasHealthPath = service && service->health_path().starts_with('/');
+    LivenessRequest liveness{.target = hasHealthPath ? service->health_path() : "/",
+                             .host = request.exchange->header("Host"),
+                             .headers = {{m_options.headers.expectedInstance, request.upstream.name.value}},
+                             .instanceHeader = m_options.headers.instance,
+                             .instance = request.upstream.name.value};
+    const auto onOpened = [this, localId = request.localId] {
+        ProxyRequest *opened = find(localId);
+        if (opened && opened->call) {
+            opened->call->releaseRequest();
+        }
+    };
     const Address &upstream = request.upstream.address;
-    if (request.relay) {
-        request.processWatch = std::make_shared<ProcessWatch>(m_loop, upstream, m_paths->relayAddress(*request.relay));
-    } else {
-        request.processWatch = std::make_shared<ProcessWatch>(m_loop, m_paths->connectAddress(upstream), std::nullopt);
-    }
+    const Address connectTo = request.relay ? upstream : m_paths->connectAddress(upstream);
+    const std::optional<Address> relay = request.relay ? std::optional(m_paths->relayAddress(*request.relay)) : std::nullopt;
+    request.processWatch = std::make_shared<ProcessWatch>(m_loop, connectTo, relay, std::move(liveness), onOpened);
 }
 
 void ProxyTask::onAnswerData(LocalRequestId localId, std::string_view bytes)
@@ -389,26 +405,31 @@
 /// So the end of an answer without a length or chunks is the answer's own only if the process is proved to run still, and the connection is still intact.
 void ProxyTask::verifyUnframedEnd(ProxyRequest &request)
 {
-    request.processWatch->verifyEnd([this, localId = request.localId](AnswerEndProof proof) {
-        ProxyRequest *ended = find(localId);
-        if (!ended) {
-            return;
-        }
-        // The watch is still running this callback.
-        m_loop.releaseLater(std::move(ended->processWatch));
-        const bool isIntact = ended->call && ended->call->hasIntactEnd();
-        ended->endCheck = isIntact ? toString(proof) : "reset";
-        // An upstream that is leaving may have closed its listening socket, and its answer is whole all the same.
-        const bool mayRefuse = parseAnswerSignals(ended->answerHead, m_options.headers.signals).isLeaving;
-        const bool isProved = proof == AnswerEndProof::Held || (proof == AnswerEndProof::Refused && mayRefuse);
-        if (isIntact && isProved) {
-            completeAnswer(*ended);
-        } else {
-            onCallFailed(localId, CallFailure::Lost);
+    if (!request.processWatch) {
+        handleEndCheck(request, AnswerEndProof::Unwatched);
+        return;
+    }
+    const Duration timeLeft = request.parsed.deadline - EventLoop::now();
+    request.processWatch->verifyEnd(timeLeft, [this, localId = request.localId](AnswerEndProof proof) {
+        if (ProxyRequest *ended = find(localId)) {
+            // The watch is still running this callback.
+            m_loop.releaseLater(std::move(ended->processWatch));
+            handleEndCheck(*ended, proof);
         }
     });
 }
 
+void ProxyTask::handleEndCheck(ProxyRequest &request, AnswerEndProof proof)
+{
+    const bool isIntact = request.call && request.call->hasIntactEnd();
+    request.endCheck = isIntact ? toString(proof) : "reset";
+    if (isIntact && proof == AnswerEndProof::Answered) {
+        completeAnswer(request);
+    } else {
+        onCallFailed(request.localId, CallFailure::Lost);
+    }
+}
+
 void ProxyTask::completeAnswer(ProxyRequest &request)
 {
     m_suspects.recordAnswer(request.parsed.id, request.content(), request.suspectState);
--- a/src/proxy/proxypaths.cpp
+++ b/src/proxy/proxypaths.cpp
@@ -13,10 +13,6 @@
     if (!request) {
         return;
     }
-    const auto answers = m_unframedAnswers.find({request->upstream.name, request->parsed.route->name()});
-    if (answers == m_unframedAnswers.end() || answers->second) {
-        watchProcess(*request);
-    }
     if (!request->relay) {
         m_paths->recordConnected(request->upstream.address);
         m_placement->recordReached(processOf(request->upstream));
--- a/src/proxy/proxyrequest.h
+++ b/src/proxy/proxyrequest.h
@@ -118,7 +118,7 @@
     EventSplitter eventSplitter;
     /// Set while the answer ends only with its connection.
     std::optional<SecondAnswer> secondAnswer;
-    /// Of the current call; null unless its answer has neither a length nor chunks.
+    /// Of the current call; null if its answer has a length or chunks, or none without them was expected.
     std::shared_ptr<ProcessWatch> processWatch;
     /// What was found at the end of an unframed answer; empty: no answer without a length or chunks came to its end.
     std::string endCheck;
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -158,8 +158,10 @@
     void dropAnswer(ProxyRequest &request, const char *change);
     void onAnswerEnd(LocalRequestId localId);
     void recordFraming(ProxyRequest &request, BodyFraming framing);
+    bool mayBeUnframed(const ProxyRequest &request) const;
     void watchProcess(ProxyRequest &request);
     void verifyUnframedEnd(ProxyRequest &request);
+    void handleEndCheck(ProxyRequest &request, AnswerEndProof proof);
     void completeAnswer(ProxyRequest &request);
     void onCallFailed(LocalRequestId localId, CallFailure failure);
     void recordRequestLimit(const ProxyRequest &request, const AnswerHead &head);
@@ -249,7 +251,8 @@
     /// Ended requests. Their signals may still be running, so they are destroyed from the loop.
     std::vector<std::unique_ptr<ProxyRequest>> m_endedRequests;
     std::vector<std::shared_ptr<Exchange>> m_exchangesToAbort;
-    /// Upstreams and routes that have answered: whether an answer had neither a length nor chunks.
+    /// Upstreams and routes that have answered: whether an answer had neither a length nor chunks. An upstream's first such answer on a route behind framed
+    /// ones is broken off, since its process was not watched.
     std::map<std::pair<InstanceName, std::string>, bool> m_unframedAnswers;
     Timer m_cleanUpTimer;
     Timer m_drainTimer;
--- a/src/proxy/proxytypes.h
+++ b/src/proxy/proxytypes.h
@@ -52,6 +52,8 @@
     std::string organisation;
     /// Name of the upstream process that may run the request; only set by this system.
     std::string expectedInstance;
+    /// On an answer to a health check: name of the upstream process.
+    std::string instance;
     /// On an answer: proof that the upstream made it. A success without it was made by something else.
     std::string answerProof;
     /// On an answer: the upstream did not run the request.
--- a/src/relay/processwatch.cpp
+++ b/src/relay/processwatch.cpp
@@ -2,7 +2,6 @@
 
 #include "common/address.h"
 #include "relay/relayserver.h"
-#include "upstream/upstreamcall.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -10,7 +9,6 @@
 #include <event2/util.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <netinet/in.h>
 #include <string>
 #include <string_view>
@@ -22,60 +20,59 @@
 namespace
 {
 
-/// The end of an answer's connection is seen this much later than it happens: a loop's turn, and for a relay the time for which it waits for a reset.
-/// A connection that is opened within this time before the end may belong to a successor.
-constexpr Duration SettleTime = std::chrono::milliseconds(1);
-constexpr Duration RelaySettleTime = std::chrono::milliseconds(25);
-/// Bounds the attempts to connect to an upstream that does not answer.
-constexpr Duration MaxReopenDelay = std::chrono::seconds(1);
-constexpr std::size_t MaxRelayAnswerBytes = 4096;
-constexpr std::string_view EndOfHead = "\r\n\r\n";
+/// The server has waited too long for a request: it may have sent this before it got ours (RFC 9110, 15.5.9).
+constexpr int StatusRequestTimeout = 408;
+/// Another process answers at the address.
+constexpr int StatusMisdirected = 421;
+
+std::string takeAll(evbuffer *input)
+{
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    return bytes;
+}
 
 }
 
 const char *toString(AnswerEndProof proof)
 {
     switch (proof) {
-    case AnswerEndProof::Held:
-        return "held";
-    case AnswerEndProof::HeldLate:
-        return "held-late";
-    case AnswerEndProof::Refused:
-        return "refused";
+    case AnswerEndProof::Answered:
+        return "answered";
     case AnswerEndProof::Closed:
         return "closed";
-    case AnswerEndProof::NoAnswer:
-        return "no-answer";
+    case AnswerEndProof::Unanswered:
+        return "unanswered";
+    case AnswerEndProof::Unwatched:
+        return "unwatched";
     }
     return "";
 }
 
-ProcessWatch::ProcessWatch(EventLoop &loop, const Address &upstream, const std::optional<Address> &relay)
+ProcessWatch::ProcessWatch(EventLoop &loop, const Address &upstream, const std::optional<Address> &relay, LivenessRequest request, std::function<void()> opened)
     : m_loop(loop)
     , m_upstream(upstream)
     , m_relay(relay)
+    , m_request(std::move(request))
+    , m_opened(std::move(opened))
     , m_timer(loop, [this] { onTimer(); })
 {
-    connect();
-}
-
-ProcessWatch::~ProcessWatch()
-{
-    disconnect();
-}
-
-void ProcessWatch::connect()
-{
-    m_phase = Phase::Connecting;
+    m_timer.startOnce(ConnectTimeout);
     m_connection = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(m_connection, &ProcessWatch::onRead, nullptr, &ProcessWatch::onEvent, this);
     bufferevent_enable(m_connection, EV_READ | EV_WRITE);
     const std::optional<sockaddr_in> address = socketAddress(m_relay.value_or(m_upstream));
     if (!address || bufferevent_socket_connect(m_connection, reinterpret_cast<const sockaddr *>(&*address), sizeof *address) != 0) {
-        onEnd(AnswerEndProof::NoAnswer);
+        m_phase = Phase::Ended;
+        m_timer.startOnce(Duration::zero());
     }
 }
 
+ProcessWatch::~ProcessWatch()
+{
+    disconnect();
+}
+
 void ProcessWatch::disconnect()
 {
     if (m_connection) {
@@ -86,12 +83,18 @@
 void ProcessWatch::onRead(bufferevent *connection, void *self)
 {
     auto *watch = static_cast<ProcessWatch *>(self);
-    evbuffer *input = bufferevent_get_input(connection);
-    if (watch->m_relay && watch->m_phase == Phase::Connecting) {
+    switch (watch->m_phase) {
+    case Phase::Connecting:
         watch->readRelayAnswer();
-    } else {
+        break;
+    case Phase::Asked:
+        watch->readAnswer();
+        break;
+    case Phase::Open:
+    case Phase::Ended:
         // Nothing was asked for.
-        evbuffer_drain(input, evbuffer_get_length(input));
+        takeAll(bufferevent_get_input(connection));
+        break;
     }
 }
 
@@ -99,9 +102,7 @@
 {
     auto *watch = static_cast<ProcessWatch *>(self);
     if ((what & BEV_EVENT_CONNECTED) == 0) {
-        const bool isRefused = (what & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ECONNREFUSED && !watch->m_relay;
-        const AnswerEndProof failure = isRefused ? AnswerEndProof::Refused : AnswerEndProof::NoAnswer;
-        watch->onEnd(watch->m_phase == Phase::Open ? AnswerEndProof::Closed : failure);
+        watch->onEnd(watch->m_phase == Phase::Connecting ? AnswerEndProof::Unwatched : AnswerEndProof::Closed);
     } else if (watch->m_relay) {
         const std::string target = toString(watch->m_upstream);
         const std::string request = "CONNECT " + target + " HTTP/1.1\r\nHost: " + target + "\r\n\r\n";
@@ -114,77 +115,96 @@
 /// From the relay's answer on, the connection ends with the one that the relay has opened.
 void ProcessWatch::readRelayAnswer()
 {
-    evbuffer *input = bufferevent_get_input(m_connection);
-    if (evbuffer_search(input, EndOfHead.data(), EndOfHead.size(), nullptr).pos < 0) {
-        if (evbuffer_get_length(input) > MaxRelayAnswerBytes) {
-            onEnd(AnswerEndProof::NoAnswer);
-        }
+    const std::string received = takeAll(bufferevent_get_input(m_connection));
+    std::string_view bytes = received;
+    const AnswerParser::Step step = m_relayAnswer.next(bytes);
+    if (step == AnswerParser::Step::Head && m_relayAnswer.head().status == StatusConnected) {
+        onOpen();
+    } else if (step != AnswerParser::Step::NeedsMore) {
+        onEnd(AnswerEndProof::Unwatched);
+    }
+}
+
+void ProcessWatch::readAnswer()
+{
+    const std::string received = takeAll(bufferevent_get_input(m_connection));
+    std::string_view bytes = received;
+    const AnswerParser::Step step = m_answer.next(bytes);
+    if (step == AnswerParser::Step::NeedsMore) {
         return;
     }
-    std::string line(sizeof "HTTP/1.1 200" - 1, '\0');
-    evbuffer_remove(input, line.data(), line.size());
-    evbuffer_drain(input, evbuffer_get_length(input));
-    if (line.ends_with(" " + std::to_string(StatusConnected))) {
-        onOpen();
-    } else {
-        onEnd(line.ends_with(" " + std::to_string(StatusUpstreamUnreachable)) ? AnswerEndProof::Refused : AnswerEndProof::NoAnswer);
+    onEnd(step == AnswerParser::Step::Head && isOwnAnswer() ? AnswerEndProof::Answered : AnswerEndProof::Unanswered);
+}
+
+bool ProcessWatch::isOwnAnswer() const
+{
+    const AnswerHead &head = m_answer.head();
+    for (const auto &[name, value] : head.headers) {
+        if (evutil_ascii_strcasecmp(name.c_str(), m_request.instanceHeader.c_str()) == 0 && value != m_request.instance) {
+            return false;
+        }
     }
+    return head.status != StatusRequestTimeout && head.status != StatusMisdirected;
 }
 
 void ProcessWatch::onOpen()
 {
     m_phase = Phase::Open;
-    if (m_then) {
-        m_timer.startOnce(HoldTime);
-    } else {
-        m_timer.startOnce(m_relay ? RelaySettleTime : SettleTime);
+    emitOpened();
+}
+
+void ProcessWatch::emitOpened()
+{
+    if (const std::function<void()> opened = std::exchange(m_opened, {})) {
+        m_timer.stop();
+        opened();
     }
 }
 
-/// A connection that is opened again after one was refused or closed may be a successor's: the answer's end can be seen much later than it happens, since
-/// its caller reads slowly or the link is slow.
 void ProcessWatch::onEnd(AnswerEndProof proof)
 {
     m_phase = Phase::Ended;
-    m_isInTime = false;
-    m_lastEnd = proof;
+    m_end = proof;
     disconnect();
-    if (m_then) {
+    emitOpened();
+    if (m_then && m_isMinTimeOver) {
         m_timer.startOnce(Duration::zero());
-    } else if (proof == AnswerEndProof::NoAnswer) {
-        m_timer.startOnce(m_reopenDelay);
-        m_reopenDelay = std::min(m_reopenDelay * 2, MaxReopenDelay);
     }
 }
 
+void ProcessWatch::ask()
+{
+    m_phase = Phase::Asked;
+    std::string head = "GET " + m_request.target + " HTTP/1.1\r\nHost: " + m_request.host + "\r\nConnection: close\r\n";
+    for (const auto &[name, value] : m_request.headers) {
+        head.append(name).append(": ").append(value).append("\r\n");
+    }
+    head += "\r\n";
+    bufferevent_write(m_connection, head.data(), head.size());
+}
+
 void ProcessWatch::onTimer()
 {
     if (!m_then) {
-        if (m_phase == Phase::Open) {
-            m_isInTime = true;
-        } else {
-            connect();
-        }
+        // Opened after the request was sent, the connection may be a successor's.
+        onEnd(AnswerEndProof::Unwatched);
         return;
     }
-    const AnswerEndProof failure = m_phase == Phase::Connecting ? AnswerEndProof::NoAnswer : m_lastEnd;
-    const AnswerEndProof held = m_isInTime ? AnswerEndProof::Held : AnswerEndProof::HeldLate;
-    std::exchange(m_then, {})(m_phase == Phase::Open ? held : failure);
+    if (!m_isMinTimeOver && m_phase != Phase::Ended) {
+        m_isMinTimeOver = true;
+        m_timer.startOnce(std::max(m_limit - MinTime, Duration::zero()));
+        return;
+    }
+    std::exchange(m_then, {})(m_phase == Phase::Ended ? m_end : AnswerEndProof::Unanswered);
 }
 
-void ProcessWatch::verifyEnd(std::function<void(AnswerEndProof)> then)
+void ProcessWatch::verifyEnd(Duration limit, std::function<void(AnswerEndProof)> then)
 {
     m_then = std::move(then);
-    switch (m_phase) {
-    case Phase::Connecting:
-        m_timer.startOnce(ConnectTimeout);
-        break;
-    case Phase::Open:
-        m_timer.startOnce(HoldTime);
-        break;
-    case Phase::Ended:
-        m_timer.startOnce(Duration::zero());
-        break;
+    m_limit = limit;
+    m_timer.startOnce(MinTime);
+    if (m_phase == Phase::Open) {
+        ask();
     }
 }
 
--- a/src/relay/processwatch.h
+++ b/src/relay/processwatch.h
@@ -2,9 +2,11 @@
 
 #include "common/eventloop.h"
 #include "common/types.h"
+#include "upstream/answerparser.h"
 
 #include <functional>
 #include <optional>
+#include <string>
 
 struct bufferevent;
 
@@ -13,61 +15,79 @@
 
 /// What is known of the process that made an answer when the answer's connection has ended.
 enum class AnswerEndProof {
-    Held, ///< the process that ran while the answer was under way still runs
-    HeldLate, ///< a process holds a connection that was opened only when the answer had ended or nearly so; it may be a successor
-    Refused, ///< a connection was refused
+    Answered, ///< the process that ran before the request was sent still runs: it has answered a request that was sent after the end
     Closed, ///< the connection was closed or reset
-    NoAnswer, ///< no connection could be opened
+    Unanswered, ///< nothing, or another upstream's refusal, came within the limit
+    Unwatched, ///< no connection could be opened before the request was sent
 };
 const char *toString(AnswerEndProof proof);
 
-/// Finds out whether the process that makes an answer still runs after the answer's end, by a connection without a request that is held open meanwhile.
+/// A request that any process of an upstream answers, and that changes nothing there.
+struct LivenessRequest
+{
+    std::string target;
+    std::string host;
+    HeaderList headers;
+    /// An answer that has this header with another value is another process's.
+    std::string instanceHeader;
+    std::string instance;
+};
+
+/// Proves that the process that makes an answer still runs after the answer's end.
 ///
-/// A killed process closes its connections in order, as one does that has sent a whole answer without a length or chunks. A connection to the address
-/// after the end proves nothing: a supervisor's successor may already listen. The held connection is in the backlog of the process, or accepted by it, so
-/// it ends with that process, and no successor can hold it, unless processes share one listening socket.
+/// A killed process closes its connections in order, as one does that has sent a whole answer without a length or chunks. That nothing else is heard of the
+/// process proves nothing: the end of another of its connections may come later, since a packet was lost or the process is slow to die. So a second
+/// connection is opened before the request is sent, and used after the answer's end: only the process that held it before the request can answer on it, and
+/// the answer is that process's own, unless processes share one listening socket.
 class ProcessWatch
 {
 public:
-    /// Connects to the upstream at once, through the relay if there is one.
-    ProcessWatch(EventLoop &loop, const Address &upstream, const std::optional<Address> &relay);
+    /// Connects to the upstream at once, through the relay if there is one. "opened" is called once from the loop when the connection is open or can't be
+    /// opened, and after ConnectTimeout at the latest; it must not destroy the watch.
+    ProcessWatch(EventLoop &loop, const Address &upstream, const std::optional<Address> &relay, LivenessRequest request, std::function<void()> opened);
     ~ProcessWatch();
     ProcessWatch(const ProcessWatch &) = delete;
     ProcessWatch &operator=(const ProcessWatch &) = delete;
 
-    /// To be called once, when the answer's connection has ended. "then" is called from the loop after HoldTime, or sooner if the process has not been
-    /// proved to run, but not after ConnectTimeout and HoldTime. It must not destroy the watch.
-    void verifyEnd(std::function<void(AnswerEndProof)> then);
+    /// To be called once, when the answer's connection has ended. "then" is called from the loop, after MinTime and not after the limit or MinTime,
+    /// whichever is longer. It must not destroy the watch.
+    void verifyEnd(Duration limit, std::function<void(AnswerEndProof)> then);
 
-    /// A process that is killed closes its sockets one after the other, within a few milliseconds.
-    static constexpr Duration HoldTime = std::chrono::milliseconds(20);
-    static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+    /// A reset that follows the answer's end is seen within this time.
+    static constexpr Duration MinTime = std::chrono::milliseconds(20);
+    static constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
 
 private:
-    enum class Phase { Connecting, Open, Ended };
+    enum class Phase { Connecting, Open, Asked, Ended };
 
     static void onRead(bufferevent *connection, void *self);
     static void onEvent(bufferevent *connection, short what, void *self);
-    void connect();
     void disconnect();
     void readRelayAnswer();
+    void readAnswer();
+    bool isOwnAnswer() const;
     void onOpen();
     void onEnd(AnswerEndProof proof);
+    void emitOpened();
+    void ask();
     void onTimer();
 
     EventLoop &m_loop;
     const Address m_upstream;
     const std::optional<Address> m_relay;
+    const LivenessRequest m_request;
     bufferevent *m_connection = nullptr;
     Phase m_phase = Phase::Connecting;
-    /// The connection was open for a while before the answer ended.
-    bool m_isInTime = false;
-    /// Why the last connection ended.
-    AnswerEndProof m_lastEnd = AnswerEndProof::NoAnswer;
-    Duration m_reopenDelay = HoldTime;
+    /// Why the connection ended.
+    AnswerEndProof m_end = AnswerEndProof::Unwatched;
+    AnswerParser m_relayAnswer{"CONNECT"};
+    AnswerParser m_answer{"GET"};
+    std::function<void()> m_opened;
     std::function<void(AnswerEndProof)> m_then;
-    /// Before the answer's end: until an open connection is in time, or until another attempt to open one. After it: until the result.
+    bool m_isMinTimeOver = false;
+    /// Before the answer's end: the time to connect. After it: MinTime, then the limit.
     Timer m_timer;
+    Duration m_limit{};
 };
 
 }
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -71,6 +71,11 @@
     void start();
     void close();
     void setPaused(bool paused);
+    void holdRequest()
+    {
+        m_isHeld = true;
+    }
+    void releaseRequest();
     bool isSent() const
     {
         return m_anyByteSent;
@@ -84,7 +89,7 @@
     sigc::signal<void, CallFailure> m_failedSignal;
 
 private:
-    enum class Phase { Connecting, AwaitingRelay, Sending, AwaitingHead, ReadingBody };
+    enum class Phase { Connecting, AwaitingRelay, Held, Sending, AwaitingHead, ReadingBody };
 
     static void onReadable(bufferevent *connection, void *self);
     static void onWritten(bufferevent *connection, void *self);
@@ -113,6 +118,7 @@
     Timer m_timer;
     bufferevent *m_connection = nullptr;
     Phase m_phase = Phase::Connecting;
+    bool m_isHeld = false;
     bool m_anyByteSent = false;
     bool m_closed = false;
     bool m_paused = false;
@@ -172,8 +178,20 @@
     bufferevent_write(m_connection, head.data(), head.size());
 }
 
+void UpstreamCall::Private::releaseRequest()
+{
+    m_isHeld = false;
+    if (!m_closed && m_phase == Phase::Held) {
+        sendRequest();
+    }
+}
+
 void UpstreamCall::Private::sendRequest()
 {
+    if (m_isHeld) {
+        m_phase = Phase::Held;
+        return;
+    }
     m_phase = Phase::Sending;
     const std::shared_ptr<const std::string> shared = std::move(m_request.sharedBody);
     const std::size_t length = shared && !shared->empty() ? shared->size() : m_request.body.size();
@@ -431,6 +449,16 @@
     d->start();
 }
 
+void UpstreamCall::holdRequest()
+{
+    d->holdRequest();
+}
+
+void UpstreamCall::releaseRequest()
+{
+    d->releaseRequest();
+}
+
 void UpstreamCall::cancel()
 {
     d->close();
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -73,6 +73,9 @@
     UpstreamCall &operator=(const UpstreamCall &) = delete;
 
     void start();
+    /// Opens the connection, but sends nothing of the request to the upstream until releaseRequest(). Call before start().
+    void holdRequest();
+    void releaseRequest();
     /// Closes the connection. No signal is emitted afterwards.
     void cancel();
     /// Pauses or resumes reading, to match a caller that reads slowly.
--- a/tests/proxy/killedupstreamtest.cpp
+++ b/tests/proxy/killedupstreamtest.cpp
@@ -40,9 +40,9 @@
             std::vector<std::string>{std::string(CUMINDYKE_BIN) + "/unframedupstream", m_host, std::to_string(UpstreamPort)}, out, m_folder.file("error"));
         REQUIRE(waitFor(out, "started"));
     }
-    void kill()
+    void end(int signal)
     {
-        m_process->signal(SIGKILL);
+        m_process->signal(signal);
     }
     void awaitSuccessor()
     {
@@ -89,8 +89,8 @@
     return text ? std::atoi(text) : otherwise;
 }
 
-/// Kills the upstream at random moments of its answers.
-Tally killDuringAnswers(Cut cut, const std::string &target, int kills)
+/// Ends the upstream by a signal at random moments of its answers.
+Tally endDuringAnswers(Cut cut, const std::string &target, int kills, int signal)
 {
     // As the daemon does: a request may be written to a connection of a killed process.
     std::signal(SIGPIPE, SIG_IGN);
@@ -111,7 +111,7 @@
         HttpAnswer answer;
         std::thread caller([&] { answer = vms.request(0, "killed-" + std::to_string(kill), target); });
         std::this_thread::sleep_for(std::chrono::microseconds(random() % MaxKillMicroseconds));
-        upstream.kill();
+        upstream.end(signal);
         caller.join();
         upstream.awaitSuccessor();
         if (answer.status != 200 || answer.failure) {
@@ -134,7 +134,7 @@
     const int kills = valueFromEnvironment("CUMINDYKE_KILLS", 60);
     for (const Cut cut : {Cut::None, Cut::Refused}) {
         for (const std::string target : {"/drafts/a", "/deposits/a"}) {
-            const Tally tally = killDuringAnswers(cut, target, kills);
+            const Tally tally = endDuringAnswers(cut, target, kills, SIGKILL);
             std::cout << (cut == Cut::None ? "direct " : "relay  ") << target << ": kills " << kills << ", whole " << tally.whole << ", broken off "
                       << tally.brokenOff << ", looks complete " << tally.looksComplete << "\n";
             CAPTURE(static_cast<int>(cut), target);
@@ -144,3 +144,19 @@
         }
     }
 }
+
+// Guards against an answer without a length or chunks that looks complete although the process that made it has ended, since the packets that end its other
+// connections are lost and sent again later.
+TEST_CASE("an unframed answer of an ended upstream whose other connections end later is broken off for its caller")
+{
+    const int kills = valueFromEnvironment("CUMINDYKE_KILLS", 12);
+    for (const Cut cut : {Cut::None, Cut::Refused}) {
+        for (const std::string target : {"/drafts/a", "/deposits/a"}) {
+            const Tally tally = endDuringAnswers(cut, target, kills, SIGUSR1);
+            CAPTURE(static_cast<int>(cut), target, tally.whole, tally.brokenOff);
+            CHECK(tally.looksComplete == 0);
+            // Guards against a test that ends the upstream too early or too late.
+            CHECK(tally.brokenOff > 0);
+        }
+    }
+}
--- a/tests/relay/processwatchtest.cpp
+++ b/tests/relay/processwatchtest.cpp
@@ -1,177 +1,232 @@
 #include "relay/processwatch.h"
 
-#include "fakeplatform/rawupstream.h"
 #include "support/hangingaddress.h"
+#include "support/listeningsocket.h"
 #include "support/processes.h"
 
 #include <catch2/catch.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+
 using namespace cumindyke;
 using namespace cumindyke::test;
 
 namespace
 {
 
-/// A listening socket of this process; connections stay in its backlog until they are accepted.
-class Listener
+constexpr Duration Limit = std::chrono::milliseconds(300);
+constexpr std::string_view Healthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/// Accepts one connection, sends "early", and answers one request.
+class WatchedProcess
 {
 public:
-    explicit Listener(const std::string &host, std::uint16_t port = 0)
-        : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    WatchedProcess(const std::string &host, std::string_view early, std::string_view answer, std::uint16_t port = 0)
+        : m_listener(host, port)
+        , m_thread([this, early, answer] { serve(early, answer); })
     {
-        sockaddr_in bound{};
-        bound.sin_family = AF_INET;
-        bound.sin_port = htons(port);
-        inet_pton(AF_INET, host.c_str(), &bound.sin_addr);
-        REQUIRE(bind(m_socket, reinterpret_cast<const sockaddr *>(&bound), sizeof bound) == 0);
-        REQUIRE(listen(m_socket, 16) == 0);
-        socklen_t length = sizeof bound;
-        getsockname(m_socket, reinterpret_cast<sockaddr *>(&bound), &length);
-        address = Address{.host = host, .port = ntohs(bound.sin_port)};
     }
-    ~Listener()
+    ~WatchedProcess()
     {
         end();
     }
-    Listener(const Listener &) = delete;
-    Listener &operator=(const Listener &) = delete;
+    WatchedProcess(const WatchedProcess &) = delete;
+    WatchedProcess &operator=(const WatchedProcess &) = delete;
 
-    void closeAccepted() const
-    {
-        close(accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC));
-    }
+    /// Closes all sockets, as the kernel does when a process is killed.
     void end()
     {
-        if (m_socket >= 0) {
-            close(std::exchange(m_socket, -1));
+        m_listener.shutDown();
+        if (m_connection >= 0) {
+            shutdown(m_connection, SHUT_RDWR);
+        }
+        if (m_thread.joinable()) {
+            m_thread.join();
         }
+        m_listener.close();
+    }
+    const Address &address() const
+    {
+        return m_listener.address();
+    }
+    /// The request that was answered.
+    const std::string &request() const
+    {
+        return m_request;
     }
-
-    Address address;
 
 private:
-    int m_socket;
+    void serve(std::string_view early, std::string_view answer)
+    {
+        const int connection = m_listener.accept();
+        m_connection = connection;
+        if (connection < 0) {
+            return;
+        }
+        send(connection, early.data(), early.size(), MSG_NOSIGNAL);
+        std::array<char, 1024> bytes{};
+        for (ssize_t got = 1; got > 0;) {
+            got = recv(connection, bytes.data(), bytes.size(), 0);
+            m_request.append(bytes.data(), got > 0 ? static_cast<std::size_t>(got) : 0);
+            if (m_request.ends_with("\r\n\r\n")) {
+                send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+            }
+        }
+        close(connection);
+    }
+
+    ListeningSocket m_listener;
+    std::atomic<int> m_connection = -1;
+    std::string m_request;
+    std::thread m_thread;
 };
 
 class Watch
 {
 public:
     explicit Watch(const Address &upstream)
-        : m_watch(m_loop, upstream, std::nullopt)
+        : m_watch(m_loop,
+                  upstream,
+                  std::nullopt,
+                  LivenessRequest{.target = "/healthz",
+                                  .host = "desk.example",
+                                  .headers = {{"Cumindyke-Expect-Instance", "i-1"}},
+                                  .instanceHeader = "Cumindyke-Instance-Id",
+                                  .instance = "i-1"},
+                  [this] { ++m_openedCount; })
     {
     }
 
+    /// Runs until the request would be sent.
+    void awaitOpened()
+    {
+        while (m_openedCount == 0) {
+            runFor(std::chrono::milliseconds(1));
+        }
+    }
     void runFor(Duration time)
     {
         Timer timer(m_loop, [this] { m_loop.stop(); });
         timer.startOnce(time);
         m_loop.run();
     }
-    AnswerEndProof proofAtEnd(Duration untilEvent = {}, const std::function<void()> &event = {})
+    AnswerEndProof proofAtEnd()
     {
         std::optional<AnswerEndProof> result;
-        m_watch.verifyEnd([&](AnswerEndProof proof) {
+        m_watch.verifyEnd(Limit, [&](AnswerEndProof proof) {
             result = proof;
             m_loop.stop();
         });
-        if (event) {
-            runFor(untilEvent);
-            event();
-        }
-        if (!result) {
-            m_loop.run();
-        }
+        m_loop.run();
+        CHECK(m_openedCount == 1);
         return *result;
     }
 
 private:
     EventLoop m_loop;
+    int m_openedCount = 0;
     ProcessWatch m_watch;
 };
 
-constexpr Duration Settled = std::chrono::milliseconds(10);
-
 }
 
 // Guards against an answer of a process that has ended, or that was never reached, which is taken for a whole one.
-TEST_CASE("an answer's end is proved only by a connection that stays open")
+TEST_CASE("an answer's end is proved only by an answer on a connection that was open before the request")
 {
     const TestNetwork network;
-    Listener upstream(network.host(1));
-    Watch watch(upstream.address);
-    SECTION("the process still runs, although it does not accept the connection")
+    const std::string host = network.host(1);
+    SECTION("the process answers")
     {
-        watch.runFor(Settled);
-        CHECK(watch.proofAtEnd() == AnswerEndProof::Held);
+        WatchedProcess process(host, "", Healthy);
+        Watch watch(process.address());
+        watch.awaitOpened();
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Answered);
+        process.end();
+        CHECK(process.request() == "GET /healthz HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\nCumindyke-Expect-Instance: i-1\r\n\r\n");
     }
-    SECTION("the process ends after the answer's connection")
+    SECTION("the process is full")
     {
-        watch.runFor(Settled);
-        CHECK(watch.proofAtEnd(std::chrono::milliseconds(5), [&] { upstream.end(); }) == AnswerEndProof::Closed);
+        const WatchedProcess process(host, "", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        Watch watch(process.address());
+        watch.awaitOpened();
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Answered);
     }
-    SECTION("the process ends before it is seen")
+    SECTION("the connection stays open, but nothing answers on it")
     {
-        watch.runFor(Settled);
-        upstream.end();
+        const ListeningSocket frozen(host);
+        Watch watch(frozen.address());
+        watch.awaitOpened();
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Unanswered);
+    }
+    SECTION("only a part of an answer's head comes")
+    {
+        const WatchedProcess process(host, "", "HTTP/1.1 200 OK\r\n");
+        Watch watch(process.address());
+        watch.awaitOpened();
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Unanswered);
+    }
+    SECTION("what the process sent on its own comes late")
+    {
+        const WatchedProcess process(host, "", "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n");
+        Watch watch(process.address());
+        watch.awaitOpened();
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Unanswered);
+    }
+    SECTION("the process sent an answer before it was asked, and ends")
+    {
+        WatchedProcess process(host, Healthy, "");
+        Watch watch(process.address());
+        watch.awaitOpened();
+        watch.runFor(std::chrono::milliseconds(50));
+        process.end();
         CHECK(watch.proofAtEnd() == AnswerEndProof::Closed);
     }
-    SECTION("the connection may be a successor's")
+    SECTION("another upstream answers at the address")
     {
-        CHECK(watch.proofAtEnd() == AnswerEndProof::HeldLate);
+        const WatchedProcess process(host, "", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+        Watch watch(process.address());
+        watch.awaitOpened();
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Unanswered);
+    }
+    SECTION("another upstream names itself in its answer")
+    {
+        const WatchedProcess process(host, "", "HTTP/1.1 200 OK\r\ncumindyke-instance-id: i-2\r\nContent-Length: 0\r\n\r\n");
+        Watch watch(process.address());
+        watch.awaitOpened();
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Unanswered);
+    }
+    SECTION("the process has ended, and a successor answers at its address")
+    {
+        auto process = std::make_unique<WatchedProcess>(host, "", Healthy);
+        const Address address = process->address();
+        Watch watch(address);
+        watch.awaitOpened();
+        process.reset();
+        const WatchedProcess successor(host, "", Healthy, address.port);
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Closed);
     }
     SECTION("nobody listens")
     {
-        upstream.end();
-        Watch late(upstream.address);
-        CHECK(late.proofAtEnd() == AnswerEndProof::Refused);
+        ListeningSocket ended(host);
+        ended.close();
+        Watch watch(ended.address());
+        watch.awaitOpened();
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Unwatched);
     }
     SECTION("nobody answers")
     {
         const HangingAddress hanging(network.host(2));
-        Watch cut(hanging.address());
-        CHECK(cut.proofAtEnd() == AnswerEndProof::NoAnswer);
+        Watch watch(hanging.address());
+        watch.awaitOpened();
+        CHECK(watch.proofAtEnd() == AnswerEndProof::Unwatched);
     }
 }
-
-// Guards against a successor's connection that is taken for the process's own: the end of an answer is seen late if its caller reads slowly.
-TEST_CASE("a watch whose connection was closed during the answer stays unproved when a connection could be opened again")
-{
-    const TestNetwork network;
-    const Listener upstream(network.host(1));
-    Watch watch(upstream.address);
-    watch.runFor(Settled);
-    upstream.closeAccepted();
-    watch.runFor(std::chrono::milliseconds(100));
-    CHECK(watch.proofAtEnd() == AnswerEndProof::Closed);
-}
-
-// Guards against a successor's connection that is taken for the process's own, since it was opened again at the process's end.
-TEST_CASE("a watch whose connection was closed just before the answer's end proves nothing")
-{
-    const TestNetwork network;
-    const Listener upstream(network.host(1));
-    Watch watch(upstream.address);
-    watch.runFor(Settled);
-    upstream.closeAccepted();
-    watch.runFor(std::chrono::milliseconds(5));
-    CHECK(watch.proofAtEnd() == AnswerEndProof::Closed);
-}
-
-// Guards against a successor's connection that is taken for the process's own, since the process had stopped listening during its answer.
-TEST_CASE("a watch whose connection was refused during the answer stays unproved when a successor listens")
-{
-    const TestNetwork network;
-    Listener upstream(network.host(1));
-    const Address address = upstream.address;
-    upstream.end();
-    Watch watch(address);
-    watch.runFor(Settled);
-    const Listener successor(network.host(1), address.port);
-    watch.runFor(std::chrono::milliseconds(100));
-    CHECK(watch.proofAtEnd() == AnswerEndProof::Refused);
-}
--- a/tests/unframedupstream/main.cpp
+++ b/tests/unframedupstream/main.cpp
@@ -1,7 +1,10 @@
 // An upstream as a process of its own whose answers have neither a length nor chunks, for tests that kill it: "unframedupstream HOST PORT".
 //
 // Listens as soon as the address is free, so that a process that is started in advance succeeds the one that is killed at once. Writes "listening" when
-// it does. Each answer has PieceCount pieces, each written at once, and then ends with its connection.
+// it does. Each answer has PieceCount pieces, each written at once, and then ends with its connection. A request without an id is answered as a health check.
+//
+// SIGUSR1 ends the process as its peers see it where packets are lost: the connections with answers end at once, and the others, on which nothing is done
+// any more, LateEndTime later.
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -9,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -20,6 +24,9 @@
 
 constexpr int PieceCount = 10;
 constexpr std::chrono::milliseconds PieceInterval{2};
+constexpr std::chrono::milliseconds LateEndTime{250};
+
+std::atomic<bool> hasEnded = false;
 
 std::string headerOf(const std::string &head, const std::string &name)
 {
@@ -57,15 +64,37 @@
     }
 }
 
+/// Leaves all sockets as they are.
+[[noreturn]] void waitForExit()
+{
+    for (;;) {
+        pause();
+    }
+}
+
+[[noreturn]] void endLate()
+{
+    hasEnded = true;
+    std::this_thread::sleep_for(LateEndTime);
+    _exit(EXIT_SUCCESS);
+}
+
 void answer(int connection)
 {
     const std::string request = readRequest(connection);
+    if (hasEnded) {
+        waitForExit();
+    }
+    if (headerOf(request, "Cumindyke-Request-Id").empty()) {
+        writeAll(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        close(connection);
+        return;
+    }
     const bool isStream = request.starts_with("POST /drafts");
-    bool goesOn = !request.empty()
-        && writeAll(connection,
-                    std::string("HTTP/1.1 200 OK\r\nContent-Type: ") + (isStream ? "text/event-stream" : "text/plain")
-                        + "\r\nCumindyke-Request-Id: " + headerOf(request, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n\r\n");
-    for (int piece = 1; goesOn && piece <= PieceCount; ++piece) {
+    bool goesOn = writeAll(connection,
+                           std::string("HTTP/1.1 200 OK\r\nContent-Type: ") + (isStream ? "text/event-stream" : "text/plain")
+                               + "\r\nCumindyke-Request-Id: " + headerOf(request, "Cumindyke-Request-Id") + "\r\nCumindyke-Runner-Seal: seal\r\n\r\n");
+    for (int piece = 1; goesOn && !hasEnded && piece <= PieceCount; ++piece) {
         const std::string number = std::to_string(piece);
         goesOn = writeAll(connection, isStream ? "id: " + number + "\ndata: piece\n\n" : "piece " + number + "\n");
         std::this_thread::sleep_for(PieceInterval);
@@ -86,6 +115,15 @@
     if (inet_pton(AF_INET, arguments[1], &address.sin_addr) != 1) {
         return EXIT_FAILURE;
     }
+    sigset_t lateEnd;
+    sigemptyset(&lateEnd);
+    sigaddset(&lateEnd, SIGUSR1);
+    pthread_sigmask(SIG_BLOCK, &lateEnd, nullptr);
+    std::thread([lateEnd] {
+        int signal = 0;
+        sigwait(&lateEnd, &signal);
+        endLate();
+    }).detach();
     const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int enabled = 1;
     setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
@@ -100,6 +138,9 @@
     }
     for (;;) {
         const int connection = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (hasEnded) {
+            waitForExit();
+        }
         if (connection >= 0) {
             setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
             std::thread(answer, connection).detach();
