An upstream's refusal counts only if it names the request

Cause: ProxyTask::onAnswerHead() asked isNotRun() before isAnswerToRequest(). The order is turned round, so such an answer is foreign, and the outcome of the request unknown.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -228,10 +228,6 @@
     }
     recordRequestLimit(*request, head);
     recordSignals(*request, head);
-    if (isNotRun(head)) {
-        handleAttemptEnd(*request, AttemptEnd::RefusedNotRun, head.status == StatusMisdirected ? v1::PLACEMENT_MISDIRECTED : v1::PLACEMENT_REFUSED);
-        return;
-    }
     if (!isAnswerToRequest(*request, head)) {
         logWarning(
             "proxy", "foreign-answer", {{"id", request->parsed.id.value}, {"upstream", request->upstream.name.value}, {"status", std::to_string(head.status)}});
@@ -239,6 +235,10 @@
         handleAttemptEnd(*request, AttemptEnd::Lost, v1::PLACEMENT_FAILED);
         return;
     }
+    if (isNotRun(head)) {
+        handleAttemptEnd(*request, AttemptEnd::RefusedNotRun, head.status == StatusMisdirected ? v1::PLACEMENT_MISDIRECTED : v1::PLACEMENT_REFUSED);
+        return;
+    }
     recordFraming(*request, head.framing);
     VersionCount &counts = m_versionCounts[{request->parsed.service.value, request->upstream.version.value}];
     counts.headMs += static_cast<std::uint64_t>(wholeMilliseconds(now - request->sentAt));
