Metrics of how relayed connections and unframed answers end

Nothing told an operator how a relay ended the other VM's connection, or how often the end of an answer without a length or chunks was not proved. Two counters: cumindyke_relayed_ends_total (in-order, reset) and cumindyke_unframed_answers_total by end_check.

--- a/src/proxy/proxyanswers.cpp
+++ b/src/proxy/proxyanswers.cpp
@@ -423,6 +423,11 @@
 {
     const bool isIntact = request.call && request.call->hasIntactEnd();
     request.endCheck = isIntact ? toString(proof) : "reset";
+    m_metrics
+        .counter("cumindyke_unframed_answers_total",
+                 "Answers of upstreams without a length or chunks, by what was known of the upstream when their connection had ended",
+                 {{"end_check", request.endCheck}})
+        .add();
     if (isIntact && proof == AnswerEndProof::Answered) {
         completeAnswer(request);
     } else {
--- a/src/relay/relayserver.cpp
+++ b/src/relay/relayserver.cpp
@@ -30,6 +30,8 @@
 /// An upstream that has not read all of a request may cause a reset within this time after its end.
 constexpr Duration EndCheckDelay = std::chrono::milliseconds(20);
 constexpr std::string_view EndOfHead = "\r\n\r\n";
+constexpr const char *EndsMetric = "cumindyke_relayed_ends_total";
+constexpr const char *EndsHelp = "Connections of VMs without a path of their own that were ended, those that were refused included";
 
 /// Returns the target of "CONNECT IP:PORT HTTP/1.1"; none: the request is malformed.
 std::optional<Address> targetOf(std::string_view head)
@@ -134,6 +136,7 @@
     Phase m_phase = Phase::ReadingRequest;
     Address m_target;
     TimePoint m_connectStartedAt{};
+    bool m_endsInOrder = false;
     Timer m_timer;
 };
 
@@ -286,6 +289,7 @@
 void RelayServer::Tunnel::endInOrder()
 {
     setResetOnClose(m_caller, false);
+    m_endsInOrder = true;
     end();
 }
 
@@ -294,6 +298,7 @@
 {
     m_phase = Phase::Ended;
     m_timer.stop();
+    (m_endsInOrder ? m_server.m_endedInOrder : m_server.m_reset).add();
     for (bufferevent *connection : {m_caller, m_upstream}) {
         if (connection) {
             bufferevent_disable(connection, EV_READ | EV_WRITE);
@@ -328,6 +333,8 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_relayed(metrics.counter("cumindyke_relayed_connections_total", "Connections to upstreams that were opened for VMs without a path of their own"))
+    , m_endedInOrder(metrics.counter(EndsMetric, EndsHelp, {{"end", "in-order"}}))
+    , m_reset(metrics.counter(EndsMetric, EndsHelp, {{"end", "reset"}}))
 {
 }
 
--- a/src/relay/relayserver.h
+++ b/src/relay/relayserver.h
@@ -85,6 +85,8 @@
     RelayPath m_path = RelayPath::Whole;
     std::list<std::shared_ptr<Tunnel>> m_tunnels;
     Counter m_relayed;
+    Counter m_endedInOrder;
+    Counter m_reset;
     sigc::signal<void, const Address &> m_connected;
     sigc::signal<void, const Address &, TimePoint> m_connectFailed;
 };
