A held request whose connection ends is laid on nobody, and the health check is safe

Found by an independent reading of the proof of unframed answers' ends: - A connection that was open and ended while its request was held counted as a lost path or a failed relay. It is CallFailure::EndedUnsent now, and the time to connect does not run while the request is held. - The health check wrote the upstream's name, the caller's Host and the health path as they came: an odd entry of the list with CR LF in its id could have put a request of its own into the connection. The check is written by the same functions as a call's head. - 502 and 504, which a gateway sends for an upstream that has ended, were proof. - The watch gave up before a relay's own time to connect was over.

--- a/src/relay/processwatch.cpp
+++ b/src/relay/processwatch.cpp
@@ -2,6 +2,7 @@
 
 #include "common/address.h"
 #include "relay/relayserver.h"
+#include "upstream/requesthead.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -24,6 +25,9 @@
 constexpr int StatusRequestTimeout = 408;
 /// Another process answers at the address.
 constexpr int StatusMisdirected = 421;
+/// A gateway before the upstream speaks, possibly of an upstream that has ended.
+constexpr int StatusBadGateway = 502;
+constexpr int StatusGatewayTimeout = 504;
 
 std::string takeAll(evbuffer *input)
 {
@@ -144,7 +148,7 @@
             return false;
         }
     }
-    return head.status != StatusRequestTimeout && head.status != StatusMisdirected;
+    return head.status != StatusRequestTimeout && head.status != StatusMisdirected && head.status != StatusBadGateway && head.status != StatusGatewayTimeout;
 }
 
 void ProcessWatch::onOpen()
@@ -175,9 +179,11 @@
 void ProcessWatch::ask()
 {
     m_phase = Phase::Asked;
-    std::string head = "GET " + m_request.target + " HTTP/1.1\r\nHost: " + m_request.host + "\r\nConnection: close\r\n";
+    std::string head = "GET " + (isRequestTarget(m_request.target) ? m_request.target : "/") + " HTTP/1.1\r\n";
+    appendHeader(head, "Host", isSafeInHead(m_request.host) ? m_request.host : toString(m_upstream));
+    appendHeader(head, "Connection", "close");
     for (const auto &[name, value] : m_request.headers) {
-        head.append(name).append(": ").append(value).append("\r\n");
+        appendHeader(head, name, value);
     }
     head += "\r\n";
     bufferevent_write(m_connection, head.data(), head.size());
--- a/src/relay/processwatch.h
+++ b/src/relay/processwatch.h
@@ -18,7 +18,7 @@
     Answered, ///< the process that ran before the request was sent still runs: it has answered a request that was sent after the end
     Closed, ///< the connection was closed or reset
     Unanswered, ///< nothing, or another upstream's refusal, came within the limit
-    Unwatched, ///< no connection could be opened before the request was sent
+    Unwatched, ///< no connection could be opened before the request was sent: this says nothing of the upstream
 };
 const char *toString(AnswerEndProof proof);
 
@@ -55,7 +55,7 @@
 
     /// A reset that follows the answer's end is seen within this time.
     static constexpr Duration MinTime = std::chrono::milliseconds(20);
-    static constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
+    static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 
 private:
     enum class Phase { Connecting, Open, Asked, Ended };
--- a/src/upstream/upstreamcall.cpp
+++ b/src/upstream/upstreamcall.cpp
@@ -2,6 +2,7 @@
 
 #include "common/address.h"
 #include "upstream/answerparser.h"
+#include "upstream/requesthead.h"
 #include "upstream/socketend.h"
 
 #include <event2/buffer.h>
@@ -23,19 +24,6 @@
     delete static_cast<std::shared_ptr<const std::string> *>(reference);
 }
 
-/// Whether the text can stand in a request's head without ending its line.
-bool isSafeInHead(std::string_view text)
-{
-    return text.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
-}
-
-void appendHeader(std::string &head, std::string_view name, std::string_view value)
-{
-    if (isSafeInHead(name) && isSafeInHead(value)) {
-        head.append(name).append(": ").append(value).append("\r\n");
-    }
-}
-
 const std::string *findHeader(const AnswerHead &head, const std::string &name)
 {
     for (const auto &[key, value] : head.headers) {
@@ -182,6 +170,7 @@
 {
     m_isHeld = false;
     if (!m_closed && m_phase == Phase::Held) {
+        m_timer.startOnce(m_timeouts.connect);
         sendRequest();
     }
 }
@@ -190,6 +179,7 @@
 {
     if (m_isHeld) {
         m_phase = Phase::Held;
+        m_timer.stop();
         return;
     }
     m_phase = Phase::Sending;
@@ -344,17 +334,17 @@
 
 void UpstreamCall::Private::handleHead()
 {
+    if (!m_anyByteSent) {
+        // It answers no request: none has been sent yet.
+        fail(failureBeforeSending());
+        return;
+    }
     // An upstream that mixes up its connections returns another caller's answer, which must not be passed on.
     const std::string *echoed = findHeader(m_answer.head(), m_request.idHeader);
     if (echoed && !echoed->empty() && *echoed != m_request.id.value) {
         fail(CallFailure::MismatchedId);
         return;
     }
-    if (!m_anyByteSent) {
-        // It answers no request: none has been sent yet.
-        fail(failureBeforeSending());
-        return;
-    }
     m_phase = Phase::ReadingBody;
     m_timer.startOnce(m_timeouts.betweenBytes);
     m_headSignal.emit(m_answer.head());
@@ -424,6 +414,9 @@
 
 CallFailure UpstreamCall::Private::failureBeforeSending() const
 {
+    if (m_phase == Phase::Held) {
+        return CallFailure::EndedUnsent;
+    }
     return m_request.relay ? CallFailure::RelayFailed : CallFailure::NotSent;
 }
 
--- a/src/upstream/upstreamcall.h
+++ b/src/upstream/upstreamcall.h
@@ -46,6 +46,7 @@
 /// Why a call got no complete answer.
 enum class CallFailure {
     NotSent, ///< no byte of the request left this process, so the upstream can't have run it
+    EndedUnsent, ///< as NotSent, but the connection to the upstream was open: neither the path nor the relay is to blame
     RelayFailed, ///< as NotSent, but the relay is to blame: nothing is known of the upstream
     Lost, ///< the connection ended before the answer was whole, or its bytes are no answer
     TimedOut, ///< no progress within the timeout
