The grammar that requests and answers share stands in one place

Tokens, field lines, Content-Length and control bytes move from AnswerParser to httpgrammar.h, for the reader of callers' requests.

--- a/src/upstream/answerparser.cpp
+++ b/src/upstream/answerparser.cpp
@@ -1,8 +1,9 @@
 #include "upstream/answerparser.h"
 
+#include "upstream/httpgrammar.h"
+
 #include <algorithm>
 #include <charconv>
-#include <cstring>
 
 namespace cumindyke
 {
@@ -17,42 +18,11 @@
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 constexpr int FirstRedirect = 300;
-/// A longer one would not fit into 64 bits.
-constexpr std::size_t MaxLengthDigits = 18;
-
 bool isDigit(char byte)
 {
     return byte >= '0' && byte <= '9';
 }
 
-/// RFC 9110, 5.6.2.
-bool isToken(std::string_view text)
-{
-    const auto isTokenByte = [](char byte) {
-        const bool isLetter = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
-        return isLetter || isDigit(byte) || (byte != '\0' && std::strchr("!#$%&'*+-.^_`|~", byte) != nullptr);
-    };
-    return !text.empty() && std::ranges::all_of(text, isTokenByte);
-}
-
-bool hasControlBytes(std::string_view text)
-{
-    return std::ranges::any_of(text, [](char byte) { return (static_cast<unsigned char>(byte) < ' ' && byte != '\t') || byte == '\x7f'; });
-}
-
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t begin = text.find_first_not_of(" \t");
-    const std::size_t end = text.find_last_not_of(" \t");
-    return begin == std::string_view::npos ? std::string_view() : text.substr(begin, end - begin + 1);
-}
-
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    const auto lower = [](char byte) { return byte >= 'A' && byte <= 'Z' ? static_cast<char>(byte + ('a' - 'A')) : byte; };
-    return std::ranges::equal(left, right, [lower](char a, char b) { return lower(a) == lower(b); });
-}
-
 }
 
 const char *toString(BodyFraming framing)
@@ -149,11 +119,11 @@
 
 bool AnswerParser::parseHeader(std::string_view line)
 {
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) || hasControlBytes(line)) {
+    const auto field = parseFieldLine(line);
+    if (!field) {
         return false;
     }
-    m_head.headers.emplace_back(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+    m_head.headers.emplace_back(field->name, field->value);
     return true;
 }
 
@@ -201,10 +171,11 @@
         m_head.framing = BodyFraming::ConnectionClose;
         return true;
     }
-    if (length->empty() || length->size() > MaxLengthDigits || !std::ranges::all_of(*length, isDigit)) {
+    const auto bytes = parseContentLength(*length);
+    if (!bytes) {
         return false;
     }
-    std::from_chars(length->data(), length->data() + length->size(), m_remaining);
+    m_remaining = *bytes;
     m_head.framing = m_remaining == 0 ? BodyFraming::Empty : BodyFraming::Length;
     return true;
 }
