Callers' requests are read strictly before libevent sees a byte of them

Cause: libevent's parser is lax and decides where a body ends before any check of ours.

RequestReader reads RFC 9112 and accepts only what has one reading. RequestGate gives libevent the bytes of one accepted request at a time, the next only after the answer is written, so that its keep-alive, timeouts, 100-continue and backpressure stay. What is refused is answered with 400 (431 for a head over 32 KiB, 413 for a body over 4 MiB), the sending side is shut, and what still arrives is discarded within bounds: the refusal is not lost by a reset. Legal forms that libevent reads otherwise are given to it in canonical form, and chunks as chunks of the gate's own.

--- a/src/entry/callerconnection.cpp
+++ b/src/entry/callerconnection.cpp
@@ -78,20 +78,20 @@
         m_receivedBody += MinReadCost - info.n_added;
     }
     m_receivedBody += info.n_added;
-    scanHeader(info.orig_size, info.n_added);
+    scanHeader(m_input, info.orig_size, info.n_added);
     notify();
 }
 
-/// Scans a part of the input for the end of the header, and counts the header's fields.
-void CallerConnection::scanHeader(std::size_t offset, std::size_t length)
+/// Scans a part of the received bytes for the end of the header, and counts the header's fields.
+void CallerConnection::scanHeader(evbuffer *received, std::size_t offset, std::size_t length)
 {
     if (!m_inHeader || length == 0) {
         return;
     }
     evbuffer_ptr position{};
-    evbuffer_ptr_set(m_input, &position, offset, EVBUFFER_PTR_SET);
-    std::vector<evbuffer_iovec> pieces(static_cast<std::size_t>(evbuffer_peek(m_input, static_cast<ev_ssize_t>(length), &position, nullptr, 0)));
-    evbuffer_peek(m_input, static_cast<ev_ssize_t>(length), &position, pieces.data(), static_cast<int>(pieces.size()));
+    evbuffer_ptr_set(received, &position, offset, EVBUFFER_PTR_SET);
+    std::vector<evbuffer_iovec> pieces(static_cast<std::size_t>(evbuffer_peek(received, static_cast<ev_ssize_t>(length), &position, nullptr, 0)));
+    evbuffer_peek(received, static_cast<ev_ssize_t>(length), &position, pieces.data(), static_cast<int>(pieces.size()));
     for (const evbuffer_iovec &piece : pieces) {
         const std::string_view bytes(static_cast<const char *>(piece.iov_base), std::min(piece.iov_len, length));
         length -= bytes.size();
@@ -112,22 +112,22 @@
     }
 }
 
-void CallerConnection::beginRequest(std::size_t received)
+void CallerConnection::beginRequest(evbuffer *received)
 {
     m_inHeader = true;
     m_lineLength = 0;
     m_receivedHeader = 0;
-    m_receivedBody = received;
-    scanHeader(0, received);
+    m_receivedBody = evbuffer_get_length(received);
+    scanHeader(received, 0, m_receivedBody);
 }
 
-void CallerConnection::beginExchange(const std::shared_ptr<Exchange> &exchange)
+void CallerConnection::beginExchange(const std::shared_ptr<Exchange> &exchange, evbuffer *next)
 {
     m_exchange = exchange;
     // The caller may have sent a part of its next request already.
     m_heldHeader = m_receivedHeader;
     m_heldBody = exchange->body().size();
-    beginRequest(evbuffer_get_length(m_input));
+    beginRequest(next);
     notify();
 }
 
--- a/src/entry/callerconnection.h
+++ b/src/entry/callerconnection.h
@@ -45,7 +45,8 @@
 
     /// Bytes were appended to the input.
     void recordInput(const evbuffer_cb_info &info);
-    void beginExchange(const std::shared_ptr<Exchange> &exchange);
+    /// A complete request was received; "next" is what has been received of the next one.
+    void beginExchange(const std::shared_ptr<Exchange> &exchange, evbuffer *next);
     /// The answer is complete; a part of it may be unread. Takes the connection's close callback back from the exchange.
     void endExchange();
     void setHeldAnswer(std::size_t bytes);
@@ -60,8 +61,8 @@
 private:
     static void onOutput(evbuffer *output, const evbuffer_cb_info *info, void *self);
     static void onClosed(evhttp_connection *connection, void *self);
-    void scanHeader(std::size_t offset, std::size_t length);
-    void beginRequest(std::size_t received);
+    void scanHeader(evbuffer *received, std::size_t offset, std::size_t length);
+    void beginRequest(evbuffer *received);
     void notify();
 
     const CallerId m_id;
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/callerconnection.h"
 #include "entry/headers.h"
+#include "entry/requestreader.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -117,15 +118,18 @@
     return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-Exchange::Exchange(EventLoop &loop, evhttp_request *request)
+Exchange::Exchange(EventLoop &loop, evhttp_request *request, const std::optional<std::string> &target)
     : m_loop(loop)
     , m_request(request)
     , m_method(methodName(evhttp_request_get_command(request)))
-    , m_target(evhttp_request_get_uri(request))
+    , m_target(target ? *target : evhttp_request_get_uri(request))
     , m_body(takeContent(evhttp_request_get_input_buffer(request)))
 {
-    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
-    m_path = path ? path : "";
+    if (target) {
+        m_path = pathOf(m_target);
+    } else if (const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request))) {
+        m_path = path;
+    }
     evhttp_connection *connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, &Exchange::onConnectionFreed, this);
     // libevent does not read while a reply is pending, so it would detect that the caller has disconnected only when a write fails, after
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -37,7 +37,8 @@
 class Exchange
 {
 public:
-    Exchange(EventLoop &loop, evhttp_request *request);
+    /// "target" is the one that the caller sent, if libevent was given another one.
+    Exchange(EventLoop &loop, evhttp_request *request, const std::optional<std::string> &target);
     ~Exchange();
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
--- a/src/entry/httpserver.cpp
+++ b/src/entry/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "entry/callerconnection.h"
+#include "entry/requestgate.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -22,8 +23,9 @@
 namespace
 {
 
-constexpr ev_ssize_t MaxHeaderBytes = 32 << 10;
-constexpr ev_ssize_t MaxBodyBytes = 4 << 20;
+/// RequestReader has the limit. A head in canonical form may be longer than it was sent.
+constexpr ev_ssize_t MaxHeaderBytes = 2 * RequestReader::MaxHeadBytes;
+constexpr ev_ssize_t MaxBodyBytes = RequestReader::MaxBodyBytes;
 /// What the kernel holds of an answer that is not read is memory of the VM too. Without a limit it grows to megabytes a connection. At 10 Mbit/s this is
 /// 50 ms of answers, many times a round trip.
 constexpr int SendBufferBytes = 64 << 10;
@@ -162,7 +164,7 @@
     server->onAccepted();
     bufferevent *connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     evbuffer *input = bufferevent_get_input(connection);
-    server->m_pendingReads[input] = PendingRead{.connection = connection, .startedAt = {}, .isAnswering = false, .counted = {}};
+    server->m_pendingReads[input] = PendingRead{.connection = connection, .startedAt = {}, .isAnswering = false, .counted = {}, .gate = {}};
     evbuffer_add_cb(input, &HttpServer::onInput, server);
     return connection;
 }
@@ -170,8 +172,48 @@
 void HttpServer::onInput(evbuffer *input, const evbuffer_cb_info *info, void *self)
 {
     if (info->n_added > 0) {
-        static_cast<HttpServer *>(self)->countInput(input, *info);
-        static_cast<HttpServer *>(self)->enforceReadLimit(input);
+        static_cast<HttpServer *>(self)->handleInput(input, *info);
+    }
+}
+
+void HttpServer::handleInput(evbuffer *input, const evbuffer_cb_info &info)
+{
+    PendingRead &pending = m_pendingReads[input];
+    // Whoever is told of the count may close the connection.
+    const std::shared_ptr<RequestGate> gate = gateOf(pending);
+    if (gate->isReleasing()) {
+        return;
+    }
+    if (!gate->hasRefused()) {
+        countInput(input, info);
+        enforceReadLimit(input);
+    }
+    if (pending.gate == gate) {
+        gate->handleInput(info);
+    }
+}
+
+/// Creates it with the connection's first byte: before, libevent's connection is not known.
+const std::shared_ptr<RequestGate> &HttpServer::gateOf(PendingRead &pending)
+{
+    if (!pending.gate) {
+        void *connection = nullptr;
+        bufferevent_getcb(pending.connection, nullptr, nullptr, nullptr, &connection);
+        evhttp_connection_set_closecb(static_cast<evhttp_connection *>(connection), &HttpServer::onClosed, this);
+        pending.gate = std::make_shared<RequestGate>(m_loop, pending.connection, [](int status, const char *reason) {
+            logChange("http", "request-refused", {{"status", std::to_string(status)}, {"why", reason}});
+        });
+    }
+    return pending.gate;
+}
+
+/// The gate may be in a callback of its own.
+void HttpServer::closeGate(PendingRead &pending)
+{
+    pending.isAnswering = false;
+    if (pending.gate) {
+        pending.gate->close();
+        m_loop.releaseLater(std::exchange(pending.gate, nullptr));
     }
 }
 
@@ -205,7 +247,7 @@
         pending.counted = std::make_shared<CallerConnection>(nextCallerId(), pending.connection, m_buffersChanged, [this](CallerConnection &closed) {
             PendingRead &closing = m_pendingReads[closed.input()];
             closing.counted = nullptr;
-            closing.isAnswering = false;
+            closeGate(closing);
             // Its close callback is still running.
             if (const auto held = m_countedConnections.extract(closed.id().value)) {
                 m_loop.releaseLater(held.mapped());
@@ -247,14 +289,19 @@
     evbuffer *input = bufferevent_get_input(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)));
     PendingRead &pending = static_cast<HttpServer *>(self)->m_pendingReads[input];
     pending.isAnswering = false;
-    if (evbuffer_get_length(input) > 0) {
+    if (!pending.gate) {
+        return;
+    }
+    if (evbuffer_get_length(pending.gate->held()) > 0) {
         pending.startedAt = EventLoop::now();
     }
+    pending.gate->endRequest();
 }
 
 void HttpServer::onClosed(evhttp_connection *connection, void *self)
 {
-    static_cast<HttpServer *>(self)->m_pendingReads[bufferevent_get_input(evhttp_connection_get_bufferevent(connection))].isAnswering = false;
+    auto *server = static_cast<HttpServer *>(self);
+    server->closeGate(server->m_pendingReads[bufferevent_get_input(evhttp_connection_get_bufferevent(connection))]);
 }
 
 void HttpServer::onRequest(evhttp_request *request, void *self)
@@ -265,11 +312,11 @@
     pending.isAnswering = true;
     evhttp_request_set_on_complete_cb(request, &HttpServer::onAnswerWritten, server);
     server->watchLoad();
-    const auto exchange = std::make_shared<Exchange>(server->m_loop, request);
+    const auto exchange = std::make_shared<Exchange>(server->m_loop, request, pending.gate->takeTarget());
     exchange->setCloseCallback(&HttpServer::onClosed, server);
     if (pending.counted) {
         exchange->setConnection(pending.counted);
-        pending.counted->beginExchange(exchange);
+        pending.counted->beginExchange(exchange, pending.gate->held());
     }
     server->m_arrived.emit(exchange);
 }
--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -27,6 +27,7 @@
 {
 
 class CallerConnection;
+class RequestGate;
 
 /// HTTP server for callers and the load balancer. Limits the size of requests and the time for receiving them; emits an Exchange for each.
 class HttpServer
@@ -67,6 +68,10 @@
     static void onInput(evbuffer *input, const evbuffer_cb_info *info, void *self);
     static void onAnswerWritten(evhttp_request *request, void *self);
     static void onClosed(evhttp_connection *connection, void *self);
+    struct PendingRead;
+    void handleInput(evbuffer *input, const evbuffer_cb_info &info);
+    const std::shared_ptr<RequestGate> &gateOf(PendingRead &pending);
+    void closeGate(PendingRead &pending);
     void enforceReadLimit(evbuffer *input);
     void countInput(evbuffer *input, const evbuffer_cb_info &info);
     void limitSendBuffers();
@@ -92,6 +97,8 @@
         bool isAnswering = false;
         /// Null unless bytes are counted, and before the first byte.
         std::shared_ptr<CallerConnection> counted;
+        /// Null before the first byte and after the connection was closed.
+        std::shared_ptr<RequestGate> gate;
     };
     std::unordered_map<evbuffer *, PendingRead> m_pendingReads;
     struct Load
--- /dev/null
+++ b/src/entry/requestgate.cpp
@@ -0,0 +1,240 @@
+#include "entry/requestgate.h"
+
+#include "entry/exchange.h"
+#include "entry/headers.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace cumindyke
+{
+
+namespace
+{
+
+/// A connection that is closed while bytes of the caller are unread is reset, and the caller may lose the refusal. What it had sent already, and a body that it
+/// sends without waiting, is read within these bounds first.
+constexpr Duration MaxDiscardTime = std::chrono::seconds(2);
+constexpr std::size_t MaxDiscardedBytes = 2 * RequestReader::MaxBodyBytes;
+
+const char *statusText(int status)
+{
+    switch (status) {
+    case RequestReader::BodyTooLarge:
+        return "413 Content Too Large";
+    case RequestReader::HeadTooLarge:
+        return "431 Request Header Fields Too Large";
+    default:
+        return "400 Bad Request";
+    }
+}
+
+std::string refusalText(int status, const char *reason)
+{
+    const ErrorKind kind = status == RequestReader::BadRequest ? ErrorKind::BadRequest : ErrorKind::TooLarge;
+    const std::string body = errorJson(Error{kind, reason}, RunOutcome::NotRun) + "\n";
+    return "HTTP/1.1 " + std::string(statusText(status)) + "\r\nContent-Type: application/json\r\n" + headers::Outcome + ": " + toString(RunOutcome::NotRun)
+        + "\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}
+
+RequestGate::RequestGate(EventLoop &loop, bufferevent *connection, Refused refused)
+    : m_loop(loop)
+    , m_connection(connection)
+    , m_input(bufferevent_get_input(connection))
+    , m_held(evbuffer_new())
+    , m_refused(std::move(refused))
+{
+}
+
+RequestGate::~RequestGate()
+{
+    evbuffer_free(m_held);
+}
+
+void RequestGate::handleInput(const evbuffer_cb_info &info)
+{
+    if (m_hasRefused) {
+        discardInput();
+        return;
+    }
+    if (info.n_added <= m_reader.remainingLength() && evbuffer_get_length(m_held) == 0) {
+        m_reader.skip(info.n_added);
+        return;
+    }
+    // The front of the input is what the parser has not taken yet.
+    m_isReleasing = true;
+    if (info.orig_size == 0) {
+        evbuffer_add_buffer(m_held, m_input);
+    } else {
+        evbuffer *all = evbuffer_new();
+        evbuffer_add_buffer(all, m_input);
+        evbuffer_remove_buffer(all, m_input, info.orig_size);
+        evbuffer_add_buffer(m_held, all);
+        evbuffer_free(all);
+    }
+    m_isReleasing = false;
+    readHeld();
+}
+
+void RequestGate::readHeld()
+{
+    m_isReleasing = true;
+    // Outside of a read the end of a connection's input is frozen.
+    evbuffer_unfreeze(m_input, 0);
+    while (!m_hasRefused && !m_reader.isWhole() && readStep()) {
+    }
+    releaseChunk();
+    m_isReleasing = false;
+}
+
+/// Reads one contiguous part of what is held; false if there is none.
+bool RequestGate::readStep()
+{
+    evbuffer_ptr position{};
+    evbuffer_ptr_set(m_held, &position, m_readBytes, EVBUFFER_PTR_SET);
+    evbuffer_iovec part{};
+    if (evbuffer_get_length(m_held) == m_readBytes || evbuffer_peek(m_held, -1, &position, &part, 1) < 1) {
+        return false;
+    }
+    std::string_view bytes(static_cast<const char *>(part.iov_base), part.iov_len);
+    const RequestReader::Step step = m_reader.next(bytes);
+    m_readBytes += part.iov_len - bytes.size();
+    const bool isChunked = m_reader.head().framing == BodyFraming::Chunked;
+    switch (step) {
+    case RequestReader::Step::NeedsMore:
+        // A head is given to the parser as a whole, and a chunk's frame not at all.
+        if (m_reader.isInBody()) {
+            evbuffer_drain(m_held, std::exchange(m_readBytes, 0));
+        }
+        return true;
+    case RequestReader::Step::Head:
+        releaseHead();
+        m_reader.beginBody();
+        return true;
+    case RequestReader::Step::Body:
+        if (!isChunked) {
+            release(std::exchange(m_readBytes, 0));
+            return true;
+        }
+        m_chunkData += m_reader.body();
+        evbuffer_drain(m_held, std::exchange(m_readBytes, 0));
+        return true;
+    case RequestReader::Step::Whole:
+        evbuffer_drain(m_held, std::exchange(m_readBytes, 0));
+        releaseChunk();
+        append("0\r\n\r\n");
+        return false;
+    case RequestReader::Step::Refused:
+        refuse(m_reader.refusalStatus(), m_reader.refusalReason());
+        return false;
+    }
+    return false;
+}
+
+void RequestGate::releaseHead()
+{
+    const std::size_t length = std::exchange(m_readBytes, 0);
+    if (m_reader.head().isPlain) {
+        release(length);
+        return;
+    }
+    const std::string_view head(reinterpret_cast<const char *>(evbuffer_pullup(m_held, static_cast<ev_ssize_t>(length))), length);
+    append(canonicalHead(head, "/"));
+    evbuffer_drain(m_held, length);
+    m_target = m_reader.head().target;
+}
+
+void RequestGate::release(std::size_t bytes)
+{
+    evbuffer_remove_buffer(m_held, m_input, bytes);
+}
+
+/// libevent reads no extensions of chunks and takes a trailer for fields of the head: it gets the data alone, in chunks of its own.
+void RequestGate::releaseChunk()
+{
+    if (m_chunkData.empty() || m_hasRefused) {
+        return;
+    }
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", m_chunkData.size());
+    append(size.data() + std::exchange(m_chunkData, {}) + "\r\n");
+}
+
+void RequestGate::append(const std::string &bytes)
+{
+    evbuffer_add(m_input, bytes.data(), bytes.size());
+}
+
+std::optional<std::string> RequestGate::takeTarget()
+{
+    return std::exchange(m_target, std::nullopt);
+}
+
+void RequestGate::endRequest()
+{
+    m_reader.beginNext();
+    if (evbuffer_get_length(m_held) == 0) {
+        return;
+    }
+    if (!m_resumeTimer) {
+        m_resumeTimer = std::make_unique<Timer>(m_loop, [this] { resume(); });
+    }
+    m_resumeTimer->startOnce(Duration::zero());
+}
+
+void RequestGate::close()
+{
+    if (m_resumeTimer) {
+        m_resumeTimer->stop();
+    }
+}
+
+void RequestGate::resume()
+{
+    readHeld();
+    if (!m_hasRefused) {
+        // The end of this connection may destroy the gate.
+        bufferevent_trigger(m_connection, EV_READ, 0);
+    }
+}
+
+void RequestGate::refuse(int status, const char *reason)
+{
+    m_hasRefused = true;
+    m_refusedAt = EventLoop::now();
+    m_refused(status, reason);
+    // No answer is under way: the one before is written, and this request has none yet.
+    const std::string text = refusalText(status, reason);
+    const evutil_socket_t socket = bufferevent_getfd(m_connection);
+    send(socket, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    shutdown(socket, SHUT_WR);
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(MaxDiscardTime);
+    const timeval timeout{.tv_sec = seconds.count(), .tv_usec = 0};
+    bufferevent_set_timeouts(m_connection, &timeout, nullptr);
+    m_isReleasing = true;
+    evbuffer_drain(m_held, evbuffer_get_length(m_held));
+    discardInput();
+}
+
+/// libevent detects the caller's close, and this one's.
+void RequestGate::discardInput()
+{
+    const std::size_t length = evbuffer_get_length(m_input);
+    m_discardedBytes += length;
+    evbuffer_drain(m_input, length);
+    if (m_discardedBytes > MaxDiscardedBytes || EventLoop::now() - m_refusedAt > MaxDiscardTime) {
+        shutdown(bufferevent_getfd(m_connection), SHUT_RDWR);
+    }
+}
+
+}
--- /dev/null
+++ b/src/entry/requestgate.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "common/eventloop.h"
+#include "entry/requestreader.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+
+namespace cumindyke
+{
+
+/// Stands between a caller's connection and libevent's HTTP parser, which is lax: gives it the bytes of one request after the other, each only after
+/// RequestReader has accepted them, and the next only when the answer before is written. A request that is refused is answered here, and no byte after it is
+/// read as a request.
+class RequestGate
+{
+public:
+    /// Called with the status and the reason when a request is refused.
+    using Refused = std::function<void(int status, const char *reason)>;
+
+    RequestGate(EventLoop &loop, bufferevent *connection, Refused refused);
+    ~RequestGate();
+    RequestGate(const RequestGate &) = delete;
+    RequestGate &operator=(const RequestGate &) = delete;
+
+    /// Bytes were appended to the connection's input. Leaves in it what the parser may read.
+    void handleInput(const evbuffer_cb_info &info);
+    /// The answer is written. The next request is given to the parser when the present callback has returned.
+    void endRequest();
+    /// The connection is being closed.
+    void close();
+    /// Whether the input changes because of the gate itself.
+    bool isReleasing() const
+    {
+        return m_isReleasing;
+    }
+    /// The request was refused; what arrives is discarded.
+    bool hasRefused() const
+    {
+        return m_hasRefused;
+    }
+    /// Received, but not given to the parser yet.
+    evbuffer *held() const
+    {
+        return m_held;
+    }
+    /// The target of the request that the parser has read, if it was given another one; see RequestHead::isPlain.
+    std::optional<std::string> takeTarget();
+
+private:
+    void readHeld();
+    bool readStep();
+    void releaseHead();
+    void release(std::size_t bytes);
+    void releaseChunk();
+    void append(const std::string &bytes);
+    void resume();
+    void refuse(int status, const char *reason);
+    void discardInput();
+
+    EventLoop &m_loop;
+    bufferevent *m_connection;
+    evbuffer *m_input;
+    evbuffer *m_held;
+    Refused m_refused;
+    RequestReader m_reader;
+    /// Bytes at the front of m_held that the reader has taken: of a head that is not complete.
+    std::size_t m_readBytes = 0;
+    /// Data of chunks that is not given to the parser yet.
+    std::string m_chunkData;
+    std::optional<std::string> m_target;
+    bool m_isReleasing = false;
+    bool m_hasRefused = false;
+    TimePoint m_refusedAt;
+    std::size_t m_discardedBytes = 0;
+    /// Null until a request waited for the end of another one's answer.
+    std::unique_ptr<Timer> m_resumeTimer;
+};
+
+}
--- a/src/upstream/chunkscanner.cpp
+++ b/src/upstream/chunkscanner.cpp
@@ -1,5 +1,7 @@
 #include "upstream/chunkscanner.h"
 
+#include "upstream/httpgrammar.h"
+
 #include <algorithm>
 
 namespace cumindyke
@@ -52,7 +54,15 @@
     case State::Size:
         return nextInSize(byte);
     case State::Extension:
-        return byte == '\r' ? State::SizeEnd : State::Extension;
+        if (byte == '\r') {
+            return State::SizeEnd;
+        }
+        return m_isStrict && isControlByte(byte) ? State::Broken : State::Extension;
+    case State::SizeBlank:
+        if (byte == ' ' || byte == '\t') {
+            return State::SizeBlank;
+        }
+        return byte == ';' ? State::Extension : State::Broken;
     case State::SizeEnd:
         return byte == '\n' ? afterSizeLine() : State::Broken;
     case State::DataEnd:
@@ -60,8 +70,7 @@
     case State::DataLineEnd:
         return byte == '\n' ? State::Size : State::Broken;
     case State::Trailer:
-        m_isTrailerLineEmpty = m_isTrailerLineEmpty && byte == '\r';
-        return byte == '\r' ? State::TrailerEnd : State::Trailer;
+        return nextInTrailer(byte);
     case State::TrailerEnd:
         return byte == '\n' ? afterTrailerLine() : State::Broken;
     default:
@@ -83,7 +92,29 @@
     if (byte == '\r') {
         return State::SizeEnd;
     }
-    return byte == ';' || byte == ' ' || byte == '\t' ? State::Extension : State::Broken;
+    if (byte == ' ' || byte == '\t') {
+        return m_isStrict ? State::SizeBlank : State::Extension;
+    }
+    return byte == ';' ? State::Extension : State::Broken;
+}
+
+ChunkScanner::State ChunkScanner::nextInTrailer(char byte)
+{
+    if (byte == '\r') {
+        const bool isField = m_isTrailerLineEmpty || m_inTrailerValue;
+        m_inTrailerValue = false;
+        return isField || !m_isStrict ? State::TrailerEnd : State::Broken;
+    }
+    if (m_isStrict && !m_inTrailerValue) {
+        m_inTrailerValue = byte == ':' && !m_isTrailerLineEmpty;
+        if (!m_inTrailerValue && !isTokenByte(byte)) {
+            return State::Broken;
+        }
+    } else if (m_isStrict && isControlByte(byte)) {
+        return State::Broken;
+    }
+    m_isTrailerLineEmpty = false;
+    return State::Trailer;
 }
 
 ChunkScanner::State ChunkScanner::afterSizeLine()
