A route is chosen by the bytes of the path that is sent on

Cause: the path came from evhttp_uri_get_path(), which takes "//hall7" for a host and returns "/slots/N/deposit", while the whole target was sent on. The route of that path permitted a second attempt.

Now the path is the target up to the first "?", with nothing decoded, removed or joined. A target that begins with two slashes goes past libevent, which refused some of them ("//a:b/").

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -118,18 +118,15 @@
     return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-Exchange::Exchange(EventLoop &loop, evhttp_request *request, const std::optional<std::string> &target)
+Exchange::Exchange(EventLoop &loop, evhttp_request *request, std::optional<std::string> target)
     : m_loop(loop)
     , m_request(request)
     , m_method(methodName(evhttp_request_get_command(request)))
-    , m_target(target ? *target : evhttp_request_get_uri(request))
+    , m_target(target ? std::move(*target) : evhttp_request_get_uri(request))
     , m_body(takeContent(evhttp_request_get_input_buffer(request)))
 {
-    if (target) {
-        m_path = pathOf(m_target);
-    } else if (const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request))) {
-        m_path = path;
-    }
+    // Not libevent's path: it takes "//a/b" for a host and a path, so that a route was chosen by another path than the one that was sent on.
+    m_path = pathOf(m_target);
     evhttp_connection *connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, &Exchange::onConnectionFreed, this);
     // libevent does not read while a reply is pending, so it would detect that the caller has disconnected only when a write fails, after
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -38,7 +38,7 @@
 {
 public:
     /// "target" is the one that the caller sent, if libevent was given another one.
-    Exchange(EventLoop &loop, evhttp_request *request, const std::optional<std::string> &target);
+    Exchange(EventLoop &loop, evhttp_request *request, std::optional<std::string> target);
     ~Exchange();
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
@@ -47,7 +47,7 @@
     {
         return m_method;
     }
-    /// Path without the query.
+    /// The bytes of the target before the query. The route is chosen by them, as they are sent on.
     const std::string &path() const
     {
         return m_path;
--- a/src/entry/requestreader.cpp
+++ b/src/entry/requestreader.cpp
@@ -146,6 +146,8 @@
     }
     if (target.starts_with('/') || (target == "*" && m_head.method == "OPTIONS")) {
         m_head.target = target;
+        // libevent would take what follows two slashes for a host.
+        m_head.isPlain = m_head.isPlain && !target.starts_with("//");
         return m_head.method != "CONNECT" || refuse("this server is no tunnel: send no CONNECT");
     }
     for (const std::string_view scheme : {"http://", "https://"}) {
--- a/tests/platform/callerrequeststest.cpp
+++ b/tests/platform/callerrequeststest.cpp
@@ -268,6 +268,34 @@
     return rows;
 }
 
+/// The path as sent chooses the route: no prefix begins these.
+std::vector<Row> unroutedRows()
+{
+    std::vector<Row> rows;
+    for (const std::string target : {"/",
+                                     "//",
+                                     "//deposits/a",
+                                     "//hall7/deposits/a",
+                                     "//a:b/deposits/a",
+                                     "//@/deposits/a",
+                                     "/./deposits/a",
+                                     "/x/../deposits/a",
+                                     "/%2fdeposits/a",
+                                     "/%64eposits/a",
+                                     "/deposits",
+                                     "/deposits;a/b",
+                                     "/?/deposits/a",
+                                     "/Deposits/a",
+                                     "http://desk.example",
+                                     "http://desk.example?/deposits/a",
+                                     "http://desk.example//deposits/a"}) {
+        rows.push_back(Row{.name = "route of " + target, .bytes = message("POST " + target + " HTTP/1.1"), .run = {}, .status = 404});
+    }
+    rows.push_back(Row{.name = "OPTIONS *", .bytes = message("OPTIONS * HTTP/1.1"), .run = {}, .status = 404});
+    rows.push_back(Row{.name = "empty host", .bytes = message("POST /deposits/a HTTP/1.1", "Host:\r\n"), .run = {}, .status = 404});
+    return rows;
+}
+
 struct Outcome
 {
     std::vector<int> statuses;
@@ -369,3 +397,15 @@
     CAPTURE(rows.size());
     CHECK(failures == 0);
 }
+
+// Guards against a deposit that runs twice, since libevent took "//hall7" for a host and the rest for a path of a route whose requests may be repeated.
+TEST_CASE("process: the path as the caller sent it chooses the route")
+{
+    const System system;
+    REQUIRE(system.publish(documentOf(3)));
+    REQUIRE(system.waitUntilReady());
+    const std::vector<Row> rows = unroutedRows();
+    const int failures = countFailures(system, rows, false);
+    CAPTURE(rows.size());
+    CHECK(failures == 0);
+}
