The cost of reading a small request is measured

cumindyke-microbench has readSmallRequest (the strict reader alone) and smallRequestThroughServer (a request and its answer on a kept connection).

--- /dev/null
+++ b/src/microbench/requestbench.cpp
@@ -0,0 +1,63 @@
+// Measures what reading a caller's request costs: the strict reader alone, and a request and its answer through the server with the answer's caller in the same
+// thread.
+
+#include "entry/httpserver.h"
+#include "entry/requestreader.h"
+
+#include <benchmark/benchmark.h>
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
+using namespace cumindyke;
+
+namespace
+{
+
+const std::string Host = "127.0.0.1";
+const std::string SmallRequest = "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nCumindyke-Request-Id: 9c41d07be2a35f68\r\nCumindyke-Model: m\r\n"
+                                 "Cumindyke-Token-Count: 1460,80\r\nCumindyke-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
+                                 "Cumindyke-Deadline-Ms: 8000\r\nCumindyke-Key: i9n73hh2b9wu3fexd9dn\r\nContent-Length: 0\r\n\r\n";
+
+void readSmallRequest(benchmark::State &state)
+{
+    RequestReader reader;
+    for (auto _ : state) {
+        std::string_view bytes = SmallRequest;
+        benchmark::DoNotOptimize(reader.next(bytes));
+        reader.beginBody();
+        reader.beginNext();
+    }
+}
+BENCHMARK(readSmallRequest);
+
+/// On one connection that is kept.
+void smallRequestThroughServer(benchmark::State &state)
+{
+    EventLoop loop;
+    auto door = HttpServer::listen(loop, Address{.host = Host, .port = 0}, std::chrono::seconds(5));
+    valueOf(door)->arrived().connect([](const std::shared_ptr<Exchange> &exchange) { exchange->reply(200, "text/plain", "done"); });
+    const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in to{.sin_family = AF_INET, .sin_port = htons(valueOf(door)->port())};
+    inet_pton(AF_INET, Host.c_str(), &to.sin_addr);
+    if (connect(caller, reinterpret_cast<const sockaddr *>(&to), sizeof to) != 0) {
+        state.SkipWithError("the server can't be reached");
+        return;
+    }
+    std::array<char, 4096> answer{};
+    for (auto _ : state) {
+        send(caller, SmallRequest.data(), SmallRequest.size(), MSG_NOSIGNAL);
+        while (recv(caller, answer.data(), answer.size(), MSG_DONTWAIT) <= 0) {
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+        }
+    }
+    close(caller);
+}
+BENCHMARK(smallRequestThroughServer);
+
+}
