--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -37,7 +37,8 @@
 class Exchange
 {
 public:
-    Exchange(EventLoop &loop, evhttp_request *request);
+    /// "target" is the one that the caller sent, if libevent was given another one.
+    Exchange(EventLoop &loop, evhttp_request *request, std::optional<std::string> target);
     ~Exchange();
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
@@ -46,7 +47,7 @@
     {
         return m_method;
     }
-    /// Path without the query.
+    /// The bytes of the target before the query. The route is chosen by them, as they are sent on.
     const std::string &path() const
     {
         return m_path;
