A caller that leaves with a reset is noticed

A caller that closes its connection with something unread resets it.

Cause: an exchange waits for EV_CLOSED only. libevent reports a reset as EV_READ and EV_WRITE, never as EV_CLOSED, and epoll reports the error again and again to an event that nobody handles. The event waits for EV_READ too, fires once, and asks the socket whether the caller has left. If only bytes have come (a pipelined request, which is not read before the end of the answer), a timer of 100 ms asks from then on, since EV_READ would fire all the time. So a caller with bytes behind its request is noticed up to 100 ms later than before, all others at once. As before, a caller that has closed only its sending direction counts as gone.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -11,6 +11,7 @@
 #include <event2/keyvalq_struct.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace cumindyke
@@ -19,6 +20,9 @@
 namespace
 {
 
+/// A caller's end must be noticed within half a second, also on a busy machine.
+constexpr timeval PeerCheckInterval{.tv_sec = 0, .tv_usec = 100'000};
+
 const char *methodName(evhttp_cmd_type command)
 {
     switch (command) {
@@ -70,6 +74,13 @@
     return request->type != EVHTTP_REQ_HEAD && status >= HTTP_OK && status != HTTP_NOCONTENT && status != HTTP_NOTMODIFIED;
 }
 
+/// Whether the caller has closed or reset the connection. A caller that has closed its sending direction only counts as gone.
+bool hasLeft(evhttp_request *request)
+{
+    pollfd state{.fd = bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request))), .events = POLLRDHUP, .revents = 0};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool isRetryable(ErrorKind kind)
 {
     return kind == ErrorKind::Overloaded || kind == ErrorKind::Unavailable;
@@ -129,9 +140,10 @@
     evhttp_connection *connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, &Exchange::onConnectionFreed, this);
     // libevent does not read while a reply is pending, so it would detect that the caller has disconnected only when a write fails, after
-    // the upstream has done the work. This event detects the close without reading.
+    // the upstream has done the work. This event detects the end without reading. libevent reports a reset as EV_READ and never as EV_CLOSED, and an
+    // event that waits for EV_CLOSED only lets the loop spin on it.
     const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    m_closedEvent = event_new(loop.base(), socket, EV_CLOSED, &Exchange::onPeerClosed, this);
+    m_closedEvent = event_new(loop.base(), socket, EV_CLOSED | EV_READ, &Exchange::onPeerEvent, this);
     event_add(m_closedEvent, nullptr);
 }
 
@@ -349,9 +361,20 @@
     return connection ? evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(connection))) : 0;
 }
 
-void Exchange::onPeerClosed(int /*fd*/, short /*what*/, void *self)
+void Exchange::onPeerEvent(int /*fd*/, short /*what*/, void *self)
 {
-    static_cast<Exchange *>(self)->notifyCallerDisconnected();
+    auto *exchange = static_cast<Exchange *>(self);
+    if (hasLeft(exchange->m_request)) {
+        exchange->notifyCallerDisconnected();
+        return;
+    }
+    if (event_get_fd(exchange->m_closedEvent) < 0) {
+        return;
+    }
+    // Bytes of the caller wait to be read after the answer, so EV_READ would fire all the time: the connection is checked by a timer from now on.
+    event_free(exchange->m_closedEvent);
+    exchange->m_closedEvent = event_new(exchange->m_loop.base(), -1, EV_PERSIST, &Exchange::onPeerEvent, self);
+    event_add(exchange->m_closedEvent, &PeerCheckInterval);
 }
 
 void Exchange::onConnectionFreed(evhttp_connection *connection, void *self)
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -114,7 +114,7 @@
     }
 
 private:
-    static void onPeerClosed(int fd, short what, void *self);
+    static void onPeerEvent(int fd, short what, void *self);
     static void onConnectionFreed(evhttp_connection *connection, void *self);
     static void onWritten(evhttp_connection *connection, void *self);
     void notifyCallerDisconnected();
--- a/tests/support/rawconnection.cpp
+++ b/tests/support/rawconnection.cpp
@@ -46,6 +46,12 @@
     return true;
 }
 
+void RawConnection::resetOnClose() const
+{
+    const linger value{.l_onoff = 1, .l_linger = 0};
+    REQUIRE(setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &value, sizeof value) == 0);
+}
+
 void RawConnection::shutdownSending() const
 {
     shutdown(m_socket, SHUT_WR);
--- a/tests/support/rawconnection.h
+++ b/tests/support/rawconnection.h
@@ -21,6 +21,8 @@
     bool send(std::string_view bytes) const;
     /// Shuts down the sending direction; answers can still be read.
     void shutdownSending() const;
+    /// From now on closing the connection resets it.
+    void resetOnClose() const;
     /// Reads until the bytes read contain the text, the peer closes the connection, or WaitTimeout is over. Returns all bytes read so far.
     std::string readUntil(const std::string &text);
     /// Reads at most this many bytes, without waiting for any.
