One odd entry of the platform's list hides no other entry

Entries that no request can be sent by were used: port 0, an address of no host, multicast and broadcast addresses, names with line breaks, which break the head of a request, and names of 1 MB.

Cause: parseInstancePage() parsed a page as a whole, and checked only the form of addresses and names.

What is passed over is counted (cumindyke_rejected_list_entries_total) and logged when it changes (upstream-list-entries-rejected); pages that can't be read are counted (cumindyke_list_read_failures_total), and upstream-list-lost is written for the first read, too.

The page of documentstest.cpp has a list of descriptions in place of a count; its check is the same.

--- a/src/common/address.cpp
+++ b/src/common/address.cpp
@@ -27,6 +27,17 @@
     return address;
 }
 
+bool isUsable(const Address &address)
+{
+    constexpr unsigned FirstMulticastByte = 224;
+    in_addr host{};
+    if (address.port == 0 || inet_pton(AF_INET, address.host.c_str(), &host) != 1) {
+        return false;
+    }
+    const unsigned firstByte = ntohl(host.s_addr) >> 24U;
+    return firstByte != 0 && firstByte < FirstMulticastByte;
+}
+
 std::optional<sockaddr_in> socketAddress(const Address &address)
 {
     sockaddr_in socket{};
--- a/src/proxy/instancelistreader.cpp
+++ b/src/proxy/instancelistreader.cpp
@@ -20,6 +20,7 @@
 /// are kept.
 constexpr Duration MinRetryDelay = std::chrono::milliseconds(100);
 constexpr int MaxPageRetries = 4;
+constexpr std::size_t MaxLoggedEntries = 8;
 
 }
 
@@ -67,7 +68,7 @@
         m_list.dataCentre = m_currentRead.dataCentre;
     }
     m_pageCount = 0;
-    m_rejectedCount = 0;
+    m_rejected.clear();
     m_pageFailures = 0;
     fetchPage();
 }
@@ -112,7 +113,10 @@
         m_schedule.addDataCentre(instance.dataCentre);
     }
     m_pageFailures = 0;
-    m_rejectedCount += content.rejectedCount;
+    if (!content.rejected.empty()) {
+        m_rejected.insert(content.rejected.begin(), content.rejected.end());
+        m_entriesRejected.emit(content.rejected.size());
+    }
     ++m_pageCount;
     m_currentRead.pageToken = content.nextPageToken;
     if (m_currentRead.scope == ListRead::Scope::Discovery) {
@@ -145,6 +149,7 @@
     }
     m_wasRead = true;
     updateReadable(true, "");
+    reportRejected();
     m_listRead.emit(m_list);
     m_nextReadTimer.startOnce(Duration::zero());
 }
@@ -169,10 +174,30 @@
     }
     m_readable = readable;
     if (readable) {
-        logChange("proxy", "upstream-list-regained", {{"upstreams", std::to_string(m_list.instances.size())}, {"rejected", std::to_string(m_rejectedCount)}});
+        logChange("proxy", "upstream-list-regained", {{"upstreams", std::to_string(m_list.instances.size())}, {"rejected", std::to_string(m_rejected.size())}});
     } else {
         logWarning("proxy", "upstream-list-lost", {{"why", reason}});
     }
 }
 
+void InstanceListReader::reportRejected()
+{
+    std::multiset<std::string> &reported = m_reportedRejected[m_list.dataCentre];
+    if (m_rejected == reported) {
+        return;
+    }
+    reported = m_rejected;
+    std::string entries;
+    std::size_t count = 0;
+    for (const std::string &entry : m_rejected) {
+        if (++count > MaxLoggedEntries) {
+            break;
+        }
+        entries += (entries.empty() ? "" : "; ") + entry;
+    }
+    logChange("proxy",
+              "upstream-list-entries-rejected",
+              {{"data_centre", m_list.dataCentre ? m_list.dataCentre->value : ""}, {"count", std::to_string(m_rejected.size())}, {"entries", entries}});
+}
+
 }
--- a/src/proxy/instancelistreader.h
+++ b/src/proxy/instancelistreader.h
@@ -7,7 +7,11 @@
 
 #include <sigc++/sigc++.h>
 
+#include <map>
 #include <memory>
+#include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace cumindyke
@@ -42,6 +46,11 @@
     {
         return m_listRead;
     }
+    /// Emitted with each page that has entries which name no usable upstream: how many.
+    sigc::signal<void, std::size_t> &entriesRejected()
+    {
+        return m_entriesRejected;
+    }
     /// Emitted when a read of a page failed; it is retried.
     sigc::signal<void> &readFailed()
     {
@@ -55,6 +64,7 @@
     void finishRead(TimePoint now);
     void handlePageFailure(const std::string &reason);
     void updateReadable(bool readable, const std::string &reason);
+    void reportRejected();
 
     EventLoop &m_loop;
     const InstanceListProtocol m_protocol;
@@ -68,12 +78,17 @@
     ListRead m_currentRead;
     InstanceList m_list;
     std::size_t m_pageCount = 0;
-    std::size_t m_rejectedCount = 0;
+    /// Of the current read.
+    std::multiset<std::string> m_rejected;
+    /// Of the last complete read of the whole list and of each part.
+    std::map<std::optional<DataCentreName>, std::multiset<std::string>> m_reportedRejected;
     int m_pageFailures = 0;
     bool m_remoteWanted = false;
     bool m_wasRead = false;
-    bool m_readable = false;
+    /// None: nothing was read yet.
+    std::optional<bool> m_readable;
     sigc::signal<void, const InstanceList &> m_listRead;
+    sigc::signal<void, std::size_t> m_entriesRejected;
     sigc::signal<void> m_readFailed;
 };
 
--- a/src/proxy/placementhost.h
+++ b/src/proxy/placementhost.h
@@ -86,6 +86,16 @@
         return m_returnsCounted;
     }
 
+    /// See InstanceListReader.
+    sigc::signal<void, std::size_t> &listEntriesRejected()
+    {
+        return m_listReader.entriesRejected();
+    }
+    sigc::signal<void> &listReadFailed()
+    {
+        return m_listReader.readFailed();
+    }
+
     void setFleet(const v1::FleetTally &fleet);
     void setRoutes(const v1::RouteTable &routes);
     /// Sends the state of this VM even if it has no requests: placement servers derive their coverage from the VMs that they know.
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -99,6 +99,11 @@
     m_placement->refused().connect([this](const PlacementRefused &refused) { onRefused(refused); });
     m_placement->returnsCounted().connect([this](const ReturnCounts &counts) { onReturnsCounted(counts); });
     m_placement->ejected().connect([this](const PlacementServer::Ejection &ejection) { onEjected(ejection); });
+    m_placement->listEntriesRejected().connect(
+        [rejected = m_metrics.counter("cumindyke_rejected_list_entries_total", "Entries of the platform's list that named no usable upstream, at each read")](
+            std::size_t count) mutable { rejected.add(static_cast<double>(count)); });
+    m_placement->listReadFailed().connect([failures = m_metrics.counter("cumindyke_list_read_failures_total",
+                                                                        "Pages of the platform's list that could not be read")]() mutable { failures.add(); });
     m_placement->slotsLeft().connect([this](const PeerWaiting::Report &report) { onSlotsLeft(report); });
     auto paths = UpstreamPaths::open(m_loop,
                                      UpstreamPathsOptions{
--- a/src/proxy/proxytypes.h
+++ b/src/proxy/proxytypes.h
@@ -23,8 +23,8 @@
 struct InstancePage
 {
     std::vector<UpstreamInstance> instances;
-    /// Entries that could not be parsed or do not name a usable upstream.
-    std::size_t rejectedCount = 0;
+    /// For each entry that could not be parsed or does not name a usable upstream: what it is and why. Short and printable.
+    std::vector<std::string> rejected;
     /// Token of the next page; empty on the last page.
     std::string nextPageToken;
 };
@@ -35,7 +35,7 @@
     Address address;
     /// Path and query of a page of the whole list, or of one data centre's part. The token of the first page is empty.
     std::function<std::string(const std::optional<DataCentreName> &dataCentre, std::string_view pageToken)> target;
-    /// Error: Invalid, if the page as a whole can't be parsed.
+    /// Error: Invalid, if the page can't be split into its entries, or does not say which page follows.
     std::function<Result<InstancePage>(std::string_view body)> parse;
 };
 
--- a/tests/fakeplatform/fakeplatform.cpp
+++ b/tests/fakeplatform/fakeplatform.cpp
@@ -137,6 +137,19 @@
     m_requestLimit = limit;
 }
 
+Address FakePlatform::addressOf(const std::string &instance) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto isNamed = [&instance](const std::unique_ptr<Upstream> &upstream) { return upstream->instance == instance; };
+    return (*std::ranges::find_if(m_upstreams, isNamed))->address;
+}
+
+void FakePlatform::setListBody(const std::string &body)
+{
+    const std::lock_guard lock(m_mutex);
+    m_listBody = body;
+}
+
 void FakePlatform::setSlots(int slots)
 {
     const std::lock_guard lock(m_mutex);
@@ -280,6 +293,10 @@
                               {"state", m_state},
                               {"coldRemainingMs", 0}};
     };
+    if (m_listBody) {
+        exchange.reply(200, "application/json", *m_listBody);
+        return;
+    }
     // The second entry is malformed, as if another program had written it.
     nlohmann::json list{{"instances", {entry(m_instance, m_address, "z-a"), {{"id", 5}}}}, {"next", nullptr}};
     if (!m_upstreams.empty() || !m_otherUpstreams.empty()) {
--- a/tests/fakeplatform/fakeplatform.h
+++ b/tests/fakeplatform/fakeplatform.h
@@ -63,6 +63,8 @@
     /// From now on the list also names an upstream that the test runs itself, instead of the one that shares the list's address. A later
     /// upstream with the same address replaces an earlier one.
     void addUpstream(const std::string &instance, const Address &address);
+    /// From now on a page of the list has this body, and the test names the upstreams that it wants listed.
+    void setListBody(const std::string &body);
     /// From now on the list gives each upstream this many slots.
     void setSlots(int slots);
     /// From now on the upstreams' answers name this limit of requests a second; empty: none.
@@ -79,6 +81,7 @@
     std::vector<TimePoint> refusals() const;
     /// The names of the upstreams in a data centre.
     std::vector<std::string> upstreamsIn(const std::string &dataCentre) const;
+    Address addressOf(const std::string &instance) const;
     /// Number of upstream processes that a request has ended.
     int endedCount() const;
 
@@ -119,6 +122,7 @@
     std::vector<SeenRequest> m_seen;
     std::string m_state = "ready";
     int m_slots = 4;
+    std::optional<std::string> m_listBody;
     std::string m_requestLimit;
     std::optional<std::size_t> m_coldRate;
     std::string m_refusingInstance;
--- a/tests/platform/documentstest.cpp
+++ b/tests/platform/documentstest.cpp
@@ -135,7 +135,7 @@
     const Result<InstancePage> page = pageWith(malformed + "," + Entry);
     REQUIRE(ok(page));
     CHECK(valueOf(page).instances.size() == 1);
-    CHECK(valueOf(page).rejectedCount == 1);
+    CHECK(valueOf(page).rejected.size() == 1);
 }
 
 TEST_CASE("a truncated page is rejected as a whole")
