The soak of answers runs over a link

"link" in the list of faults puts linkproxy between the callers and the entry VMs, and between these and the upstreams; kills stay beside it. A line of each seed counts what the end check made of whole answers without a length or chunks. The upstreams' log says "whole" for an answer that was sent to its end. CUMINDYKE_DAEMON plays another version's program.

--- a/tests/fakeplatform/platformsystem.cpp
+++ b/tests/fakeplatform/platformsystem.cpp
@@ -2,9 +2,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
+
 namespace cumindyke::test
 {
 
+std::string daemonProgram()
+{
+    const char *program = std::getenv("CUMINDYKE_DAEMON");
+    return program ? program : std::string(CUMINDYKE_BIN) + "/cumindyked";
+}
+
 std::string documentOf(int version)
 {
     const auto route = [](const std::string &name, const std::string &kind) {
--- a/tests/fakeplatform/platformsystem.h
+++ b/tests/fakeplatform/platformsystem.h
@@ -19,6 +19,9 @@
 /// Number of the platform's host in the test network; those of upstreams follow.
 constexpr int FirstPlatformHost = 90;
 
+/// Path of the daemon's program. The environment variable CUMINDYKE_DAEMON names that of an earlier version, whose faults the tests should find.
+std::string daemonProgram();
+
 /// Three control VMs, two entry VMs and the fake platform, on loopback.
 class System
 {
@@ -39,9 +42,8 @@
         const std::string host = network.host(vm);
         const std::string file = folder.file("vm" + std::to_string(vm) + ".toml");
         std::ofstream(file) << settings(vm, host);
-        daemons[vm] = std::make_unique<Process>(std::vector<std::string>{std::string(CUMINDYKE_BIN) + "/cumindyked", "--settings", file},
-                                                folder.file("out" + std::to_string(vm)),
-                                                folder.file("err" + std::to_string(vm)));
+        daemons[vm] = std::make_unique<Process>(
+            std::vector<std::string>{daemonProgram(), "--settings", file}, folder.file("out" + std::to_string(vm)), folder.file("err" + std::to_string(vm)));
     }
 
     Address operatorAddress(int vm) const
--- a/tests/faultyupstream/main.cpp
+++ b/tests/faultyupstream/main.cpp
@@ -3,7 +3,7 @@
 //     faultyupstream HOST PORT NAME SEED PERMILLE LOG FAULT[,FAULT...]
 //
 // Answers .../plain/COUNT and .../events/COUNT with contentOf() of the request's id. Each fault of the list strikes with the same probability, PERMILLE in
-// all. LOG gets "start ID NAME FAULT FRAMING" when a run starts and "end ID" when its answer was sent. The faults:
+// all. LOG gets "start ID NAME FAULT FRAMING" when a run starts, "whole ID" when its answer was sent to its end, and "end ID" when the run ends. The faults:
 //     unframed     not a fault: a third of the answers, faulty ones too, end with their connection
 //     stutter      the whole answer comes twice; "alien" has the second one with another request's id
 //     cut          the answer ends in order within an event, length or chunk
@@ -333,6 +333,9 @@
         } else if (!sendPieces(pieces, pieces.size())) {
             return;
         }
+        if (!isCut) {
+            log("whole " + m_id);
+        }
         end(otherId, first);
     }
     void end(const std::string &otherId, int first)
--- a/tests/soak/answerchecker.cpp
+++ b/tests/soak/answerchecker.cpp
@@ -150,6 +150,8 @@
             starts[id] += 1;
             std::string &faultsOfRuns = faults[id];
             faultsOfRuns.append(faultsOfRuns.empty() ? "" : "+").append(fault).append("/").append(framing);
+        } else if (event == "whole") {
+            whole.insert(id);
         }
     }
 }
--- a/tests/soak/answerchecker.h
+++ b/tests/soak/answerchecker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -60,6 +61,8 @@
 
     std::map<std::string, int> starts;
     std::map<std::string, std::string> faults;
+    /// Requests with an answer that was sent to its end.
+    std::set<std::string> whole;
 };
 
 CallerAnswer parseAnswer(std::string_view bytes, ConnectionEnd end);
--- a/tests/soak/answersoaktest.cpp
+++ b/tests/soak/answersoaktest.cpp
@@ -20,10 +20,14 @@
 constexpr int Callers = 24;
 constexpr int SlotsPerUpstream = 8;
 constexpr std::uint16_t UpstreamPort = 9000;
+/// Where the link listens for the upstreams, and for the entry VMs.
+constexpr std::uint16_t UpstreamLinkPort = 9001;
+constexpr std::uint16_t CallerLinkPort = 8231;
 constexpr std::size_t MemoryBoundKb = 200 << 10;
 /// Violations of each kind that are printed with the daemons' log lines.
 constexpr int PrintedExamples = 2;
-/// All faults: those of the faulty upstream, "kill" for its processes and "signal" for entry VMs.
+/// All faults on loopback: those of the faulty upstream, "kill" for its processes and "signal" for entry VMs. "link" puts a linkproxy between the entry VMs
+/// and the upstreams, and between the callers and the entry VMs.
 constexpr const char *AllFaults = "unframed,stutter,alien,cut,reset,finreset,early,status,foreign,noid,endless,silent,refuse,repeat,resume,kill,signal";
 
 using Counts = std::map<std::string, int>;
@@ -44,6 +48,15 @@
     return text ? text : fallback;
 }
 
+/// The value of a field of a log line; empty without the field, or with an empty value.
+std::string fieldOf(const std::string &line, const std::string &name)
+{
+    const std::string key = " " + name + "=";
+    const std::size_t at = line.find(key);
+    const std::string value = at == std::string::npos ? "" : line.substr(at + key.size(), line.find(' ', at + 1) - at - key.size());
+    return value == "\"\"" ? "" : value;
+}
+
 std::string soakDocument()
 {
     nlohmann::json document = nlohmann::json::parse(documentOf(3));
@@ -76,10 +89,14 @@
         for (std::string fault; std::getline(list, fault, ',');) {
             m_kills = m_kills || fault == "kill";
             m_signals = m_signals || fault == "signal";
-            if (fault != "kill" && fault != "signal") {
+            m_hasLink = m_hasLink || fault == "link";
+            if (fault != "kill" && fault != "signal" && fault != "link") {
                 m_upstreamFaults += (m_upstreamFaults.empty() ? "" : ",") + fault;
             }
         }
+        if (m_hasLink) {
+            startLink();
+        }
         m_system.platform.setSlots(SlotsPerUpstream);
         for (int number = 1; number <= Upstreams; ++number) {
             startUpstream(number, true);
@@ -99,7 +116,7 @@
         std::vector<std::unique_ptr<SoakCaller>> callers;
         std::vector<std::thread> threads;
         for (int number = 1; number <= Callers; ++number) {
-            const std::vector<Address> entryVms{m_system.callerAddress(ControlVms + 1), m_system.callerAddress(ControlVms + 2)};
+            const std::vector<Address> entryVms{callerAddress(ControlVms + 1), callerAddress(ControlVms + 2)};
             callers.push_back(std::make_unique<SoakCaller>(entryVms, "s" + std::to_string(m_seed) + "-" + std::to_string(number), m_random(), m_record));
             threads.emplace_back([caller = callers.back().get(), &stop] { caller->run(stop); });
         }
@@ -124,9 +141,32 @@
     {
         return m_random() % bound;
     }
+    Address upstreamAddress(int number, std::uint16_t port) const
+    {
+        return Address{.host = m_system.network.host(FirstPlatformHost + number), .port = port};
+    }
+    /// Where the callers connect to.
+    Address callerAddress(int vm) const
+    {
+        const Address address = m_system.callerAddress(vm);
+        return m_hasLink ? Address{.host = address.host, .port = CallerLinkPort} : address;
+    }
+    void startLink()
+    {
+        std::vector<std::string> command{std::string(CUMINDYKE_BIN) + "/linkproxy", std::to_string(m_random())};
+        for (int number = 1; number <= Upstreams; ++number) {
+            command.push_back(toString(upstreamAddress(number, UpstreamLinkPort)));
+            command.push_back(toString(upstreamAddress(number, UpstreamPort)));
+        }
+        for (int vm = ControlVms + 1; vm <= ControlVms + EntryVms; ++vm) {
+            command.push_back(toString(callerAddress(vm)));
+            command.push_back(toString(m_system.callerAddress(vm)));
+        }
+        m_link = std::make_unique<Process>(command, m_system.folder.file("link"), m_system.folder.file("link"));
+    }
     void startUpstream(int number, bool isRenamed)
     {
-        const Address address{.host = m_system.network.host(FirstPlatformHost + number), .port = UpstreamPort};
+        const Address address = upstreamAddress(number, UpstreamPort);
         std::string &name = m_names[number];
         if (isRenamed) {
             name = "u-" + std::to_string(number) + "-" + std::to_string(++m_renamed);
@@ -141,7 +181,7 @@
                                                                                  m_upstreamFaults},
                                                         m_system.folder.file("upstreams"),
                                                         m_system.folder.file("upstreams"));
-        m_system.platform.addUpstream(name, address);
+        m_system.platform.addUpstream(name, upstreamAddress(number, m_hasLink ? UpstreamLinkPort : UpstreamPort));
     }
     /// About seven a second, each started again at once; a third of them under new names.
     void killUpstream()
@@ -202,6 +242,9 @@
             add(checkMemory("vm " + std::to_string(vm), kb, MemoryBoundKb));
             mostKb = std::max(mostKb, kb);
         }
+        if (m_link && !m_link->running()) {
+            add({{"crash", "link", "exit code " + std::to_string(m_link->wait())}});
+        }
         add(m_crashes);
         Counts statuses;
         for (const SoakOutcome &outcome : m_record.outcomes) {
@@ -210,9 +253,26 @@
         std::cout << "seed " << m_seed << ": " << m_record.outcomes.size() << " requests, " << runs.starts.size() << " ran, " << m_killCount << " kills, "
                   << m_signalCount << " signals, " << m_record.unanswered << " unanswered, longest body " << m_record.longestBodyBytes << " bytes, memory "
                   << mostKb << " KB; " << textOf(statuses) << "\n";
+        std::cout << "    seed " << m_seed << " end checks of whole unframed answers: " << textOf(endChecks(runs)) << "\n";
         std::erase_if(found, [&runs](const Violation &violation) { return isOfEndlessAnswer(violation, runs); });
         return reportViolations(found, runs);
     }
+    /// What the daemons took the ends of unframed answers for that one sound run had sent as a whole: all but "answered" were broken off for nothing.
+    Counts endChecks(const RunLog &runs) const
+    {
+        Counts checks;
+        for (int vm = ControlVms + 1; vm <= ControlVms + EntryVms; ++vm) {
+            std::istringstream log(contentOf(m_system.folder.file("out" + std::to_string(vm))));
+            for (std::string line; std::getline(log, line);) {
+                const std::string id = fieldOf(line, "id");
+                const std::string check = fieldOf(line, "end_check");
+                if (!check.empty() && runs.whole.contains(id) && runs.faults.at(id) == "none/unframed") {
+                    checks[check] += 1;
+                }
+            }
+        }
+        return checks;
+    }
     Counts reportViolations(const std::vector<Violation> &found, const RunLog &runs) const
     {
         Counts ofKind;
@@ -247,10 +307,12 @@
     const std::uint64_t m_seed;
     bool m_kills = false;
     bool m_signals = false;
+    bool m_hasLink = false;
     std::string m_upstreamFaults;
     System m_system;
     bool m_isReady = false;
     SoakRecord m_record;
+    std::unique_ptr<Process> m_link;
     std::map<int, std::unique_ptr<Process>> m_upstreams;
     std::map<int, std::string> m_names;
     int m_renamed = 0;
@@ -260,19 +322,15 @@
     std::map<int, std::size_t> m_residentKb;
 };
 
-}
-
-// Guards against answers that are not the caller's own, not whole or out of order although they look right, against a false "not run" and a second run,
-// while upstreams answer wrongly and are killed, and entry VMs are stopped in the middle. Each seed plays other moments of the same faults.
-TEST_CASE("answers are whole, the caller's own and in order while upstreams answer wrongly and processes end")
+void playSeeds(const std::string &faults, const std::string &seedCount)
 {
     const std::uint64_t firstSeed = std::stoull(setting("CUMINDYKE_FIRST_SEED", "1"));
-    const std::uint64_t seeds = std::stoull(setting("CUMINDYKE_SEEDS", "3"));
+    const std::uint64_t seeds = std::stoull(setting("CUMINDYKE_SEEDS", seedCount));
     const std::chrono::seconds length(std::stoi(setting("CUMINDYKE_SOAK_SECONDS", "12")));
     Counts total;
     for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
         CAPTURE(seed);
-        Soak soak(seed, setting("CUMINDYKE_SOAK_FAULTS", AllFaults));
+        Soak soak(seed, faults);
         REQUIRE(soak.isReady());
         for (const auto &[kind, count] : soak.play(length)) {
             total[kind] += count;
@@ -281,3 +339,19 @@
     std::cout << "violations of all seeds: " << textOf(total) << std::endl;
     CHECK(total.empty());
 }
+
+}
+
+// Guards against answers that are not the caller's own, not whole or out of order although they look right, against a false "not run" and a second run,
+// while upstreams answer wrongly and are killed, and entry VMs are stopped in the middle. Each seed plays other moments of the same faults.
+TEST_CASE("answers are whole, the caller's own and in order while upstreams answer wrongly and processes end")
+{
+    playSeeds(setting("CUMINDYKE_SOAK_FAULTS", AllFaults), "3");
+}
+
+// Guards against the same where the ends of a killed process's connections arrive one by one, late and in any order, which loopback never shows: a daemon
+// that took the silence of another connection for proof that the process runs passed broken-off answers on as whole ones.
+TEST_CASE("answers stay whole over a link that delays, loses and resets")
+{
+    playSeeds(std::string(AllFaults) + ",link", "1");
+}
