Answers of killed upstreams are tested over links, relayed ones too

An unframed answer of a killed upstream is checked while links delay each connection for itself: between the VMs and the upstream, and between the VM that asks for a relayed connection and the one that opens it. For this each VM of the test can listen for the others at a port of its own.

--- a/tests/proxy/entryvmtasks.h
+++ b/tests/proxy/entryvmtasks.h
@@ -36,11 +36,13 @@
                           int upstreamCount = 4,
                           v1::RouteKind draftsKind = v1::STREAMING,
                           std::size_t bufferBudgetBytes = 0,
-                          std::uint32_t draftsAttempts = 1)
+                          std::uint32_t draftsAttempts = 1,
+                          bool hasRelayLinks = false)
         : platform(network.host(FirstPlatformHost), "i-1", "desk", upstreamHosts(upstreamCount))
         , hanging(network.host(FirstPlatformHost - 1))
         , cuts(count)
         , m_bufferBudgetBytes(bufferBudgetBytes)
+        , m_hasRelayLinks(hasRelayLinks)
     {
         auto routes = platform::parseRouteDocument(documentOf(1));
         REQUIRE(ok(routes));
@@ -121,6 +123,12 @@
     std::vector<std::atomic<Cut>> cuts;
     std::vector<std::unique_ptr<ProxyTask>> tasks;
 
+    /// Where a VM listens for the others.
+    Address relayAddress(int vm) const
+    {
+        return Address{.host = host(vm), .port = static_cast<std::uint16_t>(m_hasRelayLinks ? RelayPort + vm : RelayPort)};
+    }
+
 private:
     void recordReports(const Proposal &proposal)
     {
@@ -172,7 +180,7 @@
             .balancerDetectionTime = {},
             .refusalTime = {},
             .datagrams = Address{.host = host(vm), .port = PeerPort},
-            .relayAddress = Address{.host = host(vm), .port = RelayPort},
+            .relayAddress = relayAddress(vm),
             .mapAddress = [this, vm](const Address &upstream) { return mapAddress(vm, upstream); },
             .bufferBudgetBytes = m_bufferBudgetBytes,
             .sendTally = [](const v1::EntryTally &) {},
@@ -181,6 +189,8 @@
     }
 
     const std::size_t m_bufferBudgetBytes;
+    /// A VM asks the others for relayed connections at its own relay port, so that a link can stand between this address and that where the other one listens.
+    const bool m_hasRelayLinks;
     mutable std::mutex m_mutex;
     std::set<std::uint64_t> m_reported;
 };
--- a/tests/proxy/killedupstreamtest.cpp
+++ b/tests/proxy/killedupstreamtest.cpp
@@ -15,8 +15,12 @@
 {
 
 constexpr std::uint16_t UpstreamPort = 7777;
+constexpr std::uint16_t UpstreamLinkPort = 7778;
+/// A link spreads the ends of the answers of one kill, so several are under way.
+constexpr int CallersOverLink = 8;
 /// Longer than an answer takes, so that some are whole.
 constexpr int MaxKillMicroseconds = 30'000;
+constexpr int MaxKillMicrosecondsOverLinks = 150'000;
 
 /// An upstream that is killed and succeeded at the same address at once.
 class KilledUpstream
@@ -89,14 +93,33 @@
     return text ? std::atoi(text) : otherwise;
 }
 
+/// The command of a link between the VMs and the upstream, and one on which VM 0 asks VM 1 for relayed connections.
+std::vector<std::string> linkCommand(const EntryVmTasks &vms, const Address &upstreamLink, const Address &upstream)
+{
+    const Address relayLink{.host = vms.relayAddress(1).host, .port = vms.relayAddress(0).port};
+    return {std::string(CUMINDYKE_BIN) + "/linkproxy",
+            std::to_string(valueFromEnvironment("CUMINDYKE_FIRST_SEED", 1)),
+            toString(upstreamLink),
+            toString(upstream),
+            toString(relayLink),
+            toString(vms.relayAddress(1))};
+}
+
 /// Ends the upstream by a signal at random moments of its answers.
-Tally endDuringAnswers(Cut cut, const std::string &target, int kills, int signal)
+Tally endDuringAnswers(Cut cut, const std::string &target, int kills, int signal, bool hasLinks = false)
 {
     // As the daemon does: a request may be written to a connection of a killed process.
     std::signal(SIGPIPE, SIG_IGN);
-    EntryVmTasks vms(2, 0, v1::STREAMING);
+    const TemporaryFolder folder;
+    EntryVmTasks vms(2, 0, v1::STREAMING, 0, 1, hasLinks);
     KilledUpstream upstream(vms.network.host(FirstPlatformHost + 1));
-    vms.platform.addUpstream("i-killed", upstream.address());
+    const Address linkAddress{.host = upstream.address().host, .port = UpstreamLinkPort};
+    std::unique_ptr<Process> links;
+    if (hasLinks) {
+        links = std::make_unique<Process>(linkCommand(vms, linkAddress, upstream.address()), folder.file("links"), folder.file("links"));
+        vms.platform.setSlots(CallersOverLink);
+    }
+    vms.platform.addUpstream("i-killed", hasLinks ? linkAddress : upstream.address());
     vms.cuts[0] = cut;
     std::string whole;
     REQUIRE(eventually([&] {
@@ -108,18 +131,26 @@
     Tally tally;
     for (int kill = 0; kill < kills; ++kill) {
         upstream.prepareSuccessor();
-        HttpAnswer answer;
-        std::thread caller([&] { answer = vms.request(0, "killed-" + std::to_string(kill), target); });
-        std::this_thread::sleep_for(std::chrono::microseconds(random() % MaxKillMicroseconds));
+        std::vector<HttpAnswer> answers(hasLinks ? CallersOverLink : 1);
+        std::vector<std::thread> callers;
+        for (std::size_t caller = 0; caller < answers.size(); ++caller) {
+            const std::string id = "killed-" + std::to_string(kill) + (caller == 0 ? "" : "-" + std::to_string(caller));
+            callers.emplace_back([&vms, &target, id, &answer = answers[caller]] { answer = vms.request(0, id, target); });
+        }
+        std::this_thread::sleep_for(std::chrono::microseconds(random() % (hasLinks ? MaxKillMicrosecondsOverLinks : MaxKillMicroseconds)));
         upstream.end(signal);
-        caller.join();
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
         upstream.awaitSuccessor();
-        if (answer.status != 200 || answer.failure) {
-            ++tally.brokenOff;
-        } else if (answer.body == whole) {
-            ++tally.whole;
-        } else {
-            ++tally.looksComplete;
+        for (const HttpAnswer &answer : answers) {
+            if (answer.status != 200 || answer.failure) {
+                ++tally.brokenOff;
+            } else if (answer.body == whole) {
+                ++tally.whole;
+            } else {
+                ++tally.looksComplete;
+            }
         }
     }
     return tally;
@@ -160,3 +191,21 @@
         }
     }
 }
+
+// Guards against the same over links that delay each connection for itself, also between the VMs: the ends of the answer's and of the other connection of a
+// killed process arrive apart, in any order, and long after the kill.
+TEST_CASE("an unframed answer of a killed upstream is broken off for its caller over links that delay ends")
+{
+    const int kills = valueFromEnvironment("CUMINDYKE_KILLS", 4);
+    for (const Cut cut : {Cut::None, Cut::Refused}) {
+        for (const std::string target : {"/drafts/a", "/deposits/a"}) {
+            const Tally tally = endDuringAnswers(cut, target, kills, SIGKILL, true);
+            std::cout << (cut == Cut::None ? "direct " : "relay  ") << target << " over links: kills " << kills << ", whole " << tally.whole << ", broken off "
+                      << tally.brokenOff << ", looks complete " << tally.looksComplete << "\n";
+            CAPTURE(static_cast<int>(cut), target);
+            CHECK(tally.looksComplete == 0);
+            // Guards against a test that kills too early or too late.
+            CHECK(tally.brokenOff > 0);
+        }
+    }
+}
