A soak of control over links that delay and lose

A beginning, played by hand: an operator publishes configurations that each revoke the key of the one before, control VMs are killed, one or all, and what the VMs send to each other by stream passes linkproxy. From outside it is checked that no acknowledged configuration is lost, none is read that is older than what was read or acknowledged before anywhere, no key is obeyed 5 s after it was revoked, and in the end each control VM reads the newest and each entry VM serves under it. A test with planted faults shows that the checks find an older read and an old key. Not played: wiped members, roll-outs, datagrams between VMs, and links between operators and VMs.

--- a/tests/fakeplatform/platformsystem.h
+++ b/tests/fakeplatform/platformsystem.h
@@ -27,10 +27,16 @@
 {
 public:
     /// With "upstreamCount" the fake platform has as many upstreams with addresses of their own, in the data centres in turn.
-    explicit System(std::string extraSettings = {}, int upstreamCount = 0, const std::vector<std::string> &dataCentres = {"z-a"}, std::string extraTables = {})
+    /// With "peerLinkPort" the VMs send to each other's at this port, where the test has a link to PeerPort.
+    explicit System(std::string extraSettings = {},
+                    int upstreamCount = 0,
+                    const std::vector<std::string> &dataCentres = {"z-a"},
+                    std::string extraTables = {},
+                    std::uint16_t peerLinkPort = 0)
         : platform(network.host(FirstPlatformHost), "i-1", "desk", upstreamHosts(upstreamCount), dataCentres)
         , extraSettings(std::move(extraSettings))
         , extraTables(std::move(extraTables))
+        , peerLinkPort(peerLinkPort)
     {
         for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
             start(vm);
@@ -76,6 +82,7 @@
     const std::string extraSettings;
     /// Additional tables at the end of each VM's settings.
     const std::string extraTables;
+    const std::uint16_t peerLinkPort;
     std::map<int, std::unique_ptr<Process>> daemons;
 
 private:
@@ -99,10 +106,21 @@
             + "\nreplicas = [" + replicas + "]\nkeep_admitting_ms = 1800\n" + extraSettings + "data_folder = \""
             + (isControl ? folder.file("data" + std::to_string(vm)) : "") + "\"\n";
         if (isControl) {
-            return text + "operator_api = \"" + toString(operatorAddress(vm)) + "\"\n" + extraTables;
+            return text + "operator_api = \"" + toString(operatorAddress(vm)) + "\"\n" + extraTables + peerTables(vm);
         }
         return text + "[proxy]\naddress = \"" + toString(callerAddress(vm)) + "\"\nreadiness_address = \"" + host + ":" + std::to_string(ReadinessPort)
-            + "\"\nupstream_list = \"" + toString(platform.address()) + "\"\n" + extraTables;
+            + "\"\nupstream_list = \"" + toString(platform.address()) + "\"\n" + extraTables + peerTables(vm);
+    }
+    std::string peerTables(int vm) const
+    {
+        std::string tables;
+        for (int peer = 1; peerLinkPort != 0 && peer <= ControlVms + EntryVms; ++peer) {
+            if (peer != vm) {
+                const Address link{.host = network.host(peer), .port = peerLinkPort};
+                tables.append("[[peer]]\nvm = \"").append(link.host).append("\"\nrpc_address = \"").append(toString(link)).append("\"\n");
+            }
+        }
+        return tables;
     }
 };
 
