--- a/tests/fakeplatform/platformsystem.h
+++ b/tests/fakeplatform/platformsystem.h
@@ -19,15 +19,27 @@
 /// Number of the platform's host in the test network; those of upstreams follow.
 constexpr int FirstPlatformHost = 90;
 
+/// Path of the daemon's program. The environment variable CUMINDYKE_DAEMON names that of an earlier version, whose faults the tests should find.
+std::string daemonProgram();
+
 /// Three control VMs, two entry VMs and the fake platform, on loopback.
 class System
 {
 public:
     /// With "upstreamCount" the fake platform has as many upstreams with addresses of their own, in the data centres in turn.
-    explicit System(std::string extraSettings = {}, int upstreamCount = 0, const std::vector<std::string> &dataCentres = {"z-a"}, std::string extraTables = {})
+    /// With "peerLinkPort" the VMs send to each other at this port, where the test has a link to PeerPort; with "listLinkPort" entry VMs read the list at this
+    /// port of the platform's host.
+    explicit System(std::string extraSettings = {},
+                    int upstreamCount = 0,
+                    const std::vector<std::string> &dataCentres = {"z-a"},
+                    std::string extraTables = {},
+                    std::uint16_t peerLinkPort = 0,
+                    std::uint16_t listLinkPort = 0)
         : platform(network.host(FirstPlatformHost), "i-1", "desk", upstreamHosts(upstreamCount), dataCentres)
         , extraSettings(std::move(extraSettings))
         , extraTables(std::move(extraTables))
+        , peerLinkPort(peerLinkPort)
+        , listLinkPort(listLinkPort)
     {
         for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
             start(vm);
@@ -39,9 +51,8 @@
         const std::string host = network.host(vm);
         const std::string file = folder.file("vm" + std::to_string(vm) + ".toml");
         std::ofstream(file) << settings(vm, host);
-        daemons[vm] = std::make_unique<Process>(std::vector<std::string>{std::string(CUMINDYKE_BIN) + "/cumindyked", "--settings", file},
-                                                folder.file("out" + std::to_string(vm)),
-                                                folder.file("err" + std::to_string(vm)));
+        daemons[vm] = std::make_unique<Process>(
+            std::vector<std::string>{daemonProgram(), "--settings", file}, folder.file("out" + std::to_string(vm)), folder.file("err" + std::to_string(vm)));
     }
 
     Address operatorAddress(int vm) const
@@ -52,6 +63,10 @@
     {
         return Address{.host = network.host(vm), .port = CallerPort};
     }
+    Address listAddress() const
+    {
+        return Address{.host = platform.address().host, .port = listLinkPort == 0 ? platform.address().port : listLinkPort};
+    }
     bool isReady(int vm) const
     {
         return http(Address{.host = network.host(vm), .port = ReadinessPort}, "GET", "/api/readyz").status == 200;
@@ -74,6 +89,8 @@
     const std::string extraSettings;
     /// Additional tables at the end of each VM's settings.
     const std::string extraTables;
+    const std::uint16_t peerLinkPort;
+    const std::uint16_t listLinkPort;
     std::map<int, std::unique_ptr<Process>> daemons;
 
 private:
@@ -97,10 +114,21 @@
             + "\nreplicas = [" + replicas + "]\nkeep_admitting_ms = 1800\n" + extraSettings + "data_folder = \""
             + (isControl ? folder.file("data" + std::to_string(vm)) : "") + "\"\n";
         if (isControl) {
-            return text + "operator_api = \"" + toString(operatorAddress(vm)) + "\"\n" + extraTables;
+            return text + "operator_api = \"" + toString(operatorAddress(vm)) + "\"\n" + extraTables + peerTables(vm);
         }
         return text + "[proxy]\naddress = \"" + toString(callerAddress(vm)) + "\"\nreadiness_address = \"" + host + ":" + std::to_string(ReadinessPort)
-            + "\"\nupstream_list = \"" + toString(platform.address()) + "\"\n" + extraTables;
+            + "\"\nupstream_list = \"" + toString(listAddress()) + "\"\n" + extraTables + peerTables(vm);
+    }
+    std::string peerTables(int vm) const
+    {
+        std::string tables;
+        for (int peer = 1; peerLinkPort != 0 && peer <= ControlVms + EntryVms; ++peer) {
+            if (peer != vm) {
+                const Address link{.host = network.host(peer), .port = peerLinkPort};
+                tables.append("[[peer]]\nvm = \"").append(link.host).append("\"\nrpc_address = \"").append(toString(link)).append("\"\n");
+            }
+        }
+        return tables;
     }
 };
 
