Leader discovery and standby offers as pure classes

The search for the leader was spread over the control task, and the offers of a VM with a disk over the log's implementation, both with a thread, sockets and a disk around them. LeaderDiscovery and StandbyOffers take over the code; time is an argument. No change of behaviour, with one exception: a heartbeat of the leader itself is not kept for an answer, since it could never be answered with a hint.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -46,15 +46,6 @@
     return candidates;
 }
 
-std::vector<VmName> toVmNames(const google::protobuf::RepeatedPtrField<std::string> &strings)
-{
-    std::vector<VmName> names;
-    for (const std::string &string : strings) {
-        names.push_back(VmName{string});
-    }
-    return names;
-}
-
 /// Returns whether the message may be lost, since its sender soon sends a new one.
 bool isHeartbeatOrLease(const v1::Envelope &envelope)
 {
@@ -84,7 +75,7 @@
 
 void ControlTask::start()
 {
-    m_heartbeatSchedule.start(EventLoop::now());
+    m_discovery.start(EventLoop::now());
     m_tickTimer.startEvery(TickInterval);
     m_thread = std::thread([this] { m_loop.run(); });
 }
@@ -105,7 +96,12 @@
                    },
                    m_state)
     , m_orderRunner(m_loop, {}, randomIncarnation())
-    , m_leaderSearch(leaderCandidates(m_options))
+    , m_discovery(LeaderDiscoveryOptions{
+          .vm = m_options.vm,
+          .candidates = leaderCandidates(m_options),
+          .usesDatagrams = m_options.datagrams.has_value(),
+          .hasReplica = !m_options.dataFolder.empty(),
+      })
     , m_forwarder({}, randomIncarnation())
     , m_nextEvacuationId(randomIncarnation())
     , m_follower(FollowerOptions{
@@ -114,7 +110,6 @@
           .incarnation = randomIncarnation(),
           .keepAdmitting = m_options.keepAdmitting,
       })
-    , m_heartbeatSchedule(m_options.datagrams.has_value())
 {
 }
 
@@ -185,11 +180,7 @@
     if (now >= m_nextVerdictsAt) {
         proposeVerdictsAndBurn(now);
     }
-    if (m_heartbeatSchedule.mustAskNextCandidate(now)) {
-        m_leaderSearch.onNoReply(m_leaderSearch.leader());
-        requestLease(now);
-    }
-    if (m_heartbeatSchedule.isDue(now)) {
+    if (m_discovery.isHeartbeatDue(now)) {
         sendHeartbeat(now);
     }
     if (m_hadLease && now >= m_follower.admitUntil()) {
@@ -265,7 +256,7 @@
 
 void ControlTask::handle(CandidatesUpdate &update)
 {
-    m_leaderSearch.setCandidates(update.replicas);
+    m_discovery.search().setCandidates(update.replicas);
 }
 
 void ControlTask::handle(DrainStarted & /*message*/)
@@ -303,7 +294,7 @@
         handleProposeRequest(message.from, message.envelope.propose());
         break;
     case v1::Envelope::kProposeReply:
-        m_forwarder.handleReply(message.from, message.envelope.propose_reply(), m_leaderSearch, EventLoop::now());
+        m_forwarder.handleReply(message.from, message.envelope.propose_reply(), m_discovery.search(), EventLoop::now());
         break;
     case v1::Envelope::kConfigHeartbeat:
         handleHeartbeat(message.from, message.envelope.config_heartbeat());
@@ -369,22 +360,14 @@
 {
     if (m_leadership.isLeading()) {
         m_moveLeader.recordOutcomes(envelope.outcome_report());
-    } else if (from == m_options.vm && m_leaderSearch.leader() != m_options.vm) {
-        m_options.send(m_leaderSearch.leader(), std::move(envelope));
+    } else if (from == m_options.vm && m_discovery.leader() != m_options.vm) {
+        m_options.send(m_discovery.leader(), std::move(envelope));
     }
 }
 
-/// Sends a heartbeat to the presumed leader at once; the next candidate is asked soon if there is no reply.
-void ControlTask::requestLease(TimePoint now)
-{
-    m_heartbeatSchedule.onNextCandidateAsked(now);
-    m_hintFollowed = false;
-    sendHeartbeat(now);
-}
-
 void ControlTask::sendHeartbeat(TimePoint now)
 {
-    m_heartbeatSchedule.onSent(now);
+    m_discovery.onHeartbeatSent(now);
     v1::Envelope envelope;
     *envelope.mutable_config_heartbeat() = m_follower.makeHeartbeat(now);
     if (m_entryTally) {
@@ -392,12 +375,12 @@
         envelope.mutable_config_heartbeat()->set_fleet_digest(m_fleetTally ? m_fleetTally->digest() : 0);
     }
     envelope.mutable_config_heartbeat()->set_suspects_version(m_suspects ? m_suspects->version() : 0);
-    sendPreferringDatagrams(m_leaderSearch.leader(), std::move(envelope));
+    sendPreferringDatagrams(m_discovery.leader(), std::move(envelope));
 }
 
 void ControlTask::sendDueRequests(TimePoint now)
 {
-    for (OutgoingEnvelope &outgoing : m_forwarder.dueRequests(m_leaderSearch, now)) {
+    for (OutgoingEnvelope &outgoing : m_forwarder.dueRequests(m_discovery.search(), now)) {
         m_options.send(outgoing.to, std::move(outgoing.envelope));
     }
 }
@@ -421,21 +404,13 @@
 void ControlTask::handleLease(const VmName &from, const v1::ConfigLease &lease)
 {
     const TimePoint now = EventLoop::now();
-    m_heartbeatSchedule.onReply();
     if (lease.length_ms() == 0) {
-        const VmName previousLeader = m_leaderSearch.leader();
-        m_leaderSearch.onLeaderHint(VmName{lease.leader()});
-        // A hint is followed at once, but only one: a chain of hints that leads nowhere must not delay the next candidate.
-        if (m_leaderSearch.leader() != previousLeader && !std::exchange(m_hintFollowed, true)) {
+        if (m_discovery.handleRefusal(lease, now)) {
             sendHeartbeat(now);
-            m_heartbeatSchedule.onNextCandidateAsked(now);
         }
         return;
     }
-    m_leaderSearch.onLeaderReply(from);
-    m_hintFollowed = false;
-    m_leaderSearch.setReplicas(toVmNames(lease.replicas()));
-    m_heartbeatSchedule.onLeaseGranted(now);
+    m_discovery.handleGrant(from, lease, now);
     if (!m_follower.handleLease(lease)) {
         return;
     }
@@ -447,7 +422,7 @@
     }
     if (!m_hadLease) {
         m_hadLease = true;
-        m_heartbeatSchedule.startBurst(now);
+        m_discovery.startBurst(now);
         logChange("control", "lease-granted", {{"by", from.value}, {"version", std::to_string(m_follower.version())}});
     }
     m_configurationChanged.emit(configuration());
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -4,7 +4,7 @@
 #include "common/mailbox.h"
 #include "control/follower.h"
 #include "control/forwarder.h"
-#include "control/heartbeatschedule.h"
+#include "control/leaderdiscovery.h"
 #include "control/leadership.h"
 #include "control/moveleader.h"
 #include "control/orderrunner.h"
@@ -229,17 +229,14 @@
     void replyWhenInForce(const VmName &from, std::uint64_t call, const v1::ProposeReply &reply);
     void sendReply(const VmName &to, std::uint64_t call, v1::ProposeReply reply);
     std::optional<v1::LeaderAnswer> makeAnswer(const v1::LeaderQuestion &question, TimePoint now) const;
-    std::string leaderHintFor(const VmName &vm) const;
     void handleHeartbeat(const VmName &from, const v1::ConfigHeartbeat &heartbeat);
-    void sendLeaderHint(const VmName &to, const v1::ConfigHeartbeat &heartbeat, const std::string &leader);
-    void answerDeferredHeartbeats(TimePoint now);
+    void answerDeferredHeartbeats();
 
     // The VM's side.
     void proposeVerdictsAndBurn(TimePoint now);
     void proposeRolloutVerdicts();
     void completeDepartureIfDue(TimePoint now);
     void handleOutcomeReport(const VmName &from, v1::Envelope &envelope);
-    void requestLease(TimePoint now);
     void sendHeartbeat(TimePoint now);
     void sendDueRequests(TimePoint now);
     void handleUpdate(const v1::ConfigUpdate &update);
@@ -260,22 +257,17 @@
     Timer m_flushTimer;
     PendingProposals m_pendingProposals;
     Leadership m_leadership;
-    /// The last heartbeat of each VM to which this VM could neither grant a lease nor name a leader; answered when there is a leader.
-    std::map<VmName, v1::ConfigHeartbeat> m_deferredHeartbeats;
     MoveLeader m_moveLeader;
     TimePoint m_nextVerdictsAt{};
     raft::Term m_leadingTerm = 0;
     OrderRunner m_orderRunner;
-    LeaderSearch m_leaderSearch;
+    LeaderDiscovery m_discovery;
     Forwarder m_forwarder;
     /// Makes the ids of evacuation orders unique.
     std::uint64_t m_nextEvacuationId;
     Follower m_follower;
     Watchers m_watchers;
     bool m_historyRequested = false;
-    HeartbeatSchedule m_heartbeatSchedule;
-    /// Whether a hint was followed since another candidate was asked or since the last lease.
-    bool m_hintFollowed = false;
     bool m_hadLease = false;
     std::function<void()> m_onLeft;
     TimePoint m_departureDeadline{};
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -13,14 +13,6 @@
 namespace cumindyke
 {
 
-namespace
-{
-
-/// Several times the number of VMs of the largest system.
-constexpr std::size_t MaxDeferredHeartbeats = 2000;
-
-}
-
 std::optional<Error> ControlTask::recover()
 {
     const bool isNamedReplica = std::ranges::find(m_options.replicas, m_options.vm) != m_options.replicas.end();
@@ -32,14 +24,14 @@
     // A VM without a replica offers itself as one every second. Only the leader acts on an offer, so it is sent only to the presumed leader, which is
     // each candidate in turn while the leader is unknown. Sent to every peer, offers cost each VM traffic in proportion to the number of VMs.
     logOptions.send = [this](const VmName &to, v1::Envelope envelope) {
-        if (envelope.raft().kind() != v1::RaftMessage::STANDBY || to == m_leaderSearch.leader()) {
+        if (envelope.raft().kind() != v1::RaftMessage::STANDBY || to == m_discovery.leader()) {
             m_options.send(to, std::move(envelope));
         }
     };
     logOptions.formCluster = m_options.formCluster;
     logOptions.wantedVoters = m_options.wantedVoters;
     logOptions.replacementTimeout = m_options.replaceReplicaAfter;
-    logOptions.leaderHint = [this] { return m_leaderSearch.leader(); };
+    logOptions.leaderHint = [this] { return m_discovery.leader(); };
     auto log = raft::ReplicatedLog::open(std::move(logOptions));
     if (!ok(log)) {
         return errorOf(log);
@@ -70,12 +62,7 @@
             terminate(errorOf(restored));
         }
     });
-    m_log->leaderChanged().connect([this](const std::optional<VmName> &leader) {
-        m_leaderSearch.setFollowedLeader(leader);
-        if (leader) {
-            m_leaderSearch.onLeaderHint(*leader);
-        }
-    });
+    m_log->leaderChanged().connect([this](const std::optional<VmName> &leader) { m_discovery.setFollowedLeader(leader); });
 }
 
 void ControlTask::applyEntry(raft::Index index, raft::Term term, const std::string &bytes)
@@ -118,7 +105,7 @@
         m_orderRunner.setDeclarations(m_state.declarations());
         m_orderRunner.startLeading(Epoch{m_leadingTerm}, now + LeaseOptions{}.maxLength());
     }
-    answerDeferredHeartbeats(now);
+    answerDeferredHeartbeats();
 }
 
 bool ControlTask::hasQuorum(TimePoint now) const
@@ -143,7 +130,7 @@
     const std::uint64_t call = request.call();
     if (!m_leadership.isLeading() || !hasQuorum(now)) {
         v1::ProposeReply hint;
-        hint.set_leader(leaderHintFor(from));
+        hint.set_leader(m_discovery.leaderFor(from).value);
         sendReply(from, call, std::move(hint));
         return;
     }
@@ -286,53 +273,22 @@
     return {};
 }
 
-/// Returns the leader to name to a VM; empty if none is known, or if it would be the requesting VM or this one.
-std::string ControlTask::leaderHintFor(const VmName &vm) const
-{
-    const VmName leader = m_leaderSearch.hint().value_or(VmName{});
-    return leader == vm || leader == m_options.vm ? "" : leader.value;
-}
-
 void ControlTask::handleHeartbeat(const VmName &from, const v1::ConfigHeartbeat &heartbeat)
 {
     if (m_leadership.isLeading()) {
         m_leadership.handleHeartbeat(from, heartbeat, EventLoop::now());
         return;
     }
-    const std::string leader = leaderHintFor(from);
-    if (leader.empty() && m_log && m_deferredHeartbeats.size() < MaxDeferredHeartbeats) {
-        m_deferredHeartbeats[from] = heartbeat;
-    }
-    sendLeaderHint(from, heartbeat, leader);
+    v1::Envelope refusal;
+    *refusal.mutable_config_lease() = m_discovery.refuse(from, heartbeat);
+    sendPreferringDatagrams(from, std::move(refusal));
 }
 
-void ControlTask::sendLeaderHint(const VmName &to, const v1::ConfigHeartbeat &heartbeat, const std::string &leader)
+/// Answers heartbeats that arrived while there was no leader, as soon as there is one.
+void ControlTask::answerDeferredHeartbeats()
 {
-    v1::Envelope hint;
-    hint.mutable_config_lease()->set_beat(heartbeat.beat());
-    hint.mutable_config_lease()->set_leader(leader);
-    sendPreferringDatagrams(to, std::move(hint));
-}
-
-/// Answers heartbeats that arrived while there was no leader, as soon as there is one. Otherwise their VMs would ask again only after their search
-/// has gone round, refusing every caller for a quarter of a second longer. A lease counts from the heartbeat, so an old heartbeat does no harm.
-void ControlTask::answerDeferredHeartbeats(TimePoint now)
-{
-    if (m_deferredHeartbeats.empty()) {
-        return;
-    }
-    const bool isLeading = m_leadership.isLeading();
-    const VmName leader = m_leaderSearch.hint().value_or(VmName{});
-    if (!isLeading && (leader.value.empty() || leader == m_options.vm)) {
-        return;
-    }
-    const std::map<VmName, v1::ConfigHeartbeat> deferred = std::exchange(m_deferredHeartbeats, {});
-    for (const auto &[vm, heartbeat] : deferred) {
-        if (isLeading) {
-            m_leadership.handleHeartbeat(vm, heartbeat, now);
-        } else {
-            sendLeaderHint(vm, heartbeat, leader.value);
-        }
+    for (const auto &[vm, heartbeat] : m_discovery.takeAnswerable(m_leadership.isLeading())) {
+        handleHeartbeat(vm, heartbeat);
     }
 }
 
--- /dev/null
+++ b/src/control/leaderdiscovery.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "control/heartbeatschedule.h"
+#include "control/leadersearch.h"
+
+#include "control.pb.h"
+
+#include <map>
+
+namespace cumindyke
+{
+
+struct LeaderDiscoveryOptions
+{
+    VmName vm;
+    /// Every VM that may lead or know the leader, the likeliest first; at least one.
+    std::vector<VmName> candidates;
+    /// Heartbeats go by datagrams, which may be lost.
+    bool usesDatagrams = false;
+    /// This VM has a replica of the log, and so will learn of a leader: it keeps the heartbeats that it can't answer yet.
+    bool hasReplica = false;
+};
+
+/// How a VM finds the leader of the control replicas and helps others to find it: which VM gets the next heartbeat and when, and what is replied to
+/// heartbeats while another VM leads. Pure: time is an argument.
+class LeaderDiscovery
+{
+public:
+    explicit LeaderDiscovery(LeaderDiscoveryOptions options);
+
+    /// Peers can reach this VM from now on: the first heartbeat is due.
+    void start(TimePoint now)
+    {
+        m_schedule.start(now);
+    }
+    const VmName &leader() const
+    {
+        return m_search.leader();
+    }
+    LeaderSearch &search()
+    {
+        return m_search;
+    }
+
+    /// Returns whether a heartbeat to leader() is due. If the presumed leader granted no lease for too long, the next candidate is presumed to lead.
+    bool isHeartbeatDue(TimePoint now);
+    void onHeartbeatSent(TimePoint now)
+    {
+        m_schedule.onSent(now);
+    }
+    /// Handles a reply of a VM that grants no lease and may name the leader. Returns whether a heartbeat to leader() is due at once.
+    bool handleRefusal(const v1::ConfigLease &refusal, TimePoint now);
+    /// Handles a lease that the leader granted.
+    void handleGrant(const VmName &from, const v1::ConfigLease &lease, TimePoint now);
+    /// Schedules a burst of heartbeats after the first lease.
+    void startBurst(TimePoint now)
+    {
+        m_schedule.startBurst(now);
+    }
+
+    /// Sets the leader that this VM's replica follows, or that it follows none.
+    void setFollowedLeader(const std::optional<VmName> &leader);
+
+    /// Returns the reply to a heartbeat while another VM leads. A heartbeat that names no leader is kept until one is known.
+    v1::ConfigLease refuse(const VmName &from, const v1::ConfigHeartbeat &heartbeat);
+    /// Returns the leader to name to a VM; empty if none is known, or if it would be the requesting VM or this one.
+    VmName leaderFor(const VmName &vm) const;
+    /// Returns the kept heartbeats once a leader is known, which may be this VM. Without them, their VMs would ask again only after their search has
+    /// gone round, refusing every caller for a quarter of a second longer. A lease counts from the heartbeat, so an old heartbeat does no harm.
+    std::map<VmName, v1::ConfigHeartbeat> takeAnswerable(bool isLeading);
+
+private:
+    const LeaderDiscoveryOptions m_options;
+    LeaderSearch m_search;
+    HeartbeatSchedule m_schedule;
+    /// Whether a hint was followed since another candidate was asked or since the last lease.
+    bool m_hintFollowed = false;
+    /// The last heartbeat of each VM to which this VM could neither grant a lease nor name a leader.
+    std::map<VmName, v1::ConfigHeartbeat> m_deferred;
+};
+
+}
--- a/src/raft/replicatedlog.cpp
+++ b/src/raft/replicatedlog.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "raft/filestorage.h"
 #include "raft/formation.h"
+#include "raft/standbyoffers.h"
 
 #include <algorithm>
 #include <random>
@@ -16,7 +17,6 @@
 constexpr Duration FormationInterval = std::chrono::milliseconds(200);
 /// For a log whose number of voters follows the number of VMs: the smallest number that tolerates the loss of one.
 constexpr std::size_t MinVoters = 3;
-constexpr Duration OfferInterval = std::chrono::seconds(2);
 
 std::uint64_t randomNumber()
 {
@@ -94,8 +94,7 @@
     std::unique_ptr<Formation> formation;
     std::unique_ptr<LogReplica> replica;
     TimePoint nextFormRequestAt = TimePoint::min();
-    TimePoint nextOfferAt = TimePoint::min();
-    TimePoint lastLeaderSeenAt;
+    std::optional<StandbyOffers> offers;
     bool flushPending = false;
     bool isStopped = false;
     std::optional<VmName> reportedLeader;
@@ -107,7 +106,6 @@
 
 void ReplicatedLog::Private::recoverOrForm(TimePoint now)
 {
-    lastLeaderSeenAt = now;
     if (recovered.snapshot) {
         startReplica(now);
         return;
@@ -146,6 +144,7 @@
     const CoreOptions coreOptions{.self = options.vm, .electionTimeout = options.electionTimeout, .heartbeatInterval = options.heartbeatInterval};
     replica = std::make_unique<LogReplica>(coreOptions, recovered, randomNumber(), now, options.snapshots, storage, sender, state);
     recovered.entries.clear();
+    offers.emplace(options.vm, recovered.identity.incarnation, options.electionTimeout, now);
     replica->core().tick(now);
     requestFlush();
 }
@@ -171,27 +170,13 @@
     }
 }
 
-/// Offers this VM as a replica if it has had no contact with a leader, since it is then not a member. The leader accepts the offer when a
-/// voter has timed out.
+/// Offers this VM as a replica if it is not a member.
 void ReplicatedLog::Private::offerIfNotMember(TimePoint now)
 {
-    if (replica->core().leader()) {
-        lastLeaderSeenAt = now;
+    const VmName presumedLeader = options.leaderHint ? options.leaderHint() : options.vm;
+    if (std::optional<v1::RaftMessage> offer = offers->due(replica->core().leader().has_value(), presumedLeader, now)) {
+        sender.send(std::move(*offer));
     }
-    if (now - lastLeaderSeenAt < 2 * options.electionTimeout || now < nextOfferAt) {
-        return;
-    }
-    nextOfferAt = now + OfferInterval;
-    const VmName leader = options.leaderHint ? options.leaderHint() : options.vm;
-    if (leader == options.vm) {
-        return;
-    }
-    v1::RaftMessage offer;
-    offer.set_kind(v1::RaftMessage::STANDBY);
-    offer.set_from(options.vm.value);
-    offer.set_to(leader.value);
-    offer.set_incarnation(recovered.identity.incarnation);
-    sender.send(std::move(offer));
 }
 
 void ReplicatedLog::Private::proposeMembershipChange(TimePoint now)
