A replica that is no voter forgets a silent leader

One step of it: a wiped seed got one append that was queued for it before the wipe, its sender ended, and the seed followed it for ever: only a voter that campaigns forgot its leader. Its VM asked no other VM for a lease, named the dead leader to all that asked it, and made no offer to become a replica.

Change: when the election deadline passes without contact, a replica that doesn't campaign forgets its leader too. It may then grant a vote in a term in which it followed a leader, as a voter that campaigned may; a replica still votes once a term, which is what safety rests on.

--- a/src/raft/core.cpp
+++ b/src/raft/core.cpp
@@ -242,6 +242,10 @@
     resetElectionDeadline(now);
     if (isVoter(m_options.self) && m_identity.admitted) {
         campaign(quorum() > 1, false, now);
+    } else {
+        // Nobody tells a replica that is no voter about the end of its leader: the next leader may not know this replica. While it names
+        // a leader, its VM asks no other VM for a lease and makes no offer.
+        m_leader.reset();
     }
     if (m_isFreshlyRestarted) {
         // The other voters' promises expire at different times after the restart. A pre-vote is cheap, so the election is retried soon.
