A VM asks the voters that any log names, each candidate in turn

What callers saw: VMs that were refused by every seed of their settings asked no other VM, although seeds and former voters have logs that name the voters; and a VM whose first candidate always named an ended leader never asked its other candidates, since a silent hinted VM began the search anew.

Cause: the candidates were the seeds and the replicas of the last lease. The voters in the VM's own log were none, a refusal named a leader or nothing, and the place in the search was that of the presumed leader in the list. A hint had no age: one of a replaced leader led a VM back to it.

Change: candidates are the seeds and the newest known voters: from the own log, a lease or a refusal, by the last term and index of the log that they come from, in the order by which Raft compares logs. A hint carries the leader's term; one of an earlier term is ignored, one of a later term goes before the leader that the own replica still follows. The candidate that was not asked for the longest time is next, whatever was hinted. A VM asks itself only if it has no other candidate. A hint that is not confirmed by a lease is not passed on.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -92,6 +92,8 @@
                        .send = [this](const VmName &to, v1::Envelope envelope) { sendPreferringDatagrams(to, std::move(envelope)); },
                        .hasQuorum = [this](TimePoint now) { return hasQuorum(now); },
                        .replicas = [this] { return m_log->membership().voters(); },
+                       .term = [this] { return m_log->term(); },
+                       .replicasPosition = [this] { return m_log->appliedPosition(); },
                        .metrics = m_options.metrics,
                    },
                    m_state)
@@ -166,6 +168,7 @@
     if (m_log) {
         m_log->tick(now);
         updateLeadership(now);
+        m_discovery.setMembership(m_log->newestMembership(), m_log->lastPosition());
     }
     if (hasQuorum(now)) {
         m_orderRunner.tick(now);
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -62,7 +62,7 @@
             terminate(errorOf(restored));
         }
     });
-    m_log->leaderChanged().connect([this](const std::optional<VmName> &leader) { m_discovery.setFollowedLeader(leader); });
+    m_log->leaderChanged().connect([this](const std::optional<VmName> &leader) { m_discovery.setFollowedLeader(leader, m_log->term()); });
 }
 
 void ControlTask::applyEntry(raft::Index index, raft::Term term, const std::string &bytes)
--- a/src/control/leaderdiscovery.cpp
+++ b/src/control/leaderdiscovery.cpp
@@ -24,7 +24,7 @@
 
 LeaderDiscovery::LeaderDiscovery(LeaderDiscoveryOptions options)
     : m_options(std::move(options))
-    , m_search(m_options.candidates)
+    , m_search(m_options.candidates, m_options.vm)
     , m_schedule(m_options.usesDatagrams)
 {
 }
@@ -44,9 +44,15 @@
 {
     m_schedule.onReply();
     const VmName previousLeader = m_search.leader();
-    m_search.onLeaderHint(VmName{refusal.leader()});
-    // A hint is followed at once, but only one: a chain of hints that leads nowhere must not delay the next candidate.
-    if (m_search.leader() == previousLeader || std::exchange(m_hintFollowed, true)) {
+    const bool isNewerTerm = refusal.leader_term() > m_search.newestTerm();
+    m_search.setReplicas(toVmNames(refusal.replicas()), {.term = refusal.replicas_term(), .index = refusal.replicas_index()});
+    m_search.onLeaderHint(VmName{refusal.leader()}, refusal.leader_term());
+    if (m_search.leader() == previousLeader) {
+        return false;
+    }
+    // A hint is followed at once, but only one: a chain of hints that leads nowhere must not delay the next candidate. Terms only grow, so
+    // hints of newer terms form no such chain.
+    if (std::exchange(m_hintFollowed, true) && !isNewerTerm) {
         return false;
     }
     m_schedule.onNextCandidateAsked(now);
@@ -56,18 +62,38 @@
 void LeaderDiscovery::handleGrant(const VmName &from, const v1::ConfigLease &lease, TimePoint now)
 {
     m_schedule.onReply();
-    m_search.onLeaderReply(from);
+    m_search.onLeaderReply(from, lease.leader_term());
     m_hintFollowed = false;
-    m_search.setReplicas(toVmNames(lease.replicas()));
+    m_search.setReplicas(toVmNames(lease.replicas()), {.term = lease.replicas_term(), .index = lease.replicas_index()});
     m_schedule.onLeaseGranted(now);
 }
 
-void LeaderDiscovery::setFollowedLeader(const std::optional<VmName> &leader)
+void LeaderDiscovery::setFollowedLeader(const std::optional<VmName> &leader, raft::Term term)
 {
-    m_search.setFollowedLeader(leader);
+    m_search.setFollowedLeader(leader, term);
     if (leader) {
-        m_search.onLeaderHint(*leader);
+        m_search.onLeaderHint(*leader, term);
+    }
+}
+
+void LeaderDiscovery::setMembership(const v1::Membership &membership, raft::LogPosition position)
+{
+    m_search.setReplicas(toVmNames(membership.voters()), position);
+}
+
+/// Returns a refusal with what this VM knows: the leader and its term, and the newest voters.
+v1::ConfigLease LeaderDiscovery::knowledgeFor(const VmName &vm) const
+{
+    v1::ConfigLease refusal;
+    const VmName leader = leaderFor(vm);
+    refusal.set_leader(leader.value);
+    refusal.set_leader_term(m_search.hint() ? m_search.hintTerm() : 0);
+    for (const VmName &replica : m_search.replicas()) {
+        refusal.add_replicas(replica.value);
     }
+    refusal.set_replicas_term(m_search.replicasPosition().term);
+    refusal.set_replicas_index(m_search.replicasPosition().index);
+    return refusal;
 }
 
 VmName LeaderDiscovery::leaderFor(const VmName &vm) const
@@ -78,9 +104,8 @@
 
 v1::ConfigLease LeaderDiscovery::refuse(const VmName &from, const v1::ConfigHeartbeat &heartbeat)
 {
-    v1::ConfigLease refusal;
+    v1::ConfigLease refusal = knowledgeFor(from);
     refusal.set_beat(heartbeat.beat());
-    refusal.set_leader(leaderFor(from).value);
     if (refusal.leader().empty() && m_options.hasReplica && m_deferred.size() < MaxDeferredHeartbeats) {
         m_deferred[from] = heartbeat;
     }
--- a/src/control/leaderdiscovery.h
+++ b/src/control/leaderdiscovery.h
@@ -59,7 +59,10 @@
     }
 
     /// Sets the leader that this VM's replica follows, or that it follows none.
-    void setFollowedLeader(const std::optional<VmName> &leader);
+    void setFollowedLeader(const std::optional<VmName> &leader, raft::Term term);
+    /// Sets the newest membership in this VM's log, whose last entry has the given position. After a restart, its voters are the only other VMs besides
+    /// the seeds that this VM knows.
+    void setMembership(const v1::Membership &membership, raft::LogPosition position);
 
     /// Returns the reply to a heartbeat while another VM leads. A heartbeat that names no leader is kept until one is known.
     v1::ConfigLease refuse(const VmName &from, const v1::ConfigHeartbeat &heartbeat);
@@ -70,6 +73,8 @@
     std::map<VmName, v1::ConfigHeartbeat> takeAnswerable(bool isLeading);
 
 private:
+    v1::ConfigLease knowledgeFor(const VmName &vm) const;
+
     const LeaderDiscoveryOptions m_options;
     LeaderSearch m_search;
     HeartbeatSchedule m_schedule;
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -87,9 +87,6 @@
     if (std::optional<v1::ConfigLease> lease = m_distribution.handleHeartbeat(heartbeat, m_options.hasQuorum(now), now)) {
         *answer.mutable_config_lease() = std::move(*lease);
         answer.mutable_config_lease()->set_leader(m_options.vm.value);
-        if (m_options.replicas) {
-            *answer.mutable_config_lease()->mutable_replicas() = m_options.replicas();
-        }
         const v1::FleetTally &fleet = m_fleetAggregate.fleetTally(now);
         if (heartbeat.has_tally() && heartbeat.fleet_digest() != fleet.digest()) {
             *answer.mutable_config_lease()->mutable_fleet() = fleet;
@@ -101,6 +98,7 @@
         answer.mutable_config_lease()->set_leader(m_options.vm.value);
         answer.mutable_config_lease()->set_beat(heartbeat.beat());
     }
+    nameReplicas(*answer.mutable_config_lease());
     m_options.send(from, std::move(answer));
     m_pendingRepairs.erase(from);
     if (m_distribution.needsRepair(from, now)) {
@@ -110,6 +108,22 @@
     answerConfirmationWaits(now);
 }
 
+/// Names the voters, and says how new this VM's knowledge of the leader and of them is.
+void Leadership::nameReplicas(v1::ConfigLease &lease) const
+{
+    if (m_options.replicas) {
+        *lease.mutable_replicas() = m_options.replicas();
+    }
+    if (m_options.term) {
+        lease.set_leader_term(m_options.term());
+    }
+    if (m_options.replicasPosition) {
+        const raft::LogPosition position = m_options.replicasPosition();
+        lease.set_replicas_term(position.term);
+        lease.set_replicas_index(position.index);
+    }
+}
+
 /// VMs that need the same repair relay one update to each other, so that the leader's work does not grow with the number of VMs that restarted
 /// together.
 void Leadership::sendRepairs(TimePoint now)
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -6,6 +6,7 @@
 #include "control/forwarder.h"
 #include "control/repairs.h"
 #include "control/statemachine.h"
+#include "raft/types.h"
 
 #include <functional>
 #include <map>
@@ -26,6 +27,9 @@
     std::function<bool(TimePoint now)> hasQuorum;
     /// Returns the voting replicas of the log; optional.
     std::function<google::protobuf::RepeatedPtrField<std::string>()> replicas = {};
+    /// Returns the term in which this VM leads, and the position in the log of the state that replicas() comes from.
+    std::function<raft::Term()> term = {};
+    std::function<raft::LogPosition()> replicasPosition = {};
     std::optional<DistributionMetrics> metrics = {};
 };
 
@@ -79,6 +83,7 @@
 
     void sendRepairs(TimePoint now);
     void sendRepair(const HeldState &heldState, const std::vector<std::string> &vms, TimePoint now);
+    void nameReplicas(v1::ConfigLease &lease) const;
     std::vector<VmName> reachableReplicas(TimePoint now) const;
     void answerInForceWaits(TimePoint now);
     void answerConfirmationWaits(TimePoint now);
--- a/src/raft/replicatedlog.cpp
+++ b/src/raft/replicatedlog.cpp
@@ -350,6 +350,29 @@
     return d->replica ? d->replica->core().membershipAt(d->replica->appliedIndex()) : v1::Membership();
 }
 
+LogPosition ReplicatedLog::appliedPosition() const
+{
+    if (!d->replica) {
+        return {};
+    }
+    const Index index = d->replica->appliedIndex();
+    return LogPosition{.term = d->replica->core().log().termAt(index).value_or(0), .index = index};
+}
+
+v1::Membership ReplicatedLog::newestMembership() const
+{
+    return d->replica ? d->replica->core().membership() : v1::Membership();
+}
+
+LogPosition ReplicatedLog::lastPosition() const
+{
+    if (!d->replica) {
+        return {};
+    }
+    const MemoryLog &log = d->replica->core().log();
+    return LogPosition{.term = log.lastTerm(), .index = log.lastIndex()};
+}
+
 Result<Index> ReplicatedLog::changeMembership(const v1::Membership &next, TimePoint now)
 {
     if (!d->replica || d->isStopped) {
--- a/src/raft/replicatedlog.h
+++ b/src/raft/replicatedlog.h
@@ -70,6 +70,11 @@
     bool hasReadableState(TimePoint now) const;
     /// Returns the membership of the applied state: a change becomes visible when it is committed, and so survives the loss of this VM.
     v1::Membership membership() const;
+    /// Returns the position in the log up to which the applied state reaches.
+    LogPosition appliedPosition() const;
+    /// Returns the newest membership in the log, committed or not, and the position of the log's last entry: whom to ask for the leader.
+    v1::Membership newestMembership() const;
+    LogPosition lastPosition() const;
     /// Proposes a membership change and returns its index. Errors: Unavailable, Invalid.
     Result<Index> changeMembership(const v1::Membership &next, TimePoint now);
     /// Transfers leadership to the voter with the longest log, for a graceful shutdown. Returns false when there is no such voter.
--- a/src/raft/types.h
+++ b/src/raft/types.h
@@ -17,6 +17,14 @@
 using Index = std::uint64_t;
 /// Election number.
 using Term = std::uint64_t;
+/// Term and index of the last entry of a log, or of a part of it. Of two logs, the one with the greater position is more up to date.
+struct LogPosition
+{
+    Term term = 0;
+    Index index = 0;
+
+    auto operator<=>(const LogPosition &) const = default;
+};
 using EntryPointer = std::shared_ptr<const v1::LogEntry>;
 
 /// The vote of a replica. If it were lost, the replica could vote twice in one term.
--- a/tests/control/leadersearchtest.cpp
+++ b/tests/control/leadersearchtest.cpp
@@ -50,6 +50,63 @@
     CHECK(asked.contains(Leader));
 }
 
+// Guards against a VM that never asks some of its candidates: the first one always names a VM that has ended, and each search that fails there began
+// again at the first one.
+TEST_CASE("every candidate is asked although the first one always names a silent VM")
+{
+    LeaderSearch search({SeedA, SeedB});
+    std::set<VmName> asked;
+    for (int attempt = 0; attempt < 6; ++attempt) {
+        const VmName target = search.leader();
+        asked.insert(target);
+        if (target == SeedA) {
+            search.onLeaderHint(Leader);
+        } else {
+            search.onNoReply(target);
+        }
+    }
+    CHECK(asked.contains(SeedB));
+}
+
+// Guards against VMs that are sent back to a leader that was replaced, by others that have not heard of the new one.
+TEST_CASE("a hint of an earlier term than the newest known one is ignored")
+{
+    LeaderSearch search({SeedA, SeedB});
+    search.onLeaderHint(Leader, 5);
+    search.onLeaderHint(SeedB, 4);
+    CHECK(search.leader() == Leader);
+    search.setFollowedLeader(SeedA, 4);
+    CHECK(search.leader() == Leader);
+    search.onLeaderHint(SeedB, 6);
+    CHECK(search.leader() == SeedB);
+    SECTION("but a lease counts whatever its term, after a system that was set up anew")
+    {
+        search.setFollowedLeader({});
+        search.onLeaderReply(SeedA, 1);
+        CHECK(search.leader() == SeedA);
+        search.onLeaderHint(SeedB, 2);
+        CHECK(search.leader() == SeedB);
+    }
+}
+
+// Guards against replicas that were replaced long ago and are asked in place of the present ones.
+TEST_CASE("the voters of the more up-to-date log are asked")
+{
+    LeaderSearch search({SeedA});
+    search.setReplicas({Leader}, {.term = 3, .index = 10});
+    search.setReplicas({SeedB}, {.term = 2, .index = 90});
+    CHECK(search.replicas() == std::vector<VmName>{Leader});
+    search.setReplicas({SeedB}, {.term = 3, .index = 11});
+    CHECK(search.replicas() == std::vector<VmName>{SeedB});
+}
+
+// Guards against a quarter of a second without service after a start: the first seed of the settings is this VM.
+TEST_CASE("a VM asks itself only if there is no other candidate")
+{
+    CHECK(LeaderSearch({SeedA, SeedB}, SeedA).leader() == SeedB);
+    CHECK(LeaderSearch({SeedA}, SeedA).leader() == SeedA);
+}
+
 // Guards against VMs that never get a lease after a start: two replicas without a leader that take each other for it would send each VM that asks one
 // of them to the other for ever, and a third would never be asked.
 TEST_CASE("a VM that only presumes a leader gives no hint")
