Members tell the leader to seeds that are no members

The voters had a leader within half a second.

Cause: all VMs that restart ask the seeds only. A seed whose disk was wiped or replaced knows no voter, and one that was replaced as a voter knows former ones. The voters follow each other and had no reason to speak to the seeds.

Change: a member that leads or follows a leader announces it to the seeds of its settings that are no members, at once when the leader changes and every second: a refusal without a beat, which older versions take as a hint. The seed asks the leader for a lease and then names it.

--- a/src/control/controltask.cpp
+++ b/src/control/controltask.cpp
@@ -101,6 +101,7 @@
     , m_discovery(LeaderDiscoveryOptions{
           .vm = m_options.vm,
           .candidates = leaderCandidates(m_options),
+          .seeds = m_options.replicas,
           .usesDatagrams = m_options.datagrams.has_value(),
           .hasReplica = !m_options.dataFolder.empty(),
       })
@@ -183,6 +184,7 @@
     if (now >= m_nextVerdictsAt) {
         proposeVerdictsAndBurn(now);
     }
+    announceLeader(now);
     if (m_discovery.isHeartbeatDue(now)) {
         sendHeartbeat(now);
     }
@@ -259,7 +261,7 @@
 
 void ControlTask::handle(CandidatesUpdate &update)
 {
-    m_discovery.search().setCandidates(update.replicas);
+    m_discovery.setSeeds(update.replicas);
 }
 
 void ControlTask::handle(DrainStarted & /*message*/)
--- a/src/control/controltask.h
+++ b/src/control/controltask.h
@@ -231,6 +231,7 @@
     std::optional<v1::LeaderAnswer> makeAnswer(const v1::LeaderQuestion &question, TimePoint now) const;
     void handleHeartbeat(const VmName &from, const v1::ConfigHeartbeat &heartbeat);
     void answerDeferredHeartbeats();
+    void announceLeader(TimePoint now);
 
     // The VM's side.
     void proposeVerdictsAndBurn(TimePoint now);
--- a/src/control/controltaskleader.cpp
+++ b/src/control/controltaskleader.cpp
@@ -284,6 +284,18 @@
     sendPreferringDatagrams(from, std::move(refusal));
 }
 
+/// By datagram if possible: a seed may be down for long, and an announcement may be lost.
+void ControlTask::announceLeader(TimePoint now)
+{
+    for (const VmName &seed : m_discovery.seedsToTell(now)) {
+        v1::Envelope announcement;
+        *announcement.mutable_config_lease() = m_discovery.announcementFor(seed);
+        if (!m_datagrams || !m_datagrams->send(seed, announcement)) {
+            m_options.send(seed, std::move(announcement));
+        }
+    }
+}
+
 /// Answers heartbeats that arrived while there was no leader, as soon as there is one.
 void ControlTask::answerDeferredHeartbeats()
 {
--- a/src/control/leaderdiscovery.cpp
+++ b/src/control/leaderdiscovery.cpp
@@ -1,5 +1,7 @@
 #include "control/leaderdiscovery.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cumindyke
@@ -10,6 +12,8 @@
 
 /// Several times the number of VMs of the largest system.
 constexpr std::size_t MaxDeferredHeartbeats = 2000;
+/// A VM that lost everything waits for one announcement in the worst case. 7 voters and 3 seeds that are no members cost the fleet 21 messages a second.
+constexpr Duration AnnouncementInterval = std::chrono::seconds(1);
 
 std::vector<VmName> toVmNames(const google::protobuf::RepeatedPtrField<std::string> &strings)
 {
@@ -24,6 +28,7 @@
 
 LeaderDiscovery::LeaderDiscovery(LeaderDiscoveryOptions options)
     : m_options(std::move(options))
+    , m_seeds(m_options.seeds)
     , m_search(m_options.candidates, m_options.vm)
     , m_schedule(m_options.usesDatagrams)
 {
@@ -42,7 +47,10 @@
 
 bool LeaderDiscovery::handleRefusal(const v1::ConfigLease &refusal, TimePoint now)
 {
-    m_schedule.onReply();
+    const bool isAnnouncement = refusal.beat() == 0;
+    if (!isAnnouncement) {
+        m_schedule.onReply();
+    }
     const VmName previousLeader = m_search.leader();
     const bool isNewerTerm = refusal.leader_term() > m_search.newestTerm();
     m_search.setReplicas(toVmNames(refusal.replicas()), {.term = refusal.replicas_term(), .index = refusal.replicas_index()});
@@ -68,17 +76,48 @@
     m_schedule.onLeaseGranted(now);
 }
 
+void LeaderDiscovery::setSeeds(const std::vector<VmName> &seeds)
+{
+    m_search.setCandidates(seeds);
+    m_seeds = seeds.empty() ? m_seeds : seeds;
+}
+
 void LeaderDiscovery::setFollowedLeader(const std::optional<VmName> &leader, raft::Term term)
 {
+    m_followedLeader = leader;
     m_search.setFollowedLeader(leader, term);
     if (leader) {
         m_search.onLeaderHint(*leader, term);
+        m_nextAnnouncementAt = TimePoint::min();
     }
 }
 
 void LeaderDiscovery::setMembership(const v1::Membership &membership, raft::LogPosition position)
 {
-    m_search.setReplicas(toVmNames(membership.voters()), position);
+    const std::vector<VmName> voters = toVmNames(membership.voters());
+    const std::vector<VmName> learners = toVmNames(membership.learners());
+    m_members = {voters.begin(), voters.end()};
+    m_members.insert(learners.begin(), learners.end());
+    m_search.setReplicas(voters, position);
+}
+
+std::vector<VmName> LeaderDiscovery::seedsToTell(TimePoint now)
+{
+    std::vector<VmName> seeds;
+    // A replica that is no member may follow a leader that ended long ago, by a message that was late.
+    if (!m_followedLeader || now < m_nextAnnouncementAt || !m_members.contains(m_options.vm)) {
+        return seeds;
+    }
+    m_nextAnnouncementAt = now + AnnouncementInterval;
+    std::ranges::copy_if(m_seeds, std::back_inserter(seeds), [this](const VmName &seed) { return seed != m_options.vm && !m_members.contains(seed); });
+    return seeds;
+}
+
+v1::ConfigLease LeaderDiscovery::announcementFor(const VmName &seed) const
+{
+    v1::ConfigLease announcement = knowledgeFor(seed);
+    announcement.set_leader(m_search.hint().value_or(VmName{}).value);
+    return announcement;
 }
 
 /// Returns a refusal with what this VM knows: the leader and its term, and the newest voters.
--- a/tests/control/leaderdiscoverytest.cpp
+++ b/tests/control/leaderdiscoverytest.cpp
@@ -19,15 +19,18 @@
 
 LeaderDiscovery discoveryOf(const VmName &vm)
 {
-    return LeaderDiscovery(LeaderDiscoveryOptions{.vm = vm, .candidates = {SeedA, SeedB}, .hasReplica = true});
+    return LeaderDiscovery(LeaderDiscoveryOptions{.vm = vm, .candidates = {SeedA, SeedB}, .seeds = {SeedA, SeedB}, .hasReplica = true});
 }
 
-v1::Membership membershipOf(const std::vector<VmName> &voters)
+v1::Membership membershipOf(const std::vector<VmName> &voters, const std::vector<VmName> &learners = {})
 {
     v1::Membership membership;
     for (const VmName &voter : voters) {
         membership.add_voters(voter.value);
     }
+    for (const VmName &learner : learners) {
+        membership.add_learners(learner.value);
+    }
     return membership;
 }
 
@@ -78,6 +81,51 @@
     CHECK(refusal.leader_term() == 0);
 }
 
+// Guards against a fleet in which the voters have a leader and every other VM asks seeds that don't know it, for as long as it runs.
+TEST_CASE("members tell the leader to the seeds that are no members")
+{
+    LeaderDiscovery member = discoveryOf(Self);
+    member.setMembership(membershipOf({Self, Voter}, {SeedB}), {.term = 2, .index = 8});
+    CHECK(member.seedsToTell(Start).empty());
+    member.setFollowedLeader(Voter, 2);
+    REQUIRE(member.seedsToTell(Start) == std::vector<VmName>{SeedA});
+    CHECK(member.seedsToTell(Start).empty());
+    CHECK(member.seedsToTell(Start + std::chrono::seconds(2)).size() == 1);
+    // A new leader is announced at once.
+    member.setFollowedLeader(Learner, 3);
+    CHECK(member.seedsToTell(Start + std::chrono::seconds(2)).size() == 1);
+    const v1::ConfigLease announcement = member.announcementFor(SeedA);
+    CHECK(announcement.leader() == Learner.value);
+    CHECK(announcement.leader_term() == 3);
+
+    SECTION("a seed that is told asks the leader at once, and names it only when it has a lease")
+    {
+        LeaderDiscovery seed = discoveryOf(SeedA);
+        CHECK(seed.handleRefusal(announcement, Start));
+        CHECK(seed.leader() == Learner);
+        CHECK(seed.leaderFor(Asker).value.empty());
+        v1::ConfigLease lease;
+        lease.set_length_ms(2000);
+        lease.set_leader_term(3);
+        seed.handleGrant(Learner, lease, Start);
+        CHECK(seed.leaderFor(Asker) == Learner);
+    }
+    SECTION("nothing is announced without a leader")
+    {
+        member.setFollowedLeader({}, 3);
+        CHECK(member.seedsToTell(Start + std::chrono::seconds(9)).empty());
+    }
+}
+
+// Guards against announcements of a leader that ended long ago, by a replica with an empty disk that a late message reached.
+TEST_CASE("a VM that is no member announces no leader")
+{
+    LeaderDiscovery discovery = discoveryOf(Self);
+    discovery.setMembership({}, {});
+    discovery.setFollowedLeader(Voter, 2);
+    CHECK(discovery.seedsToTell(Start).empty());
+}
+
 // Guards against a chain of hints that keeps a VM from its other candidates: a hint is followed at once only once, unless its term is newer.
 TEST_CASE("a hint of a newer term is followed at once after another hint")
 {
