--- a/tests/control/leadersearchtest.cpp
+++ b/tests/control/leadersearchtest.cpp
@@ -81,6 +81,7 @@
     CHECK(search.leader() == SeedB);
     SECTION("but a lease counts whatever its term, after a system that was set up anew")
     {
+        search.setFollowedLeader({});
         search.onLeaderReply(SeedA, 1);
         CHECK(search.leader() == SeedA);
         search.onLeaderHint(SeedB, 2);
