Declarations that name an object twice are refused

The second of two organisations, services, tiers or upstreams of one name replaced the first one without a word, with its keys and limits, in one file and across the files of a folder.

The parser now refuses the second and names it.

--- a/src/domain/parse.cpp
+++ b/src/domain/parse.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <set>
 
 namespace cumindyke
 {
@@ -103,6 +104,21 @@
     return upstream;
 }
 
+/// Refuses two objects of one kind and name: the later one would silently replace the earlier one, with its keys and limits.
+Result<Done> checkNames(const std::vector<Change> &changes, const std::string &source)
+{
+    std::set<std::string> names;
+    for (const Change &change : changes) {
+        const std::string name = describe(change).substr(std::string_view("put ").size());
+        if (!names.insert(name).second) {
+            Error error{ErrorKind::Invalid, source};
+            error.message.append(": ").append(name).append(" is declared twice: remove one of the two or correct its name");
+            return error;
+        }
+    }
+    return Done{};
+}
+
 }
 
 Result<std::vector<Change>> parseDeclarations(std::string_view toml, const std::string &fileName)
@@ -129,6 +145,9 @@
     if (const std::optional<Error> broken = document.finish()) {
         return *broken;
     }
+    if (const Result<Done> checked = checkNames(changes, fileName); !ok(checked)) {
+        return errorOf(checked);
+    }
     return changes;
 }
 
@@ -157,6 +176,9 @@
         }
         allChanges.insert(allChanges.end(), valueOf(changes).begin(), valueOf(changes).end());
     }
+    if (const Result<Done> checked = checkNames(allChanges, folder); !ok(checked)) {
+        return errorOf(checked);
+    }
     return allChanges;
 }
 
--- a/tests/domain/declarationstest.cpp
+++ b/tests/domain/declarationstest.cpp
@@ -1,4 +1,5 @@
 #include "domain/declarations.h"
+#include "support/processes.h"
 
 #include <catch2/catch.hpp>
 
@@ -84,3 +85,24 @@
     CHECK(valueOf(reapplied).changesTo(valueOf(changed)).empty());
     CHECK(from.changesTo(from).empty());
 }
+
+// The second of two organisations of one name replaced the first, with its keys and limits, without a word.
+TEST_CASE("an object that is declared twice is refused, in one file and in two")
+{
+    const auto twice = [](const std::string &kind) {
+        const std::string all = ExampleToml;
+        const std::size_t begin = all.find("[[" + kind + "]]");
+        return all + all.substr(begin, all.find("\n\n", begin) - begin) + "\n";
+    };
+    CHECK(parseError(twice("tier")) == "bad.toml: tier committee is declared twice: remove one of the two or correct its name");
+    CHECK(parseError(twice("organisation")) == "bad.toml: organisation egbe-ijo is declared twice: remove one of the two or correct its name");
+    CHECK(parseError(twice("service")) == "bad.toml: service drafting is declared twice: remove one of the two or correct its name");
+    CHECK(parseError(twice("upstream")) == "bad.toml: upstream drafting-1 is declared twice: remove one of the two or correct its name");
+
+    const test::TemporaryFolder folder;
+    test::writeFile(folder.file("a.toml"), ExampleToml);
+    test::writeFile(folder.file("b.toml"), "[[tier]]\nname = \"committee\"\nrank = 1\n");
+    const auto changes = readDeclarations(folder.path());
+    REQUIRE_FALSE(ok(changes));
+    CHECK(errorOf(changes).message.find("tier committee is declared twice") != std::string::npos);
+}
