One odd cache event or load value hides no other and counts as the cautious one

An engine's cache events were lost as long as one of them could not be parsed, and an event without a number as the last one made the next poll begin with the first event again. A load of 2^32 counted as none.

Cause: parsePrefixEvents() parsed the answer as a whole, and parseLoadReport() cut numbers to 32 bits. Events are parsed one by one now (splitJsonList), and a number that is too large counts as the largest. After an entry whose brackets don't match, splitJsonList() takes only a bracket with a member behind it for the list's end: else a list that is cut off behind an entry, and has no other members, could pass for a whole one.

--- a/src/cell/loadpoller.cpp
+++ b/src/cell/loadpoller.cpp
@@ -1,9 +1,13 @@
 #include "cell/loadpoller.h"
 
 #include "common/hash.h"
+#include "common/jsonlist.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <limits>
+
 namespace cumindyke
 {
 
@@ -19,6 +23,9 @@
     .betweenBytes = std::chrono::seconds(1),
 };
 
+/// Longer than the name of any version.
+constexpr std::size_t MaxVersionBytes = 256;
+
 Error unreadableAnswer(const char *path)
 {
     return Error{ErrorKind::UpstreamFailed, std::string("the engine's ") + path + " can't be read: check that its version answers as docs/UPSTREAMS.md says"};
@@ -29,6 +36,12 @@
     return object.contains(key) && object[key].is_number_unsigned() ? object[key].get<std::uint64_t>() : 0;
 }
 
+/// A larger number counts as the largest.
+std::uint32_t countOrZero(const json &object, const char *key)
+{
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(numberOrZero(object, key), std::numeric_limits<std::uint32_t>::max()));
+}
+
 bool flagOrFalse(const json &object, const char *key)
 {
     return object.contains(key) && object[key].is_boolean() && object[key].get<bool>();
@@ -43,28 +56,31 @@
         return unreadableAnswer("/load");
     }
     LoadReport report{
-        .running = static_cast<std::uint32_t>(numberOrZero(body, "running")),
-        .waiting = static_cast<std::uint32_t>(numberOrZero(body, "waiting")),
+        .running = countOrZero(body, "running"),
+        .waiting = countOrZero(body, "waiting"),
         .pendingTokens = numberOrZero(body, "pending_tokens"),
         .generatedTokens = numberOrZero(body, "generated_tokens"),
         .draining = flagOrFalse(body, "draining"),
         .version = {},
     };
-    if (body.contains("version") && body["version"].is_string()) {
-        report.version = VersionName{body["version"].get<std::string>()};
+    const std::string version = body.contains("version") && body["version"].is_string() ? body["version"].get<std::string>() : "";
+    if (version.size() <= MaxVersionBytes) {
+        report.version = VersionName{version};
     }
     return report;
 }
 
 Result<std::vector<PrefixEvent>> parsePrefixEvents(std::string_view text)
 {
-    const json body = json::parse(text, nullptr, false);
-    if (!body.is_object() || !body.contains("events") || !body["events"].is_array()) {
+    const std::optional<JsonList> list = splitJsonList(text, "events");
+    if (!list) {
         return unreadableAnswer("/cache/events");
     }
     std::vector<PrefixEvent> events;
-    for (const json &event : body["events"]) {
-        if (!event.is_object()) {
+    for (const std::string_view entry : list->entries) {
+        const json event = json::parse(entry, nullptr, false);
+        // An event without a number would make the next poll begin with the first event again.
+        if (!event.is_object() || numberOrZero(event, "sequence") == 0) {
             continue;
         }
         events.push_back(
--- a/src/common/jsonlist.cpp
+++ b/src/common/jsonlist.cpp
@@ -124,7 +124,7 @@
     {
         const std::size_t begin = m_at;
         const std::size_t memberCount = m_list.members.size();
-        if (take(',') ? takeMembers(List::Taken) : takeEnd()) {
+        if (take(',') ? takeMembers(List::Taken) : !m_hasSkipped && takeEnd()) {
             return true;
         }
         m_bytesRead += std::min(m_at, m_text.size()) - begin;
@@ -154,6 +154,7 @@
                 }
             }
             m_bytesRead += std::min(m_at, m_text.size()) - begin;
+            m_hasSkipped = true;
             switch (skipEntry(begin)) {
             case Skipped::BeforeEntry:
                 break;
@@ -191,6 +192,8 @@
     std::size_t m_at = 0;
     /// Of values that did not end.
     std::size_t m_bytesRead = 0;
+    /// Whether an entry did not end by itself. Then only a member behind it shows the list's end: the brackets may be those of a text that was cut off.
+    bool m_hasSkipped = false;
     /// The closing brackets that are due.
     std::vector<char> m_openBrackets;
     JsonList m_list;
--- a/src/common/jsonlist.h
+++ b/src/common/jsonlist.h
@@ -31,8 +31,8 @@
 };
 
 /// Splits the text by its strings and brackets alone, so that an entry that no JSON parser accepts does not hide the others. An entry whose brackets or
-/// quotes do not match ends before the next entry that begins with "{", or before the end of the list. Iterative; time and memory are linear in the text.
-/// Returns nothing if the end of the list or of the object can't be found, as in a text that was cut off.
+/// quotes do not match ends before the next entry that begins with "{", or before the end of a list that another member follows. Iterative; time and memory are
+/// linear in the text. Returns nothing if the end of the list or of the object can't be found, as in a text that was cut off.
 std::optional<JsonList> splitJsonList(std::string_view text, std::string_view listName);
 
 }
--- a/tests/cell/loadpollertest.cpp
+++ b/tests/cell/loadpollertest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <limits>
 
 using namespace cumindyke;
 using namespace cumindyke::test;
@@ -22,6 +23,37 @@
     CHECK_FALSE(ok(parsePrefixEvents("{}")));
 }
 
+// Guards against cache events that are lost, or asked for again from the first one on, since one event can't be parsed.
+TEST_CASE("an odd cache event is passed over and the others are kept")
+{
+    const std::string sound = R"({"sequence":4,"prefix":9,"stored":true})";
+    for (const std::string &odd : {std::string("null"),
+                                   std::string(R"({"prefix":9})"),
+                                   std::string(R"({"sequence":1e400,"prefix":9})"),
+                                   std::string(R"({"sequence":-1,"prefix":9})"),
+                                   R"({"sequence":)" + std::string(400, '9') + "}",
+                                   std::string("{\"sequence\":5,\"prefix\":9,\"x\":\"\xff\"}"),
+                                   R"({"sequence":)" + std::string(1'000'000, '[') + std::string(1'000'000, ']') + "}"}) {
+        CAPTURE(odd.substr(0, 60));
+        for (const std::string &entries : {odd + "," + sound, sound + "," + odd}) {
+            const auto events = parsePrefixEvents(R"({"events":[)" + entries + "]}");
+            REQUIRE(ok(events));
+            CHECK(valueOf(events) == std::vector<PrefixEvent>{{.sequence = 4, .prefix = 9, .stored = true}});
+        }
+        CHECK_FALSE(ok(parsePrefixEvents(R"({"events":[)" + sound + "," + odd)));
+    }
+}
+
+// Guards against an engine that looks idle since its report has a number that is too large, and against a report that ends the process.
+TEST_CASE("a load report with odd values is an error, or they count as the most cautious ones")
+{
+    CHECK(valueOf(parseLoadReport(R"({"running":4294967296,"waiting":99999999999})")).running == std::numeric_limits<std::uint32_t>::max());
+    CHECK(valueOf(parseLoadReport(R"({"running":3,"version":")" + std::string(1 << 20, 'v') + R"("})")) == LoadReport{.running = 3});
+    CHECK_FALSE(ok(parseLoadReport(R"({"running":1e400})")));
+    CHECK_FALSE(ok(parseLoadReport(std::string(1'000'000, '['))));
+    CHECK(valueOf(parseLoadReport(R"({"running":3,"x":)" + std::string(1'000'000, '[') + std::string(1'000'000, ']') + "}")).running == 3);
+}
+
 TEST_CASE("an engine that crashes is reported as unreachable while the others are still polled")
 {
     // One of two engines is killed. Its polls then fail at once (refused connections) and are reported, while the other engine's reports continue,
