A second entry with the name of a known upstream does not replace it

Of two entries with one id the last one held, so that an entry of another writer could take a running upstream's place. Now the process that is known keeps its name while its entry is listed; two unknown ones are decided as before.

Evidence: the new test passes; it was not run without the change. Of test-placement only this test was run.

--- a/src/placement/upstreampool.cpp
+++ b/src/placement/upstreampool.cpp
@@ -60,10 +60,23 @@
 
 void UpstreamPool::addInstances(std::map<InstanceName, Upstream> &next, const std::vector<UpstreamInstance> &instances, TimePoint now)
 {
+    const auto isKnownProcess = [this](const UpstreamInstance &instance) {
+        const auto known = m_upstreams.find(instance.name);
+        return known != m_upstreams.end() && known->second.instance.startedAtMs == instance.startedAtMs && known->second.instance.address == instance.address;
+    };
+    std::set<InstanceName> stillListed;
+    for (const UpstreamInstance &instance : instances) {
+        if (isKnownProcess(instance)) {
+            stillListed.insert(instance.name);
+        }
+    }
     for (const UpstreamInstance &instance : instances) {
         const auto known = m_upstreams.find(instance.name);
-        const bool isSameProcess
-            = known != m_upstreams.end() && known->second.instance.startedAtMs == instance.startedAtMs && known->second.instance.address == instance.address;
+        const bool isSameProcess = isKnownProcess(instance);
+        if (!isSameProcess && stillListed.contains(instance.name)) {
+            // Another program repeated the name: its entry must not replace the process that runs requests.
+            continue;
+        }
         if (known != m_upstreams.end() && !isSameProcess) {
             m_requestRates.forget(instance.name);
         }
--- a/tests/placement/upstreampooltest.cpp
+++ b/tests/placement/upstreampooltest.cpp
@@ -442,3 +442,20 @@
     CHECK(pool.recordUnreachable(InstanceName{"a"}, VmName{"10.0.0.2"}, Start));
     CHECK(chosen(pool, Start).empty());
 }
+
+// Guards against an upstream that loses its place to a second entry with its name, which another program wrote; the entries' order varies.
+TEST_CASE("a process that is known keeps its name while its entry is listed, and gives it up with the entry")
+{
+    const UpstreamInstance known = instance("a");
+    UpstreamInstance other = known;
+    other.address.host = "10.0.0.2";
+    const auto addressIn = [](const UpstreamPool &pool) { return pool.choose(AnyDraft, Start).upstream->address.host; };
+    for (const std::vector<UpstreamInstance> &list : {std::vector{known, other}, std::vector{other, known}}) {
+        UpstreamPool pool({.localDataCentre = LocalDataCentre});
+        pool.setList({known});
+        pool.setList(list);
+        CHECK(addressIn(pool) == "10.0.0.1");
+        pool.setList({other});
+        CHECK(addressIn(pool) == "10.0.0.2");
+    }
+}
