A list whose pages go in a circle, or have no end, is not taken for a whole one

A page that names itself, or one before it, as the next one made the reader ask for 200 pages and take them for the whole list. Such a page, and the 200th if another one follows, count as failed reads now, so that the last list stays.

Evidence: the new test and the two others of instancelistreadertest.cpp pass; the new one was not run without the change.

--- a/src/proxy/instancelistreader.cpp
+++ b/src/proxy/instancelistreader.cpp
@@ -69,6 +69,7 @@
     }
     m_pageCount = 0;
     m_rejected.clear();
+    m_requestedTokens.clear();
     m_pageFailures = 0;
     fetchPage();
 }
@@ -109,6 +110,15 @@
     }
     const TimePoint now = EventLoop::now();
     InstancePage &content = valueOf(page);
+    m_requestedTokens.insert(m_currentRead.pageToken);
+    if (m_requestedTokens.contains(content.nextPageToken) && !content.nextPageToken.empty()) {
+        handlePageFailure("a page names itself, or one before it, as the next page");
+        return;
+    }
+    if (m_pageCount + 1 >= MaxPages && !content.nextPageToken.empty()) {
+        handlePageFailure("the list has more than " + std::to_string(MaxPages) + " pages");
+        return;
+    }
     for (const UpstreamInstance &instance : content.instances) {
         m_schedule.addDataCentre(instance.dataCentre);
     }
@@ -129,7 +139,7 @@
     if (isLong) {
         m_schedule.switchToParts();
         m_nextReadTimer.startOnce(Duration::zero());
-    } else if (!content.nextPageToken.empty() && m_pageCount < MaxPages) {
+    } else if (!content.nextPageToken.empty()) {
         fetchPage();
     } else {
         finishRead(now);
--- a/src/proxy/instancelistreader.h
+++ b/src/proxy/instancelistreader.h
@@ -78,6 +78,7 @@
     ListRead m_currentRead;
     InstanceList m_list;
     std::size_t m_pageCount = 0;
+    std::set<std::string> m_requestedTokens;
     /// Of the current read.
     std::multiset<std::string> m_rejected;
     /// Of the last complete read of the whole list and of each part.
--- a/tests/proxy/instancelistreadertest.cpp
+++ b/tests/proxy/instancelistreadertest.cpp
@@ -142,3 +142,26 @@
     CHECK(parts["dc-a"] == std::set<std::string>{"i-0", "i-2", "i-4", "i-6"});
     CHECK(parts["dc-b"] == std::set<std::string>{"i-1", "i-3", "i-5", "i-7"});
 }
+
+// Guards against a part of the list that counts as the whole one, and against endless calls to the platform: a page names itself as the next one.
+TEST_CASE("a list whose pages go in a circle is not read as a whole")
+{
+    EventLoop loop;
+    PagedList list(loop, 2);
+    InstanceListProtocol protocol = list.protocol();
+    protocol.parse = [parse = protocol.parse](std::string_view body) {
+        Result<InstancePage> page = parse(body);
+        if (valueOf(page).nextPageToken.empty()) {
+            valueOf(page).nextPageToken = "1";
+        }
+        return page;
+    };
+    InstanceListReader reader(loop, protocol, DataCentreName{"dc-a"}, std::chrono::seconds(1));
+    int complete = 0;
+    reader.listRead().connect([&](const InstanceList &part) { complete += namesIn(part).size() == 2 ? 1 : 0; });
+    reader.readFailed().connect([&] { loop.stop(); });
+    reader.start();
+    loop.run();
+    CHECK(complete == 0);
+    CHECK(list.requestedPaths == std::vector<std::string>{"/all/0", "/all/1"});
+}
