--- a/tests/fakeplatform/rawupstream.cpp
+++ b/tests/fakeplatform/rawupstream.cpp
@@ -83,7 +83,7 @@
         }
         const std::string head = request.substr(0, headLength + 2);
         const std::string bodyLength = headerOf(head, "Content-Length");
-        m_answer = m_upstream.answer();
+        m_answer = m_upstream.answerTo(head);
         if (!m_answer.isEarly && request.size() < headLength + EndOfHead.size() + (bodyLength.empty() ? 0 : std::stoul(bodyLength))) {
             return;
         }
@@ -194,15 +194,20 @@
 }
 
 void RawUpstream::setAnswer(const Answer &answer)
+{
+    setAnswers([answer](const std::string & /*head*/) { return answer; });
+}
+
+void RawUpstream::setAnswers(std::function<Answer(const std::string &head)> choose)
 {
     const std::lock_guard lock(m_mutex);
-    m_answer = answer;
+    m_choose = std::move(choose);
 }
 
-RawUpstream::Answer RawUpstream::answer() const
+RawUpstream::Answer RawUpstream::answerTo(const std::string &head) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_answer;
+    return m_choose ? m_choose(head) : Answer{};
 }
 
 void RawUpstream::onAccepted(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/, int /*length*/, void *self)
--- a/tests/fakeplatform/rawupstream.h
+++ b/tests/fakeplatform/rawupstream.h
@@ -2,6 +2,7 @@
 
 #include "common/eventloop.h"
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -56,12 +57,14 @@
     }
     /// The next requests get this answer.
     void setAnswer(const Answer &answer);
+    /// The next requests get the answer that the function chooses by the request's head. It runs in the upstream's thread.
+    void setAnswers(std::function<Answer(const std::string &head)> choose);
 
 private:
     class Connection;
 
     static void onAccepted(evconnlistener *listener, int socket, sockaddr *from, int length, void *self);
-    Answer answer() const;
+    Answer answerTo(const std::string &head) const;
     void endProcess();
     void refuseConnections();
 
@@ -70,7 +73,7 @@
     evconnlistener *m_listener;
     std::vector<std::unique_ptr<Connection>> m_connections;
     mutable std::mutex m_mutex;
-    Answer m_answer;
+    std::function<Answer(const std::string &head)> m_choose;
     std::thread m_thread;
 };
 
