One odd entry of the list of VMs hides no other entry

VMs that were leaving got new work, since one entry without an address, or with bytes that can't be parsed, made parsePlatformList() refuse the whole list. Entries are parsed one by one now; what is passed over is counted in a log line when it changes (platform-list-entries-rejected).

--- a/src/upstream/platformlist.cpp
+++ b/src/upstream/platformlist.cpp
@@ -1,6 +1,7 @@
 #include "upstream/platformlist.h"
 
 #include "common/address.h"
+#include "common/jsonlist.h"
 #include "common/log.h"
 
 #include <nlohmann/json.hpp>
@@ -21,23 +22,25 @@
 
 }
 
-Result<LeavingVms> parsePlatformList(const std::string &json)
+Result<PlatformVms> parsePlatformList(const std::string &json)
 {
-    const nlohmann::json list = nlohmann::json::parse(json, nullptr, false);
-    if (!list.is_object() || !list.contains("vms") || !list["vms"].is_array()) {
+    const std::optional<JsonList> list = splitJsonList(json, "vms");
+    if (!list) {
         return Error{ErrorKind::Invalid, R"(the platform's list is not a JSON object with "vms": check the setting platform_list)"};
     }
-    LeavingVms leaving;
-    for (const nlohmann::json &vm : list["vms"]) {
+    PlatformVms vms;
+    for (const std::string_view entry : list->entries) {
+        const nlohmann::json vm = nlohmann::json::parse(entry, nullptr, false);
         const bool hasFields = vm.is_object() && vm.contains("address") && vm["address"].is_string() && vm.contains("state") && vm["state"].is_string();
         if (!hasFields) {
-            return Error{ErrorKind::Invalid, R"(a VM in the platform's list has no "address" or "state": check the program that writes the list)"};
+            ++vms.rejectedCount;
+            continue;
         }
         if (vm["state"] == "leaving") {
-            leaving.insert(vm["address"].get<std::string>());
+            vms.leaving.insert(vm["address"].get<std::string>());
         }
     }
-    return leaving;
+    return vms;
 }
 
 std::set<UpstreamName> drainingUpstreams(const LeavingVms &leaving, const Declarations &declarations)
@@ -112,12 +115,19 @@
 
 void PlatformList::handleContent(const std::string &json)
 {
-    Result<LeavingVms> list = parsePlatformList(json);
+    Result<PlatformVms> list = parsePlatformList(json);
     setReadable(ok(list));
-    if (!ok(list) || valueOf(list) == m_leaving) {
+    if (!ok(list)) {
         return;
     }
-    m_leaving = std::move(valueOf(list));
+    PlatformVms &vms = valueOf(list);
+    if (std::exchange(m_rejectedCount, vms.rejectedCount) != vms.rejectedCount) {
+        logChange("upstream", "platform-list-entries-rejected", {{"count", std::to_string(vms.rejectedCount)}});
+    }
+    if (vms.leaving == m_leaving) {
+        return;
+    }
+    m_leaving = std::move(vms.leaving);
     logChange("upstream", "leaving-vms", {{"count", std::to_string(m_leaving.size())}});
     m_changed.emit(m_leaving);
 }
--- a/src/upstream/platformlist.h
+++ b/src/upstream/platformlist.h
@@ -16,8 +16,15 @@
 /// Addresses of the VMs that are leaving according to the platform: "HOST", or "HOST:PORT" for a single process.
 using LeavingVms = std::set<std::string>;
 
-/// Parses {"vms":[{"address":…,"state":"live"|"leaving"}]}. Error: Invalid.
-Result<LeavingVms> parsePlatformList(const std::string &json);
+struct PlatformVms
+{
+    LeavingVms leaving;
+    /// Entries that could not be parsed.
+    std::size_t rejectedCount = 0;
+};
+
+/// Parses {"vms":[{"address":…,"state":"live"|"leaving"}]}, each entry by itself. Error: Invalid, if the text can't be split into entries.
+Result<PlatformVms> parsePlatformList(const std::string &json);
 
 /// Returns the declared upstreams on leaving VMs.
 std::set<UpstreamName> drainingUpstreams(const LeavingVms &leaving, const Declarations &declarations);
@@ -51,6 +58,7 @@
     std::unique_ptr<UpstreamCall> m_call;
     std::string m_body;
     LeavingVms m_leaving;
+    std::size_t m_rejectedCount = 0;
     bool m_readable = true;
     sigc::signal<void, const LeavingVms &> m_changed;
 };
