--- a/tests/cell/loadpollertest.cpp
+++ b/tests/cell/loadpollertest.cpp
@@ -10,6 +10,22 @@
 using namespace cumindyke;
 using namespace cumindyke::test;
 
+namespace
+{
+
+/// Joined with commas.
+std::string join(std::initializer_list<std::string> entries)
+{
+    std::string joined;
+    for (const std::string &entry : entries) {
+        joined.append(entry).append(",");
+    }
+    joined.pop_back();
+    return joined;
+}
+
+}
+
 TEST_CASE("an engine's load report and cache events are parsed, and malformed answers are errors")
 {
     const auto load = parseLoadReport(R"({"running":3,"waiting":1,"pending_tokens":700,"draining":true,"version":"v2"})");
@@ -35,12 +51,12 @@
                                    std::string("{\"sequence\":5,\"prefix\":9,\"x\":\"\xff\"}"),
                                    R"({"sequence":)" + std::string(1'000'000, '[') + std::string(1'000'000, ']') + "}"}) {
         CAPTURE(odd.substr(0, 60));
-        for (const std::string &entries : {odd + "," + sound, sound + "," + odd}) {
+        for (const std::string &entries : {join({odd, sound}), join({sound, odd})}) {
             const auto events = parsePrefixEvents(R"({"events":[)" + entries + "]}");
             REQUIRE(ok(events));
             CHECK(valueOf(events) == std::vector<PrefixEvent>{{.sequence = 4, .prefix = 9, .stored = true}});
         }
-        CHECK_FALSE(ok(parsePrefixEvents(R"({"events":[)" + sound + "," + odd)));
+        CHECK_FALSE(ok(parsePrefixEvents(R"({"events":[)" + join({sound, odd}))));
     }
 }
 
--- a/tests/platform/listentriestest.cpp
+++ b/tests/platform/listentriestest.cpp
@@ -15,6 +15,17 @@
     return R"({"service":"lm","address":")" + address + R"(","zone":"z-a","version":"v1","slots":6,"state":"ready",)" + more + R"("id":")" + id + R"("})";
 }
 
+/// Joined with commas.
+std::string join(std::initializer_list<std::string> entries)
+{
+    std::string joined;
+    for (const std::string &entry : entries) {
+        joined.append(entry).append(",");
+    }
+    joined.pop_back();
+    return joined;
+}
+
 std::string withMember(const std::string &member)
 {
     return entry("odd", "10.0.0.8:8080", member + ",");
@@ -113,7 +124,7 @@
     const std::string b = entry("i-b", "10.0.0.2:1");
     const std::set<std::string> sound{"i-a", "i-b"};
     for (const auto &[what, odd] : oddEntries()) {
-        for (const std::string &entries : {odd + "," + a + "," + b, a + "," + odd + "," + b, a + "," + b + "," + odd, odd + "," + a + "," + odd + "," + b}) {
+        for (const std::string &entries : {join({odd, a, b}), join({a, odd, b}), join({a, b, odd}), join({odd, a, odd, b})}) {
             CAPTURE(what);
             const Result<InstancePage> page = pageOf(entries);
             REQUIRE(ok(page));
@@ -126,8 +137,8 @@
 TEST_CASE("a page that was cut off is refused, wherever the cut is")
 {
     const std::string model = R"("models":[{"name":"m","adapters":[{"a":1},{"b":2}]},{"name":"n"}],)";
-    for (const std::string &entries :
-         {entry("i-a") + "," + entry("i-b", "10.0.0.2:1", model), entry("i-a") + "," + R"({"id":"odd","models":[)" + "," + entry("i-b", "10.0.0.2:1", model)}) {
+    const std::string second = entry("i-b", "10.0.0.2:1", model);
+    for (const std::string &entries : {join({entry("i-a"), second}), join({entry("i-a"), R"({"id":"odd","models":[)", second})}) {
         for (const std::string end : {R"(],"next":null})", R"(],"next":"p-50"})", R"( ] , "more":[{"next":null}], "next" : null } )"}) {
             const std::string whole = R"({"instances":[)" + entries + end;
             REQUIRE(ok(parseInstancePage(whole)));
--- a/tests/upstream/cutheadstest.cpp
+++ b/tests/upstream/cutheadstest.cpp
@@ -148,7 +148,9 @@
         CAPTURE(line);
         const TestNetwork network;
         RawUpstream upstream(network.host(1));
-        upstream.setAnswer({.contentType = {}, .body = {}, .raw = begin + line + end});
+        std::string raw = begin;
+        raw.append(line).append(end);
+        upstream.setAnswer({.contentType = {}, .body = {}, .raw = raw});
         const HttpAnswer answer = http(upstream.address(), "GET", "/");
         CHECK(answer.failure == CallFailure::Lost);
     }
--- a/tests/upstream/platformlisttest.cpp
+++ b/tests/upstream/platformlisttest.cpp
@@ -4,6 +4,22 @@
 
 using namespace cumindyke;
 
+namespace
+{
+
+/// Joined with commas.
+std::string join(std::initializer_list<std::string> entries)
+{
+    std::string joined;
+    for (const std::string &entry : entries) {
+        joined.append(entry).append(",");
+    }
+    joined.pop_back();
+    return joined;
+}
+
+}
+
 // Guards against VMs that get new work until they stop, since one odd entry of another writer hid all others.
 TEST_CASE("an odd entry of the list of VMs is passed over and the others hold")
 {
@@ -17,7 +33,7 @@
                                    std::string(R"({"address":"10.0.0.6","state":"leaving","x":NaN})"),
                                    R"({"address":)" + std::string(1'000'000, '[') + std::string(1'000'000, ']') + "}"}) {
         CAPTURE(odd.substr(0, 60));
-        for (const std::string &entries : {odd + "," + leaving, leaving + "," + odd}) {
+        for (const std::string &entries : {join({odd, leaving}), join({leaving, odd})}) {
             const Result<PlatformVms> vms = parsePlatformList(R"({"vms":[)" + entries + "]}");
             REQUIRE(ok(vms));
             CHECK(valueOf(vms).leaving == LeavingVms{"10.0.0.5"});
