--- a/tests/platform/listentriestest.cpp
+++ b/tests/platform/listentriestest.cpp
@@ -140,7 +140,8 @@
     const std::string second = entry("i-b", "10.0.0.2:1", model);
     for (const std::string &entries : {join({entry("i-a"), second}), join({entry("i-a"), R"({"id":"odd","models":[)", second})}) {
         for (const std::string end : {R"(],"next":null})", R"(],"next":"p-50"})", R"( ] , "more":[{"next":null}], "next" : null } )"}) {
-            const std::string whole = R"({"instances":[)" + entries + end;
+            std::string whole = R"({"instances":[)";
+            whole.append(entries).append(end);
             REQUIRE(ok(parseInstancePage(whole)));
             const std::size_t lastByte = whole.find_last_not_of(' ');
             for (std::size_t length = 0; length <= lastByte; ++length) {
