--- a/tests/proxy/oddlistentriestest.cpp
+++ b/tests/proxy/oddlistentriestest.cpp
@@ -43,9 +43,15 @@
                                    std::string(R"({"id":"odd)"),
                                    entryOf("odd", Address{.host = "10.0.0.8", .port = 0})}) {
         CAPTURE(odd.substr(0, 60));
-        vms.platform.setListBody(pageOf(odd + "," + first));
+        const auto pageWith = [&odd](const std::string &entry) {
+            std::string entries = odd;
+            entries += ',';
+            entries += entry;
+            return pageOf(entries);
+        };
+        vms.platform.setListBody(pageWith(first));
         CHECK(eventually([&] { return servedBy(names[0]); }));
-        vms.platform.setListBody(pageOf(odd + "," + second));
+        vms.platform.setListBody(pageWith(second));
         CHECK(eventually([&] { return servedBy(names[1]); }));
     }
 }
