The end of an unframed answer is watched for 20 ms, however busy the loop is

Cause: the watch and the relay wait 20 ms for a reset that follows an end in order, by a timer of the event loop. The loop counts a timer from the beginning of the turn in which it was started, and by a clock that advances every 4 ms. Late in a turn that has taken 15 ms only 11 ms were waited, after 40 ms 0.3 ms. Change: both compare the clock with the time at which the end was seen, and wait for what is missing.

--- a/src/relay/processwatch.cpp
+++ b/src/relay/processwatch.cpp
@@ -196,6 +196,12 @@
         onEnd(AnswerEndProof::Unwatched);
         return;
     }
+    // The loop counts a timer from the beginning of the turn in which it was started, so it may fire before MinTime is over.
+    const Duration missing = m_answerEndedAt + MinTime - EventLoop::now();
+    if (!m_isMinTimeOver && missing > Duration::zero()) {
+        m_timer.startOnce(missing);
+        return;
+    }
     if (!m_isMinTimeOver && m_phase != Phase::Ended) {
         m_isMinTimeOver = true;
         m_timer.startOnce(std::max(m_limit - MinTime, Duration::zero()));
@@ -208,6 +214,7 @@
 {
     m_then = std::move(then);
     m_limit = limit;
+    m_answerEndedAt = EventLoop::now();
     m_timer.startOnce(MinTime);
     if (m_phase == Phase::Open) {
         ask();
--- a/src/relay/processwatch.h
+++ b/src/relay/processwatch.h
@@ -84,6 +84,7 @@
     AnswerParser m_answer{"GET"};
     std::function<void()> m_opened;
     std::function<void(AnswerEndProof)> m_then;
+    TimePoint m_answerEndedAt{};
     bool m_isMinTimeOver = false;
     /// Before the answer's end: the time to connect. After it: MinTime, then the limit.
     Timer m_timer;
--- a/src/relay/relayserver.cpp
+++ b/src/relay/relayserver.cpp
@@ -137,6 +137,7 @@
     Address m_target;
     TimePoint m_connectStartedAt{};
     bool m_endsInOrder = false;
+    TimePoint m_upstreamEndedAt{};
     Timer m_timer;
 };
 
@@ -202,6 +203,7 @@
         onConnectFailed(false);
     } else if (from == m_upstream && m_phase == Phase::Open && (what & BEV_EVENT_EOF)) {
         m_phase = Phase::UpstreamEnded;
+        m_upstreamEndedAt = EventLoop::now();
         m_timer.startOnce(EndCheckDelay);
     } else {
         // The other VM has left, so its request is cancelled, or the upstream has reset the connection.
@@ -238,6 +240,9 @@
     const auto self = shared_from_this();
     if (m_phase == Phase::Connecting) {
         onConnectFailed(true);
+    } else if (const Duration missing = m_upstreamEndedAt + EndCheckDelay - EventLoop::now(); m_phase == Phase::UpstreamEnded && missing > Duration::zero()) {
+        // The loop counts a timer from the beginning of the turn in which it was started.
+        m_timer.startOnce(missing);
     } else if (m_phase == Phase::UpstreamEnded) {
         passOnEnd();
     } else {
--- a/tests/relay/processwatchtest.cpp
+++ b/tests/relay/processwatchtest.cpp
@@ -145,6 +145,23 @@
         CHECK(m_openedCount == 1);
         return *result;
     }
+    /// How long the proof takes when it is asked for late in a turn of the loop.
+    Duration timeOfProofAfter(Duration busyTime)
+    {
+        TimePoint askedAt;
+        TimePoint provedAt;
+        Timer turn(m_loop, [&] {
+            std::this_thread::sleep_for(busyTime);
+            askedAt = EventLoop::now();
+            m_watch.verifyEnd(Limit, [&](AnswerEndProof) {
+                provedAt = EventLoop::now();
+                m_loop.stop();
+            });
+        });
+        turn.startOnce(Duration::zero());
+        m_loop.run();
+        return provedAt - askedAt;
+    }
 
 private:
     EventLoop m_loop;
@@ -252,3 +269,16 @@
         CHECK(watch.proofAtEnd() == AnswerEndProof::Unwatched);
     }
 }
+
+// Guards against a reset that is not waited for as long as promised, because the loop counts a timer from the beginning of a turn that took long.
+TEST_CASE("the end of an answer is watched for the whole time in which a reset is seen, however busy the loop is")
+{
+    const TestNetwork network;
+    for (const int busyMs : {0, 5, 15, 40}) {
+        CAPTURE(busyMs);
+        const WatchedProcess process(network.host(1), "", Healthy);
+        Watch watch(process.address());
+        watch.awaitOpened();
+        CHECK(watch.timeOfProofAfter(std::chrono::milliseconds(busyMs)) >= ProcessWatch::MinTime);
+    }
+}
