Soak: an end in order counts against a daemon only if a reset follows in time

Its run has a "start" line and no "end": the soak had killed the stand-in between the end in order and the reset. So no reset was sent, and the process had answered the health check after the end. No daemon can tell that from a whole answer; the check asked for the impossible. The same holds for a reset that the stand-in sends after more than 20 ms, the time for which daemons promise to look. The checker passes over a truncated plain unframed answer only if its last run has the first and not the second, and the soak prints both numbers. Streams are cut within an event, which must be seen without a reset, so for them nothing is passed over. A new test of the checker.

--- a/tests/soak/answerchecker.cpp
+++ b/tests/soak/answerchecker.cpp
@@ -148,10 +148,16 @@
         words >> event >> id >> upstream >> fault >> framing;
         if (event == "start") {
             starts[id] += 1;
+            unresetEnds.erase(id);
+            upstreams[id] = upstream;
             std::string &faultsOfRuns = faults[id];
             faultsOfRuns.append(faultsOfRuns.empty() ? "" : "+").append(fault).append("/").append(framing);
         } else if (event == "whole") {
             whole.insert(id);
+        } else if (event == "fin" && upstreams[id] == upstream) {
+            unresetEnds.insert(id);
+        } else if (event == "reset" && upstreams[id] == upstream) {
+            unresetEnds.erase(id);
         }
     }
 }
@@ -239,6 +245,13 @@
         && faults->second.find("endless/") != std::string::npos;
 }
 
+bool isOfUnresetEnd(const Violation &violation, const RunLog &log)
+{
+    const auto faults = log.faults.find(violation.id);
+    return violation.kind.starts_with("truncated") && log.unresetEnds.contains(violation.id) && faults != log.faults.end()
+        && faults->second.ends_with("/unframed");
+}
+
 std::vector<Violation> checkMemory(const std::string &daemon, std::size_t residentKb, std::size_t boundKb)
 {
     return residentKb > boundKb ? std::vector<Violation>{{"memory", daemon, std::to_string(residentKb) + " KB"}} : std::vector<Violation>{};
--- a/tests/soak/answerchecker.h
+++ b/tests/soak/answerchecker.h
@@ -63,6 +63,10 @@
     std::map<std::string, std::string> faults;
     /// Requests with an answer that was sent to its end.
     std::set<std::string> whole;
+    /// Requests whose last run cut a plain answer by an end in order, without a reset in time.
+    std::set<std::string> unresetEnds;
+    /// The upstream that made the last run.
+    std::map<std::string, std::string> upstreams;
 };
 
 CallerAnswer parseAnswer(std::string_view bytes, ConnectionEnd end);
@@ -77,6 +81,10 @@
 /// came and then broken off for the caller.
 bool isOfEndlessAnswer(const Violation &violation, const RunLog &log);
 
+/// Whether a violation is a plain unframed answer that was cut by an end in order, and whose upstream sent no reset in the time in which daemons promise to see
+/// it: its process ran when the answer ended, so there was no sign that the end is not the answer's own.
+bool isOfUnresetEnd(const Violation &violation, const RunLog &log);
+
 /// Returns a violation for a daemon that uses more memory than the bound.
 std::vector<Violation> checkMemory(const std::string &daemon, std::size_t residentKb, std::size_t boundKb);
 
--- a/tests/soak/answercheckertest.cpp
+++ b/tests/soak/answercheckertest.cpp
@@ -151,6 +151,27 @@
     CHECK_FALSE(found("s-1-9", answer("s-1-9", endless.substr(1))));
 }
 
+// Guards against a soak that passes over a cut answer whose reset came in time, was of an earlier run, or of a framed answer.
+TEST_CASE("the soak's checker passes over a cut answer only if its upstream ended it in order and sent no reset in time")
+{
+    const auto passesOver = [](const std::string &lines, const std::string &kind) {
+        RunLog log;
+        log.add(lines);
+        return isOfUnresetEnd({.kind = kind, .id = "s-1-8", .detail = {}}, log);
+    };
+    const std::string start = "start s-1-8 i-1 finreset unframed\n";
+    const std::string ended = "fin s-1-8 i-1\n";
+    CHECK(passesOver(start + ended, "truncated"));
+    CHECK(passesOver(start + ended, "truncated-http10"));
+    CHECK_FALSE(passesOver(start, "truncated"));
+    CHECK_FALSE(passesOver(start + ended + "reset s-1-8 i-1\n", "truncated"));
+    CHECK_FALSE(passesOver(start + "fin s-1-9 i-1\n", "truncated"));
+    CHECK_FALSE(passesOver(start + ended + start, "truncated"));
+    CHECK_FALSE(passesOver(start + "start s-1-8 i-2 finreset unframed\n" + ended, "truncated"));
+    CHECK_FALSE(passesOver(start + ended, "joined"));
+    CHECK_FALSE(passesOver("start s-1-8 i-1 finreset length\n" + ended, "truncated"));
+}
+
 // Guards against a soak that does not see a daemon whose memory grows with what upstreams send.
 TEST_CASE("the soak's checker finds a daemon over its memory bound")
 {
--- a/tests/soak/answersoaktest.cpp
+++ b/tests/soak/answersoaktest.cpp
@@ -264,6 +264,9 @@
                   << mostKb << " KB; " << textOf(statuses) << "\n";
         std::cout << "    seed " << m_seed << " end checks of whole unframed answers: " << textOf(endChecks(runs)) << "\n";
         std::erase_if(found, [&runs](const Violation &violation) { return isOfEndlessAnswer(violation, runs); });
+        const std::size_t unseen = std::erase_if(found, [&runs](const Violation &violation) { return isOfUnresetEnd(violation, runs); });
+        std::cout << "    seed " << m_seed << " plain answers cut by an end in order without a reset in time: " << runs.unresetEnds.size()
+                  << ", of them taken for whole ones: " << unseen << "\n";
         return reportViolations(found, runs);
     }
     /// What the daemons took the ends of unframed answers for that one sound run had sent as a whole: all but "answered" were broken off for nothing.
