The front door believes a refusal only if it names the request

Change: unless the answer names the request, and only it, the outcome is unknown, and the request is not sent again.

--- a/src/entry/headers.h
+++ b/src/entry/headers.h
@@ -15,6 +15,8 @@
 constexpr const char *RetryAfter = "Retry-After";
 /// In answers: "true" when the answer is that of an earlier request with the same key.
 constexpr const char *Replayed = "Idempotent-Replayed";
+/// To upstreams: the request's id. In their answers: the request that they answer.
+constexpr const char *UpstreamRequestId = "X-Request-Id";
 /// In upstreams' answers: requests a second that the upstream takes from all VMs together.
 constexpr const char *UpstreamRequestLimit = "X-Request-Limit";
 /// In upstreams' answers: the request was refused before any part of it ran.
--- a/src/entry/upstreamattempt.cpp
+++ b/src/entry/upstreamattempt.cpp
@@ -32,11 +32,19 @@
 /// Other paths that are tried for one attempt.
 constexpr int MaxReopenedCalls = 4;
 
-bool hasNotRunHeader(const AnswerHead &head)
+bool isRefusal(const AnswerHead &head)
 {
     return std::ranges::any_of(head.headers, [](const auto &header) { return strcasecmp(header.first.c_str(), headers::UpstreamNotRun) == 0; });
 }
 
+/// An answer that does not name the request, and only it, may be another one's.
+bool namesOnly(const RequestId &id, const AnswerHead &head)
+{
+    const auto isName = [](const auto &header) { return strcasecmp(header.first.c_str(), headers::UpstreamRequestId) == 0; };
+    return std::ranges::any_of(head.headers, isName)
+        && std::ranges::all_of(head.headers, [&](const auto &header) { return !isName(header) || header.second == id.value; });
+}
+
 UpstreamRequest makeUpstreamRequest(const CallerRequest &request, const Address &address)
 {
     UpstreamRequest call{
@@ -46,6 +54,7 @@
         .target = request.target,
         .headers = {},
         .body = request.body,
+        .idHeader = headers::UpstreamRequestId,
     };
     if (!request.contentType.empty()) {
         call.headers.emplace_back("Content-Type", request.contentType);
@@ -206,7 +215,7 @@
 {
     m_head = head;
     m_headReceived.emit(head);
-    if (!isForwardable() || hasNotRunHeader(head) || m_answerStarted) {
+    if (!isForwardable() || isRefusal(head) || m_answerStarted) {
         return;
     }
     m_answerStarted = true;
@@ -240,8 +249,8 @@
 
 void UpstreamAttempt::onCallFinished()
 {
-    if (!m_resuming && hasNotRunHeader(m_head)) {
-        end(AttemptResult::Kind::NotRun);
+    if (!m_resuming && isRefusal(m_head)) {
+        end(namesOnly(m_request.id, m_head) ? AttemptResult::Kind::NotRun : AttemptResult::Kind::Lost);
     } else if (!isForwardable()) {
         end(m_resuming ? AttemptResult::Kind::Lost : AttemptResult::Kind::Failed);
     } else if (std::visit([](auto &sink) { return sink.finish(); }, m_sink)) {
