--- a/src/control/statemachine.cpp
+++ b/src/control/statemachine.cpp
@@ -231,7 +231,8 @@
 {
     v1::StateSnapshot snapshot;
     StateMachine source;
-    if (!snapshot.ParseFromString(request.snapshot()) || !ok(source.restore(request.snapshot()))) {
+    // The routes of the snapshot are not restored.
+    if (!snapshot.ParseFromString(request.snapshot()) || !ok(source.restoreFrom(snapshot))) {
         return invalid(m_declarations.revision(), "the snapshot can't be read: give a file that 'snapshot save' wrote");
     }
     for (const v1::HistoryEntry &entry : m_history) {
@@ -328,6 +329,14 @@
     if (!snapshot.ParseFromString(bytes)) {
         return Error{ErrorKind::Storage, "the snapshot can't be read: take another copy"};
     }
+    if (snapshot.has_routes() && !ok(unpackRouteTable(snapshot.routes()))) {
+        return Error{ErrorKind::Storage, "the snapshot's routes can't be read: take another copy"};
+    }
+    return restoreFrom(snapshot);
+}
+
+Result<Done> StateMachine::restoreFrom(const v1::StateSnapshot &snapshot)
+{
     const Result<Declarations> declarations = fromWire(snapshot.declarations());
     if (!ok(declarations)) {
         return errorOf(declarations);
--- a/src/control/statemachine.h
+++ b/src/control/statemachine.h
@@ -87,6 +87,7 @@
     Result<Done> restore(const std::string &bytes);
 
 private:
+    Result<Done> restoreFrom(const v1::StateSnapshot &snapshot);
     v1::ProposeReply applyClaim(const v1::Command &command);
     v1::CommandReply applyChanges(const v1::Command &command, const v1::ApplyRequest &request);
     v1::CommandReply applyMoveVerdict(const v1::Command &command);
--- a/tests/control/statemachinetest.cpp
+++ b/tests/control/statemachinetest.cpp
@@ -129,6 +129,18 @@
     CHECK(state.declarations().revision() == Revision{1});
 }
 
+// Guards against a replica without routes that takes itself for restored.
+TEST_CASE("a replica's snapshot whose routes can't be read is refused and changes nothing")
+{
+    StateMachine state = office();
+    const std::string before = state.snapshot();
+    v1::StateSnapshot damaged;
+    REQUIRE(damaged.ParseFromString(before));
+    damaged.mutable_routes()->set_packed_table("no routes");
+    CHECK_FALSE(ok(state.restore(damaged.SerializeAsString())));
+    CHECK(state.snapshot() == before);
+}
+
 // Two successive leaders may assign the next epoch of a cell to different VMs; only the first assignment in the log may take effect.
 TEST_CASE("an epoch of a cell has one holder")
 {
