--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -113,6 +113,8 @@
 
     /// Until an upstream usually has a free slot again.
     static constexpr Duration RetryAfterRefusal = std::chrono::milliseconds(200);
+    /// After this time without data, a stream that another upstream can resume is taken from its upstream.
+    static constexpr Duration ResumeTimeout = std::chrono::milliseconds(1700);
 
     ProxyTask(ProxyOptions options, Metrics &metrics);
     std::optional<Error> bind();
