An empty list of organisations closes the routes instead of opening them

Cause: callers needed a key only if the table had organisations, so a configuration whose last organisation was removed ("tenants": []) opened all routes to callers without a key. Change: the table says that keys are required if the list is there and empty. It is not set otherwise, so other tables are the same bytes as before. Between tables that differ in it the whole table is sent. Measured: the new tests fail without the change.

--- a/src/control/routechanges.cpp
+++ b/src/control/routechanges.cpp
@@ -183,7 +183,8 @@
 /// Checksum of the content that does not depend on the order of the items.
 std::uint64_t contentChecksum(const v1::RouteTable &table)
 {
-    return checksumSum(table.routes()) + checksumSum(table.services()) + checksumSum(table.organisations());
+    const std::uint64_t items = checksumSum(table.routes()) + checksumSum(table.services()) + checksumSum(table.organisations());
+    return table.requires_keys() ? items + checksum("requires_keys") : items;
 }
 
 }
@@ -191,7 +192,8 @@
 std::optional<v1::RouteTableChange> diffRouteTables(const v1::RouteTable &before, const v1::RouteTable &after)
 {
     v1::RouteTableChange change;
-    const bool comparable = appendDifferences(before.routes(), after.routes(), *change.mutable_routes(), *change.mutable_removed_routes())
+    const bool comparable = before.requires_keys() == after.requires_keys()
+        && appendDifferences(before.routes(), after.routes(), *change.mutable_routes(), *change.mutable_removed_routes())
         && appendDifferences(before.services(), after.services(), *change.mutable_services(), *change.mutable_removed_services())
         && appendDifferences(before.organisations(), after.organisations(), *change.mutable_organisations(), *change.mutable_removed_organisations());
     if (!comparable) {
@@ -207,6 +209,7 @@
 {
     v1::RouteTable after;
     after.set_version(change.version());
+    after.set_requires_keys(before.requires_keys());
     *after.mutable_routes() = itemsAfterChange(before.routes(), change.routes(), change.removed_routes());
     *after.mutable_services() = itemsAfterChange(before.services(), change.services(), change.removed_services());
     *after.mutable_organisations()
--- a/src/proxy/routeindex.h
+++ b/src/proxy/routeindex.h
@@ -31,7 +31,7 @@
     /// Whether callers need a key on routes that are not open to all.
     bool requiresKeys() const
     {
-        return m_table->organisations_size() > 0;
+        return m_table->organisations_size() > 0 || m_table->requires_keys();
     }
     const v1::RouteTable &table() const
     {
--- a/tests/control/routehistorytest.cpp
+++ b/tests/control/routehistorytest.cpp
@@ -116,6 +116,25 @@
     CHECK_FALSE(diffRouteTables(twice, routeTable(1, 3)));
 }
 
+// Guards against a VM that goes on serving callers without a key, since a change of the list of organisations does not say that one is needed.
+TEST_CASE("tables of which only one has callers with keys have no change between them, and a change keeps what holds")
+{
+    v1::RouteTable closed = routeTable(1, 3);
+    closed.clear_organisations();
+    closed.set_requires_keys(true);
+    v1::RouteTable open = closed;
+    open.set_version(2);
+    open.set_requires_keys(false);
+    CHECK_FALSE(diffRouteTables(closed, open));
+    CHECK_FALSE(diffRouteTables(open, closed));
+    v1::RouteTable later = closed;
+    later.set_version(2);
+    later.mutable_routes(0)->set_timeout_ms(1);
+    const auto change = diffRouteTables(closed, later);
+    REQUIRE(change);
+    CHECK(valueOf(applyRouteTableChange(closed, *change)).requires_keys());
+}
+
 // Guards against updates that send each VM the whole table for a small change.
 TEST_CASE("an update has the changes since a version, or the whole table if that is smaller or the changes are not kept")
 {
