No organisation owns the empty key

Cause: a table with the hash of the empty key, which the reader of configurations refuses, would have made each caller without a key that organisation's. Change: the lookup itself refuses it. Measured: the new test fails without the change.

--- a/src/proxy/routeindex.cpp
+++ b/src/proxy/routeindex.cpp
@@ -105,6 +105,10 @@
 
 const v1::RoutedOrganisation *RouteIndex::organisationOfKey(std::string_view apiKey) const
 {
+    if (apiKey.empty()) {
+        // A request without the header; no organisation may be chosen by that, whatever its keys are.
+        return nullptr;
+    }
     const auto found = m_organisationsByKeyHash.find(hashKey(apiKey).value);
     return found == m_organisationsByKeyHash.end() ? nullptr : found->second;
 }
--- a/tests/proxy/routeindextest.cpp
+++ b/tests/proxy/routeindextest.cpp
@@ -56,6 +56,16 @@
     CHECK(routes.organisationOfKey("") == nullptr);
 }
 
+// Guards against callers without a key who are taken for an organisation's.
+TEST_CASE("no organisation owns the empty key, even if its table says so")
+{
+    v1::RouteTable table = smallTable();
+    v1::RoutedOrganisation &organisation = *table.add_organisations();
+    organisation.set_name("ensemble");
+    organisation.add_key_sha256(hashKey("").value);
+    CHECK(RouteIndex(std::make_shared<const v1::RouteTable>(table)).organisationOfKey("") == nullptr);
+}
+
 TEST_CASE("an invalid table is rejected with the remedy")
 {
     v1::RouteTable table = smallTable();
