--- a/tests/daemon/settingstest.cpp
+++ b/tests/daemon/settingstest.cpp
@@ -1,8 +1,10 @@
 #include "daemon/settings.h"
+#include "support/tomlmembers.h"
 
 #include <catch2/catch.hpp>
 
 using namespace cumindyke;
+using namespace cumindyke::test;
 
 namespace
 {
@@ -87,3 +89,61 @@
     CHECK(featuresOf("planned_returns = true\n").placement.plannedReturns);
     CHECK(featuresOf("shared_waiting = true\n").placement.sharedWaiting);
 }
+
+// Guards against a VM that starts with another value than the settings give, because a member can't be read.
+TEST_CASE("a setting of another type is refused, and the error names it")
+{
+    constexpr const char *AllMembers = R"(vm = "127.0.0.1"
+data_centre = "north"
+http_address = "127.0.0.1:8080"
+rpc_address = "127.0.0.1:8081"
+data_folder = "run/x"
+platform_list = "run/vms"
+history_file = "run/history"
+request_read_limit_ms = 20000
+drain_limit_ms = 5000
+shutdown_grace_s = 7.5
+confirm_within_ms = 900
+evacuate_within_ms = 4000
+keep_admitting_ms = 1000
+replace_replica_after_ms = 20000
+peer_port = 7600
+lease_port = 7601
+relay_port = 7602
+replicas = ["127.0.0.1:7600"]
+plaintext = true
+form_cluster = true
+wanted_voters = 3
+limit_slack = 10
+operator_api = "127.0.0.1:8082"
+[[data_centres]]
+name = "north"
+region = "n"
+[proxy]
+address = "127.0.0.1:8083"
+readiness_address = "127.0.0.1:8084"
+upstream_list = "127.0.0.1:8085"
+cold_rate_factor = 1.5
+cold_rate_extra = 2.5
+fair_shares = true
+ranked_limits = true
+planned_returns = true
+shared_waiting = true
+bounded_buffers = true
+contracts = ["a"]
+memory_limit_mb = 160
+)";
+    REQUIRE(problemOf(AllMembers).empty());
+    for (const TomlMember &member : membersOf(AllMembers)) {
+        for (const std::string &value : valuesOfOtherTypes(member.value)) {
+            CAPTURE(member.key, value);
+            CHECK(problemOf(withValue(AllMembers, member, value)).find(member.key) != std::string::npos);
+        }
+    }
+    for (const char *table : {"proxy", "tls", "data_centres", "peer"}) {
+        for (const char *value : {"1", "true", "\"x\"", "[1]"}) {
+            CAPTURE(table, value);
+            CHECK(problemOf(std::string(table) + " = " + value + "\n").find(table) != std::string::npos);
+        }
+    }
+}
--- a/tests/domain/declarationstest.cpp
+++ b/tests/domain/declarationstest.cpp
@@ -1,9 +1,13 @@
 #include "domain/declarations.h"
 #include "support/processes.h"
+#include "support/tomlmembers.h"
 
 #include <catch2/catch.hpp>
 
+#include <map>
+
 using namespace cumindyke;
+using namespace cumindyke::test;
 
 namespace
 {
@@ -31,6 +35,38 @@
 slots = 8
 )";
 
+constexpr const char *AllMembers = R"([[tier]]
+name = "committee"
+rank = 2
+[[organisation]]
+name = "ensemble"
+highest_tier = "committee"
+key_sha256 = ["571274b591a1ba94546ad75705fcbee335ad25bb1cbfea93c6649e48cda8097b"]
+max_concurrent = 7
+tokens_per_second = 900
+weight = 3
+[[service]]
+name = "drafting"
+kind = "model"
+version = "v1"
+default_deadline_ms = 30000
+non_idempotent = ["POST /book"]
+keep_answers_s = 600
+[[service.objective]]
+tier = "committee"
+on_time_share = 0.9
+first_token_ms = 500
+between_tokens_ms = 30
+[[upstream]]
+name = "drafting-1"
+service = "drafting"
+version = "v1"
+data_centre = "north"
+address = "10.0.0.1:9000"
+slots = 8
+checks_fence = true
+)";
+
 Declarations exampleDeclarations()
 {
     const auto changes = parseDeclarations(ExampleToml, "office.toml");
@@ -106,3 +142,45 @@
     REQUIRE_FALSE(ok(changes));
     CHECK(errorOf(changes).message.find("tier committee is declared twice") != std::string::npos);
 }
+
+// Guards against a declaration that is in force though a part of it can't be read, such as a limit in quotes, which would be no limit.
+TEST_CASE("a declaration with a member of another type is refused, and the error names the member")
+{
+    REQUIRE(ok(parseDeclarations(AllMembers, "bad.toml")));
+    for (const TomlMember &member : membersOf(AllMembers)) {
+        for (const std::string &value : valuesOfOtherTypes(member.value)) {
+            CAPTURE(member.key, value);
+            CHECK(parseError(withValue(AllMembers, member, value)).find(member.key) != std::string::npos);
+        }
+    }
+}
+
+// Guards against a member whose absence is taken for something that the pages don't say.
+TEST_CASE("a declaration without one of its members is refused, or counts as one with the value that the page gives")
+{
+    const std::map<std::string, std::string> whenAbsent{
+        {"key_sha256", "[]"},
+        {"max_concurrent", "0"},
+        {"tokens_per_second", "0"},
+        {"weight", "1"},
+        {"default_deadline_ms", "60000"},
+        {"keep_answers_s", "86400"},
+        {"non_idempotent", "[]"},
+        {"on_time_share", "0.99"},
+        {"first_token_ms", "760"},
+        {"between_tokens_ms", "41"},
+        {"slots", "1"},
+        {"checks_fence", "false"},
+    };
+    for (const TomlMember &member : membersOf(AllMembers)) {
+        CAPTURE(member.key);
+        const auto parsed = parseDeclarations(without(AllMembers, member), "bad.toml");
+        const auto value = whenAbsent.find(member.key);
+        if (value == whenAbsent.end()) {
+            CHECK(parseError(without(AllMembers, member)).find(member.key + ": missing") != std::string::npos);
+            continue;
+        }
+        REQUIRE(ok(parsed));
+        CHECK(valueOf(parsed) == valueOf(parseDeclarations(withValue(AllMembers, member, value->second), "office.toml")));
+    }
+}
