The watch takes the time of the answer's end from its caller

Cause: ProcessWatch::verifyEnd() read the clock itself, while the caller had just read it to work out the limit; a deciding function takes the present time as an argument here. Change: it is an argument.

--- a/src/proxy/proxyends.cpp
+++ b/src/proxy/proxyends.cpp
@@ -76,14 +76,14 @@
     const bool mayRepeat = request.attempts.mayRepeat() && request.mayContinue();
     const Duration timeLeft = request.parsed.deadline - now;
     // Another attempt needs a part of the time.
-    request.processWatch->verifyEnd(mayRepeat ? std::min<Duration>(timeLeft, ResumeTimeout) : timeLeft,
-                                    [this, localId = request.localId](AnswerEndProof proof) {
-                                        if (ProxyRequest *ended = find(localId)) {
-                                            // The watch is still running this callback.
-                                            m_loop.releaseLater(std::move(ended->processWatch));
-                                            handleEndCheck(*ended, proof);
-                                        }
-                                    });
+    request.processWatch->verifyEnd(
+        now, mayRepeat ? std::min<Duration>(timeLeft, ResumeTimeout) : timeLeft, [this, localId = request.localId](AnswerEndProof proof) {
+            if (ProxyRequest *ended = find(localId)) {
+                // The watch is still running this callback.
+                m_loop.releaseLater(std::move(ended->processWatch));
+                handleEndCheck(*ended, proof);
+            }
+        });
 }
 
 void ProxyTask::handleEndCheck(ProxyRequest &request, AnswerEndProof proof)
--- a/src/relay/processwatch.cpp
+++ b/src/relay/processwatch.cpp
@@ -210,11 +210,11 @@
     std::exchange(m_then, {})(m_phase == Phase::Ended ? m_end : AnswerEndProof::Unanswered);
 }
 
-void ProcessWatch::verifyEnd(Duration limit, std::function<void(AnswerEndProof)> then)
+void ProcessWatch::verifyEnd(TimePoint now, Duration limit, std::function<void(AnswerEndProof)> then)
 {
     m_then = std::move(then);
     m_limit = limit;
-    m_answerEndedAt = EventLoop::now();
+    m_answerEndedAt = now;
     m_timer.startOnce(MinTime);
     if (m_phase == Phase::Open) {
         ask();
--- a/src/relay/processwatch.h
+++ b/src/relay/processwatch.h
@@ -51,7 +51,7 @@
 
     /// To be called once, when the answer's connection has ended. "then" is called from the loop, after MinTime and not after the limit or MinTime,
     /// whichever is longer. It must not destroy the watch.
-    void verifyEnd(Duration limit, std::function<void(AnswerEndProof)> then);
+    void verifyEnd(TimePoint now, Duration limit, std::function<void(AnswerEndProof)> then);
 
     /// A reset that follows the answer's end is seen within this time.
     static constexpr Duration MinTime = std::chrono::milliseconds(20);
--- a/tests/relay/processwatchtest.cpp
+++ b/tests/relay/processwatchtest.cpp
@@ -137,7 +137,7 @@
     AnswerEndProof proofAtEnd()
     {
         std::optional<AnswerEndProof> result;
-        m_watch.verifyEnd(Limit, [&](AnswerEndProof proof) {
+        m_watch.verifyEnd(EventLoop::now(), Limit, [&](AnswerEndProof proof) {
             result = proof;
             m_loop.stop();
         });
@@ -153,7 +153,7 @@
         Timer turn(m_loop, [&] {
             std::this_thread::sleep_for(busyTime);
             askedAt = EventLoop::now();
-            m_watch.verifyEnd(Limit, [&](AnswerEndProof) {
+            m_watch.verifyEnd(askedAt, Limit, [&](AnswerEndProof) {
                 provedAt = EventLoop::now();
                 m_loop.stop();
             });
