Soak: only answers that were cut are logged as ended in order

Cause: the fault "early" may send a whole answer before its end and reset. The stand-in logged "fin" for it, too, so the printed number of cut answers was too high. No violation could be passed over by it, since a whole answer is none. Change: it is logged for cut plain answers only.

--- a/tests/faultyupstream/main.cpp
+++ b/tests/faultyupstream/main.cpp
@@ -314,16 +314,16 @@
     }
     /// The pause may last long on a busy machine, and the process may be killed in it: then nothing shows that the end was not the answer's own. A cut stream
     /// shows it by itself, since it ends within an event.
-    void endThenReset()
+    void endThenReset(bool isLogged)
     {
         const auto begin = std::chrono::steady_clock::now();
         shutdown(m_socket, SHUT_WR);
-        if (!m_isStream) {
+        if (isLogged) {
             log("fin " + m_id + " " + m_options.name);
         }
         pauseUpTo(m_random, 10);
         reset();
-        if (!m_isStream && std::chrono::steady_clock::now() - begin < SeenResetTime) {
+        if (isLogged && std::chrono::steady_clock::now() - begin < SeenResetTime) {
             log("reset " + m_id + " " + m_options.name);
         }
     }
@@ -362,9 +362,9 @@
         if (!isCut) {
             log("whole " + m_id);
         }
-        end(otherId, first);
+        end(otherId, first, isCut);
     }
-    void end(const std::string &otherId, int first)
+    void end(const std::string &otherId, int first, bool isCut)
     {
         if (m_fault == "stutter" || m_fault == "alien") {
             pauseUpTo(m_random, 20);
@@ -374,7 +374,7 @@
             waitForPeer();
         } else if (m_fault == "finreset" || (m_fault == "early" && m_random.below(2) == 0)) {
             pauseUpTo(m_random, 5);
-            endThenReset();
+            endThenReset(isCut && !m_isStream);
         } else if (m_fault == "reset" || m_fault == "early") {
             pauseUpTo(m_random, 5);
             reset();
