--- a/tests/platform/configurationmemberstest.cpp
+++ b/tests/platform/configurationmemberstest.cpp
@@ -259,13 +259,15 @@
 // Guards against routes that are open to all since the last organisation was removed.
 TEST_CASE("callers need a key if the configuration lists organisations, even none")
 {
+    const auto table = [](const json &document) { return std::make_shared<const v1::RouteTable>(valueOf(decide(document.dump()))); };
     json document = json::parse(SoundDocument);
-    const auto requiresKeys = [&document] { return RouteIndex(std::make_shared<v1::RouteTable>(valueOf(decide(document.dump())))).requiresKeys(); };
-    CHECK(requiresKeys());
+    CHECK(RouteIndex(table(document)).requiresKeys());
     document["tenants"] = json::array();
-    CHECK(requiresKeys());
+    CHECK(table(document)->organisations().empty());
+    CHECK(RouteIndex(table(document)).requiresKeys());
     document.erase("tenants");
-    CHECK_FALSE(requiresKeys());
+    CHECK(table(document)->organisations().empty());
+    CHECK_FALSE(RouteIndex(table(document)).requiresKeys());
 }
 
 // Guards against a member whose absence is taken for something that the pages don't say.
