The parser reads the next request by itself, and is never told to

Cause: bytes of the next request were held when an answer ended, so RequestGate started a timer to release them and to trigger a read. If the rest of the request arrived before the timer fired, the gate released it, the parser read and dispatched it, and the trigger then made the parser read a connection that was being answered, which it takes for a fatal error. The gate guessed the parser's state from the past.

Change: the gate has one phase, Reading, Answering, Refusing, Refused or Closed, which every path asks, the limit for receiving requests and the count of answers under way too (PendingRead::isAnswering is gone). The end of an answer releases what is accepted of the next request before the parser turns to it, and the parser reads its pending input then. There is no trigger and no timer but the one of a refusal, which touches the socket only: it waits a turn, since the answer before it may close the connection. A refusal is not sent if the parser has bytes of its own to write.

Why it is enough: only in Reading does the parser get bytes, and it is in Reading only between its own turns to a request and that request's last byte.

--- a/src/entry/httpserver.cpp
+++ b/src/entry/httpserver.cpp
@@ -97,7 +97,7 @@
 
 bool HttpServer::hasAnswersUnderWay() const
 {
-    return std::ranges::any_of(m_pendingReads, [](const auto &entry) { return entry.second.isAnswering; });
+    return std::ranges::any_of(m_pendingReads, [](const auto &entry) { return entry.second.gate && entry.second.gate->isAnswering(); });
 }
 
 void HttpServer::refuseWhileLate(Metrics &metrics)
@@ -164,7 +164,7 @@
     server->onAccepted();
     bufferevent *connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     evbuffer *input = bufferevent_get_input(connection);
-    server->m_pendingReads[input] = PendingRead{.connection = connection, .startedAt = {}, .isAnswering = false, .counted = {}, .gate = {}};
+    server->m_pendingReads[input] = PendingRead{.connection = connection, .startedAt = {}, .counted = {}, .gate = {}};
     evbuffer_add_cb(input, &HttpServer::onInput, server);
     return connection;
 }
@@ -210,7 +210,6 @@
 /// The gate may be in a callback of its own.
 void HttpServer::closeGate(PendingRead &pending)
 {
-    pending.isAnswering = false;
     if (pending.gate) {
         pending.gate->close();
         m_loop.releaseLater(std::exchange(pending.gate, nullptr));
@@ -266,7 +265,7 @@
 void HttpServer::enforceReadLimit(evbuffer *input)
 {
     PendingRead &pending = m_pendingReads[input];
-    if (pending.isAnswering) {
+    if (!pending.gate || !pending.gate->isReading()) {
         return;
     }
     const TimePoint now = EventLoop::now();
@@ -288,7 +287,6 @@
     Exchange::allowEndInOrder(request);
     evbuffer *input = bufferevent_get_input(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)));
     PendingRead &pending = static_cast<HttpServer *>(self)->m_pendingReads[input];
-    pending.isAnswering = false;
     if (!pending.gate) {
         return;
     }
@@ -309,7 +307,6 @@
     auto *server = static_cast<HttpServer *>(self);
     PendingRead &pending = server->m_pendingReads[bufferevent_get_input(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)))];
     pending.startedAt.reset();
-    pending.isAnswering = true;
     evhttp_request_set_on_complete_cb(request, &HttpServer::onAnswerWritten, server);
     server->watchLoad();
     const auto exchange = std::make_shared<Exchange>(server->m_loop, request, pending.gate->takeTarget());
--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -93,8 +93,6 @@
     {
         bufferevent *connection = nullptr;
         std::optional<TimePoint> startedAt;
-        /// A request was received whose answer is not written completely.
-        bool isAnswering = false;
         /// Null unless bytes are counted, and before the first byte.
         std::shared_ptr<CallerConnection> counted;
         /// Null before the first byte and after the connection was closed.
--- a/src/entry/requestgate.cpp
+++ b/src/entry/requestgate.cpp
@@ -63,12 +63,13 @@
 
 void RequestGate::handleInput(const evbuffer_cb_info &info)
 {
-    if (m_hasRefused) {
+    if (hasRefused()) {
         discardInput();
         return;
     }
-    if (info.n_added <= m_reader.remainingLength() && evbuffer_get_length(m_held) == 0) {
+    if (isReading() && info.n_added <= m_reader.remainingLength() && evbuffer_get_length(m_held) == 0) {
         m_reader.skip(info.n_added);
+        m_phase = m_reader.isWhole() ? Phase::Answering : Phase::Reading;
         return;
     }
     // The front of the input is what the parser has not taken yet.
@@ -83,17 +84,23 @@
         evbuffer_free(all);
     }
     m_isReleasing = false;
-    readHeld();
+    if (isReading()) {
+        readHeld();
+    }
 }
 
+/// Gives the parser what is held of the request that it reads.
 void RequestGate::readHeld()
 {
     m_isReleasing = true;
     // Outside of a read the end of a connection's input is frozen.
     evbuffer_unfreeze(m_input, 0);
-    while (!m_hasRefused && !m_reader.isWhole() && readStep()) {
+    while (isReading() && !m_reader.isWhole() && readStep()) {
     }
     releaseChunk();
+    if (m_reader.isWhole()) {
+        m_phase = Phase::Answering;
+    }
     m_isReleasing = false;
 }
 
@@ -135,7 +142,7 @@
         append("0\r\n\r\n");
         return false;
     case RequestReader::Step::Refused:
-        refuse(m_reader.refusalStatus(), m_reader.refusalReason());
+        refuse();
         return false;
     }
     return false;
@@ -162,7 +169,7 @@
 /// libevent reads no extensions of chunks and takes a trailer for fields of the head: it gets the data alone, in chunks of its own.
 void RequestGate::releaseChunk()
 {
-    if (m_chunkData.empty() || m_hasRefused) {
+    if (m_chunkData.empty() || !isReading()) {
         return;
     }
     std::array<char, 20> size{};
@@ -182,48 +189,50 @@
 
 void RequestGate::endRequest()
 {
-    m_reader.beginNext();
-    if (evbuffer_get_length(m_held) == 0) {
+    if (!isAnswering()) {
         return;
     }
-    if (!m_resumeTimer) {
-        m_resumeTimer = std::make_unique<Timer>(m_loop, [this] { resume(); });
+    m_reader.beginNext();
+    m_phase = Phase::Reading;
+    if (evbuffer_get_length(m_held) > 0) {
+        readHeld();
     }
-    m_resumeTimer->startOnce(Duration::zero());
 }
 
 void RequestGate::close()
 {
-    if (m_resumeTimer) {
-        m_resumeTimer->stop();
-    }
+    m_phase = Phase::Closed;
+    m_refusalTimer.reset();
 }
 
-void RequestGate::resume()
+/// What the parser has not read of the request is taken from it, so that it does not answer too.
+void RequestGate::refuse()
 {
-    readHeld();
-    if (!m_hasRefused) {
-        // The end of this connection may destroy the gate.
-        bufferevent_trigger(m_connection, EV_READ, 0);
-    }
+    m_phase = Phase::Refusing;
+    m_refusedAt = EventLoop::now();
+    evbuffer_drain(m_held, evbuffer_get_length(m_held));
+    evbuffer_drain(m_input, evbuffer_get_length(m_input));
+    m_refusalTimer = std::make_unique<Timer>(m_loop, [this] { sendRefusal(); });
+    m_refusalTimer->startOnce(Duration::zero());
 }
 
-void RequestGate::refuse(int status, const char *reason)
+/// The answer before is written, and the connection was not closed with it.
+void RequestGate::sendRefusal()
 {
-    m_hasRefused = true;
-    m_refusedAt = EventLoop::now();
-    m_refused(status, reason);
-    // No answer is under way: the one before is written, and this request has none yet.
-    const std::string text = refusalText(status, reason);
+    m_phase = Phase::Refused;
+    m_refused(m_reader.refusalStatus(), m_reader.refusalReason());
     const evutil_socket_t socket = bufferevent_getfd(m_connection);
+    if (evbuffer_get_length(bufferevent_get_output(m_connection)) > 0) {
+        // The parser has answered the request by itself, because of its head, or has just accepted that its body is sent.
+        shutdown(socket, SHUT_RDWR);
+        return;
+    }
+    const std::string text = refusalText(m_reader.refusalStatus(), m_reader.refusalReason());
     send(socket, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     shutdown(socket, SHUT_WR);
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(MaxDiscardTime);
     const timeval timeout{.tv_sec = seconds.count(), .tv_usec = 0};
     bufferevent_set_timeouts(m_connection, &timeout, nullptr);
-    m_isReleasing = true;
-    evbuffer_drain(m_held, evbuffer_get_length(m_held));
-    discardInput();
 }
 
 /// libevent detects the caller's close, and this one's.
--- a/src/entry/requestgate.h
+++ b/src/entry/requestgate.h
@@ -22,7 +22,7 @@
 class RequestGate
 {
 public:
-    /// Called with the status and the reason when a request is refused.
+    /// Called with the status and the reason when a refusal is sent.
     using Refused = std::function<void(int status, const char *reason)>;
 
     RequestGate(EventLoop &loop, bufferevent *connection, Refused refused);
@@ -32,7 +32,7 @@
 
     /// Bytes were appended to the connection's input. Leaves in it what the parser may read.
     void handleInput(const evbuffer_cb_info &info);
-    /// The answer is written. The next request is given to the parser when the present callback has returned.
+    /// The answer is written. Call before the parser begins to read again: it finds in the connection's input what has been accepted of the next request.
     void endRequest();
     /// The connection is being closed.
     void close();
@@ -41,10 +41,20 @@
     {
         return m_isReleasing;
     }
-    /// The request was refused; what arrives is discarded.
+    /// Whether a request is being received, or the next one can begin.
+    bool isReading() const
+    {
+        return m_phase == Phase::Reading;
+    }
+    /// Whether a request was received whose answer is not written completely.
+    bool isAnswering() const
+    {
+        return m_phase == Phase::Answering;
+    }
+    /// Whether the request was refused, so that what arrives is discarded.
     bool hasRefused() const
     {
-        return m_hasRefused;
+        return m_phase == Phase::Refusing || m_phase == Phase::Refused;
     }
     /// Received, but not given to the parser yet.
     evbuffer *held() const
@@ -55,14 +65,24 @@
     std::optional<std::string> takeTarget();
 
 private:
+    /// Only in Reading does the parser get bytes. It reads them when they arrive, or when it turns to the next request; it is never told to read, since it
+    /// ends the process if it is told so while it answers.
+    enum class Phase {
+        Reading, ///< bytes that are accepted are given to the parser
+        Answering, ///< the request is whole; bytes are held until its answer is written
+        Refusing, ///< the refusal is sent in the next turn of the loop, unless the answer before it closes the connection
+        Refused, ///< bytes are discarded
+        Closed,
+    };
+
     void readHeld();
     bool readStep();
     void releaseHead();
     void release(std::size_t bytes);
     void releaseChunk();
     void append(const std::string &bytes);
-    void resume();
-    void refuse(int status, const char *reason);
+    void refuse();
+    void sendRefusal();
     void discardInput();
 
     EventLoop &m_loop;
@@ -77,11 +97,11 @@
     std::string m_chunkData;
     std::optional<std::string> m_target;
     bool m_isReleasing = false;
-    bool m_hasRefused = false;
+    Phase m_phase = Phase::Reading;
     TimePoint m_refusedAt;
     std::size_t m_discardedBytes = 0;
-    /// Null until a request waited for the end of another one's answer.
-    std::unique_ptr<Timer> m_resumeTimer;
+    /// Null until a request is refused.
+    std::unique_ptr<Timer> m_refusalTimer;
 };
 
 }
--- /dev/null
+++ b/tests/entry/interleavedrequeststest.cpp
@@ -0,0 +1,222 @@
+#include "entry/httpserver.h"
+#include "support/processes.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+/// Turns of the loop after which what is due at once has been done.
+constexpr int SomeTurns = 20;
+
+/// A server and one caller's connection in one thread, whose loop is advanced turn by turn, so that a test sets the order of events.
+class SteppedServer
+{
+public:
+    explicit SteppedServer(Duration readLimit = std::chrono::seconds(30))
+    {
+        auto door = HttpServer::listen(loop, Address{.host = m_network.host(1), .port = 0}, readLimit);
+        REQUIRE(ok(door));
+        m_door = std::move(valueOf(door));
+        m_door->arrived().connect([this](const std::shared_ptr<Exchange> &exchange) {
+            ran.push_back(exchange->method() + " " + exchange->target() + " " + exchange->body());
+            waiting.push_back(exchange);
+        });
+    }
+    ~SteppedServer()
+    {
+        disconnect();
+    }
+    SteppedServer(const SteppedServer &) = delete;
+    SteppedServer &operator=(const SteppedServer &) = delete;
+
+    void connect()
+    {
+        disconnect();
+        m_socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int noDelay = 1;
+        setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
+        sockaddr_in to{.sin_family = AF_INET, .sin_port = htons(m_door->port()), .sin_addr = {}, .sin_zero = {}};
+        inet_pton(AF_INET, m_network.host(1).c_str(), &to.sin_addr);
+        REQUIRE(::connect(m_socket, reinterpret_cast<const sockaddr *>(&to), sizeof to) == 0);
+    }
+    void disconnect()
+    {
+        if (m_socket >= 0) {
+            close(m_socket);
+        }
+        m_socket = -1;
+        received.clear();
+        ran.clear();
+        waiting.clear();
+        hasEnded = false;
+    }
+    void send(std::string_view bytes) const
+    {
+        ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    void turn()
+    {
+        event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+        std::array<char, 4096> buffer{};
+        for (;;) {
+            const ssize_t got = recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            hasEnded = hasEnded || got == 0;
+            if (got <= 0) {
+                return;
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(got));
+            // The server's next answer waits for this acknowledgement.
+            const int atOnce = 1;
+            setsockopt(m_socket, IPPROTO_TCP, TCP_QUICKACK, &atOnce, sizeof atOnce);
+        }
+    }
+    /// Advances the loop until the condition holds; false if it does not in time.
+    bool turnUntil(const std::function<bool()> &condition, std::chrono::seconds timeout = std::chrono::seconds(5))
+    {
+        const TimePoint end = EventLoop::now() + timeout;
+        while (!condition() && EventLoop::now() < end) {
+            turn();
+        }
+        return condition();
+    }
+    void answerFirst()
+    {
+        const std::shared_ptr<Exchange> exchange = waiting.front();
+        waiting.erase(waiting.begin());
+        exchange->reply(200, "text/plain", "ran " + exchange->target() + ";");
+    }
+    /// Answers the requests, one after the other, until this number has arrived.
+    void answerAll(std::size_t expected)
+    {
+        while (ran.size() < expected || !waiting.empty()) {
+            if (!turnUntil([this] { return !waiting.empty(); })) {
+                return;
+            }
+            answerFirst();
+        }
+    }
+
+    EventLoop loop;
+    std::string received;
+    bool hasEnded = false;
+    std::vector<std::string> ran;
+    /// Requests that are not answered yet.
+    std::vector<std::shared_ptr<Exchange>> waiting;
+
+private:
+    TestNetwork m_network;
+    std::unique_ptr<HttpServer> m_door;
+    int m_socket = -1;
+};
+
+/// When the rest of the requests arrives, relative to the answer to the first one.
+enum class Moment { BeforeAnswer, WithAnswer, AfterAnswer, TurnAfterAnswer, MuchLater };
+constexpr std::array AllMoments{Moment::BeforeAnswer, Moment::WithAnswer, Moment::AfterAnswer, Moment::TurnAfterAnswer, Moment::MuchLater};
+
+constexpr std::size_t MaxDescription = 2000;
+
+const std::string First = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Sends the first request with a part of the next ones, and the rest at the moment, and answers all that runs. Returns false if the first did not run.
+bool play(SteppedServer &server, const std::string &part, const std::string &rest, Moment moment, std::size_t expected)
+{
+    server.connect();
+    server.send(First + part);
+    if (!server.turnUntil([&] { return !server.waiting.empty(); })) {
+        return false;
+    }
+    if (moment == Moment::BeforeAnswer) {
+        server.send(rest);
+        server.turn();
+    }
+    server.answerFirst();
+    if (moment == Moment::WithAnswer) {
+        server.send(rest);
+    }
+    const bool isAnswered = server.turnUntil([&] { return server.received.find("ran /a;") != std::string::npos; });
+    if (moment == Moment::TurnAfterAnswer) {
+        server.turn();
+    }
+    if (moment == Moment::MuchLater) {
+        for (int count = 0; count < SomeTurns; ++count) {
+            server.turn();
+        }
+    }
+    if (moment != Moment::BeforeAnswer && moment != Moment::WithAnswer) {
+        server.send(rest);
+    }
+    server.answerAll(expected);
+    return isAnswered;
+}
+
+std::string describe(Moment moment, std::size_t cut, const SteppedServer &server)
+{
+    return "moment " + std::to_string(static_cast<int>(moment)) + ", cut " + std::to_string(cut) + ", ran " + std::to_string(server.ran.size()) + ", received "
+        + server.received + "\n";
+}
+
+}
+
+// Guards against an end of the process: the rest of a pipelined request arrived between the end of the answer before and the read that was scheduled for its
+// first part, so that the parser was made to read while a request was being answered.
+TEST_CASE("a pipelined request whose rest arrives when the answer before has just ended runs once")
+{
+    SteppedServer server;
+    CHECK(play(server, "GET /b HT", "TP/1.1\r\nHost: a\r\n\r\n", Moment::BeforeAnswer, 2));
+    CHECK(server.ran == std::vector<std::string>{"GET /a ", "GET /b "});
+    CHECK(server.turnUntil([&] { return server.received.ends_with("ran /b;"); }));
+}
+
+// Guards against the same fault in all other orders: each place at which pipelined requests can be cut, and each moment at which the rest can arrive.
+TEST_CASE("pipelined requests run once, whole and in order wherever they are cut and whenever the rest arrives")
+{
+    const std::string bytes = "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+                              "\r\nPOST //c HTTP/1.1\r\nHost:\ta\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nDigest: x\r\n\r\n"
+                              "GET /d HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::vector<std::string> all{"GET /a ", "POST /b body", "POST //c abc", "GET /d "};
+    SteppedServer server;
+    std::string wrong;
+    for (const Moment moment : AllMoments) {
+        for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+            const bool isAnswered = play(server, bytes.substr(0, cut), bytes.substr(cut), moment, all.size());
+            const bool isComplete = server.turnUntil([&] { return server.received.ends_with("ran /d;"); });
+            if (!isAnswered || !isComplete || server.ran != all) {
+                wrong += describe(moment, cut, server);
+            }
+        }
+    }
+    CHECK(wrong.substr(0, MaxDescription) == "");
+}
+
+// Guards against a refusal that is sent into an answer, that lets a later request run, or that leaves the connection open, in the same orders.
+TEST_CASE("a pipelined request that is refused ends the connection wherever it is cut and whenever the rest arrives")
+{
+    const std::string bytes = "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\nGET /c HTTP/1.1\r\nHost: a\r\n\r\n";
+    SteppedServer server;
+    std::string wrong;
+    for (const Moment moment : AllMoments) {
+        for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+            const bool isAnswered = play(server, bytes.substr(0, cut), bytes.substr(cut), moment, 1);
+            server.turnUntil([&] { return server.hasEnded; });
+            const std::size_t refusal = server.received.find("HTTP/1.1 400 Bad Request");
+            const bool isRefused = refusal != std::string::npos && refusal == server.received.find("ran /a;") + 7;
+            if (!isAnswered || server.ran.size() != 1 || !isRefused || !server.hasEnded) {
+                wrong += describe(moment, cut, server);
+            }
+        }
+    }
+    CHECK(wrong.substr(0, MaxDescription) == "");
+}
