A process that can't go on says why, and on which connection

Fatal errors of libevent, exceptions that leave a thread, and abort() of other libraries now write one line ("process-ends") with the reason, the connection that the thread read last, its peer and its state, past the log's queue, which is lost with the process. libevent's exit() is replaced by an exit without destructors: other threads still use what they destroy. VMs with a disk append the line to DATA_FOLDER/fatal-errors; the next start counts the lines (cumindyke_fatal_errors_total). Entry VMs have no disk, so theirs have the line only.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,8 @@
 #include "daemon/daemon.h"
 
 #include "celltask/celltask.h"
+#include "common/fatalerrors.h"
+#include "common/log.h"
 #include "control/controltask.h"
 #include "control/operatorhandlers.h"
 #include "entry/entrytask.h"
@@ -76,9 +78,15 @@
 
 }
 
+std::string fatalErrorsFile(const Settings &settings)
+{
+    return settings.dataFolder.empty() ? "" : settings.dataFolder + "/fatal-errors";
+}
+
 Result<std::unique_ptr<Daemon>> Daemon::start(const Settings &settings, const Adapter &adapter)
 {
     std::unique_ptr<Daemon> daemon(new Daemon(settings));
+    daemon->recordFatalErrors(settings);
     if (const auto error = daemon->startControl(settings)) {
         return *error;
     }
@@ -100,6 +108,15 @@
     return daemon;
 }
 
+void Daemon::recordFatalErrors(const Settings &settings)
+{
+    const int count = countFatalErrors(fatalErrorsFile(settings));
+    m_metrics.counter("cumindyke_fatal_errors_total", "Processes of this VM that ended by a fatal error since its disk was empty").add(count);
+    if (count > 0) {
+        logWarning("daemon", "fatal-errors-before", {{"count", std::to_string(count)}, {"file", fatalErrorsFile(settings)}});
+    }
+}
+
 /// A VM serves completions, or proxies requests by routes, or serves operators and control only.
 std::optional<Error> Daemon::openServers(const Settings &settings, const Adapter &adapter)
 {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -17,6 +17,9 @@
 class ProxyTask;
 class RpcServer;
 
+/// Where a VM with a disk counts the fatal errors of its processes; empty without a disk.
+std::string fatalErrorsFile(const Settings &settings);
+
 /// All tasks of one VM, started in order and stopped in reverse.
 class Daemon
 {
@@ -37,6 +40,7 @@
 
 private:
     explicit Daemon(const Settings &settings);
+    void recordFatalErrors(const Settings &settings);
     std::optional<Error> startControl(const Settings &settings);
     void openCells(const Settings &settings);
     std::optional<Error> openEntry(const Settings &settings);
--- a/src/entry/httpserver.cpp
+++ b/src/entry/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "entry/httpserver.h"
 
+#include "common/fatalerrors.h"
 #include "common/log.h"
 #include "entry/callerconnection.h"
 #include "entry/requestgate.h"
@@ -190,6 +191,7 @@
     }
     if (pending.gate == gate) {
         gate->handleInput(info);
+        noteInput(bufferevent_getfd(pending.connection), gate->stateName());
     }
 }
 
--- a/src/entry/requestgate.cpp
+++ b/src/entry/requestgate.cpp
@@ -89,6 +89,22 @@
     }
 }
 
+const char *RequestGate::stateName() const
+{
+    switch (m_phase) {
+    case Phase::Reading:
+        return "reading-request";
+    case Phase::Answering:
+        return "answering";
+    case Phase::Refusing:
+    case Phase::Refused:
+        return "refused";
+    case Phase::Closed:
+        return "closed";
+    }
+    return "";
+}
+
 /// Gives the parser what is held of the request that it reads.
 void RequestGate::readHeld()
 {
--- a/src/entry/requestgate.h
+++ b/src/entry/requestgate.h
@@ -56,6 +56,8 @@
     {
         return m_phase == Phase::Refusing || m_phase == Phase::Refused;
     }
+    /// For the line that reports a fatal error.
+    const char *stateName() const;
     /// Received, but not given to the parser yet.
     evbuffer *held() const
     {
--- a/src/main/cumindyked.cpp
+++ b/src/main/cumindyked.cpp
@@ -1,3 +1,4 @@
+#include "common/fatalerrors.h"
 #include "common/log.h"
 #include "common/tomlreader.h"
 #include "daemon/daemon.h"
@@ -81,6 +82,7 @@
     std::signal(SIGPIPE, SIG_IGN);
 
     startLog();
+    reportFatalErrors(fatalErrorsFile(settings));
     auto started = Daemon::start(settings, platform::makeAdapter());
     if (!ok(started)) {
         std::cerr << "cumindyked: " << errorOf(started).message << "\n";
