--- a/tests/entry/interleavedrequeststest.cpp
+++ b/tests/entry/interleavedrequeststest.cpp
@@ -198,7 +198,8 @@
             }
         }
     }
-    CHECK(wrong.substr(0, MaxDescription) == "");
+    INFO(wrong.substr(0, MaxDescription));
+    CHECK(wrong.empty());
 }
 
 // Guards against a refusal that is sent into an answer, that lets a later request run, or that leaves the connection open, in the same orders.
@@ -218,5 +219,6 @@
             }
         }
     }
-    CHECK(wrong.substr(0, MaxDescription) == "");
+    INFO(wrong.substr(0, MaxDescription));
+    CHECK(wrong.empty());
 }
--- a/tests/fakeplatform/platformsystem.cpp
+++ b/tests/fakeplatform/platformsystem.cpp
@@ -36,6 +36,26 @@
         .dump(1);
 }
 
+std::string soakDocument()
+{
+    nlohmann::json document = nlohmann::json::parse(documentOf(3));
+    nlohmann::json route = document["routes"][0];
+    document["routes"].clear();
+    const auto add = [&](const std::string &name, const std::string &kind, int attempts, bool resumes) {
+        route["name"] = name;
+        route["pathPrefix"] = "/" + name + "/";
+        route["kind"] = kind;
+        route["maxAttempts"] = attempts;
+        route["streamResume"] = resumes;
+        document["routes"].push_back(route);
+    };
+    add("lookups", "idempotent", 3, false);
+    add("deposits", "non_idempotent", 2, false);
+    add("drafts", "streaming", 2, false);
+    add("texts", "streaming", 3, true);
+    return document.dump();
+}
+
 HeaderList callerHeaders(const std::string &id, const std::string &key)
 {
     return {{"Host", "desk.example"}, {"Cumindyke-Request-Id", id}, {"Cumindyke-Deadline-Ms", "4000"}, {"Cumindyke-Key", key}, {"Cumindyke-Hold", "stolen"}};
--- a/tests/fakeplatform/platformsystem.h
+++ b/tests/fakeplatform/platformsystem.h
@@ -135,6 +135,9 @@
 /// An operator's document: the routes "deposits" (not idempotent) and "drafts" (a stream) to the service "desk", and one organisation with the key "key-1".
 std::string documentOf(int version);
 
+/// One with a route of each kind to the service "desk": "lookups" (idempotent), "deposits", and the streams "drafts" and "texts" (resumable).
+std::string soakDocument();
+
 HeaderList callerHeaders(const std::string &id, const std::string &key = "key-1");
 
 }
--- a/tests/faultyupstream/main.cpp
+++ b/tests/faultyupstream/main.cpp
@@ -3,8 +3,9 @@
 //     faultyupstream HOST PORT NAME SEED PERMILLE LOG FAULT[,FAULT...]
 //
 // Answers .../plain/COUNT and .../events/COUNT with contentOf() of the request's id. Each fault of the list strikes with the same probability, PERMILLE in
-// all. LOG gets "start ID NAME FAULT FRAMING" when a run starts, "whole ID" when its answer was sent to its end, and "end ID" when the run ends. "fin ID NAME"
-// says that a plain answer was cut by an end in order, and "reset ID NAME" that the reset which shows that came in time. The faults:
+// all. LOG gets "start ID NAME FAULT FRAMING BODY" when a run starts, with digestOf() of the request's body or "-" for one that is answered before it was read,
+// "whole ID" when its answer was sent to its end, and "end ID" when the run ends. "fin ID NAME" says that a plain answer was cut by an end in order, and "reset
+// ID NAME" that the reset which shows that came in time. The faults:
 //     unframed     not a fault: a third of the answers, faulty ones too, end with their connection
 //     stutter      the whole answer comes twice; "alien" has the second one with another request's id
 //     cut          the answer ends in order within an event, length or chunk
@@ -154,7 +155,8 @@
             return;
         }
         const std::string framing = m_framing == Framing::Length ? "length" : m_framing == Framing::Chunks ? "chunks" : "unframed";
-        log("start " + m_id + " " + m_options.name + " " + m_fault + " " + framing);
+        const std::string body = answersEarly ? "-" : digestOf(std::string_view(m_input).substr(0, m_bodyBytes));
+        log("start " + m_id + " " + m_options.name + " " + m_fault + " " + framing + " " + body);
         if (answersEarly) {
             readBytes(m_random.below(m_bodyBytes));
         }
--- a/tests/faultyupstream/soakcontent.h
+++ b/tests/faultyupstream/soakcontent.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
+#include <string_view>
 
 /// The only right content of the faulty upstream's answers, so that a caller can check that an answer is its own, whole and in order.
 namespace cumindyke::test
@@ -23,4 +25,14 @@
     return content;
 }
 
+/// Length and hash (FNV-1a) of a request's body.
+inline std::string digestOf(std::string_view body)
+{
+    std::uint64_t hash = 14695981039346656037U;
+    for (const char byte : body) {
+        hash = (hash ^ static_cast<unsigned char>(byte)) * 1099511628211U;
+    }
+    return std::to_string(body.size()) + ":" + std::to_string(hash);
+}
+
 }
--- a/tests/soak/answerchecker.cpp
+++ b/tests/soak/answerchecker.cpp
@@ -145,9 +145,13 @@
         std::string upstream;
         std::string fault;
         std::string framing;
-        words >> event >> id >> upstream >> fault >> framing;
+        std::string body;
+        words >> event >> id >> upstream >> fault >> framing >> body;
         if (event == "start") {
             starts[id] += 1;
+            if (body != "-") {
+                bodies[id].insert(body);
+            }
             unresetEnds.erase(id);
             upstreams[id] = upstream;
             std::string &faultsOfRuns = faults[id];
@@ -238,6 +242,28 @@
     return found;
 }
 
+std::vector<Violation> checkAsked(const std::vector<SoakOutcome> &outcomes, const RunLog &log)
+{
+    std::vector<Violation> found;
+    std::map<std::string, const SoakOutcome *> asked;
+    for (const SoakOutcome &outcome : outcomes) {
+        asked[outcome.request.id] = &outcome;
+    }
+    for (const auto &[id, runs] : log.starts) {
+        const auto outcome = asked.find(id);
+        if (outcome == asked.end() || !outcome->second->isSent) {
+            found.push_back({outcome == asked.end() ? "unasked" : "ran-in-part", id, "runs " + std::to_string(runs)});
+            continue;
+        }
+        const std::string &sent = outcome->second->request.body;
+        const auto ran = log.bodies.find(id);
+        if (!sent.empty() && ran != log.bodies.end() && ran->second != std::set<std::string>{sent}) {
+            found.push_back({"altered-body", id, "sent " + sent + ", ran " + *ran->second.begin()});
+        }
+    }
+    return found;
+}
+
 bool isOfEndlessAnswer(const Violation &violation, const RunLog &log)
 {
     const auto faults = log.faults.find(violation.id);
--- a/tests/soak/answerchecker.h
+++ b/tests/soak/answerchecker.h
@@ -37,6 +37,8 @@
     bool isIdempotent = false;
     /// Number of parts of the right answer; see contentOf().
     int count = 0;
+    /// digestOf() its body; empty: not checked.
+    std::string body;
 };
 
 /// Name of what is wrong ("truncated", "joined", ...), and details.
@@ -52,6 +54,8 @@
 {
     SoakRequest request;
     CallerAnswer answer;
+    /// All of its bytes were sent.
+    bool isSent = true;
 };
 
 /// Number of runs of each request, and the faults and framings of all, from the upstreams' logs.
@@ -67,6 +71,8 @@
     std::set<std::string> unresetEnds;
     /// The upstream that made the last run.
     std::map<std::string, std::string> upstreams;
+    /// Digests of the bodies of each request's runs.
+    std::map<std::string, std::set<std::string>> bodies;
 };
 
 CallerAnswer parseAnswer(std::string_view bytes, ConnectionEnd end);
@@ -77,6 +83,9 @@
 /// Returns the requests that ran although their callers were told that they did not, and those that ran more often than they may.
 std::vector<Violation> checkRuns(const std::vector<SoakOutcome> &outcomes, const RunLog &log);
 
+/// Returns the runs of requests that no caller sent, that were not sent as a whole, or whose body is not the one that was sent.
+std::vector<Violation> checkAsked(const std::vector<SoakOutcome> &outcomes, const RunLog &log);
+
 /// Whether a violation is the upstream's own and can't be told by anyone: wrong bytes in the valid framing of an answer without end, which was passed on as it
 /// came and then broken off for the caller.
 bool isOfEndlessAnswer(const Violation &violation, const RunLog &log);
--- a/tests/soak/answercheckertest.cpp
+++ b/tests/soak/answercheckertest.cpp
@@ -187,3 +187,25 @@
     CHECK(checkExit("vm 4", 0).empty());
     CHECK(checkExit("vm 4", 128 + 9).empty());
 }
+
+// Guards against a checker that misses a request that nobody sent, such as the body of another one, one that ran before all of it was sent, and one whose
+// body was changed on the way.
+TEST_CASE("the soak's checker finds runs that were not asked for, in part or with another body")
+{
+    const SoakRequest sent{.id = "s-1-9", .count = 1, .body = digestOf("body")};
+    const auto check = [&sent](const std::string &lines, bool isSent) {
+        RunLog log;
+        log.add(lines);
+        return kindsOf(checkAsked({SoakOutcome{.request = sent, .answer = {}, .isSent = isSent}}, log));
+    };
+    const std::string start = "start s-1-9 u-1 none length ";
+    CHECK(check(start + digestOf("body") + "\n", true).empty());
+    CHECK(check("", false).empty());
+    // Answered before the body was read.
+    CHECK(check(start + "-\n", true).empty());
+    CHECK(check(start + digestOf("body") + "\n" + start + digestOf("body") + "\n", true).empty());
+    CHECK(check(start + digestOf("bod") + "\n", true) == "altered-body");
+    CHECK(check(start + digestOf("body") + "\n" + start + digestOf("bodY") + "\n", true) == "altered-body");
+    CHECK(check(start + digestOf("body") + "\n", false) == "ran-in-part");
+    CHECK(check("start inner-s-1-9 u-1 none length 0:0\n", true) == "unasked");
+}
--- a/tests/soak/answersoaktest.cpp
+++ b/tests/soak/answersoaktest.cpp
@@ -1,4 +1,5 @@
 #include "fakeplatform/platformsystem.h"
+#include "soak/pipeliningcaller.h"
 #include "soak/soakcaller.h"
 
 #include <catch2/catch.hpp>
@@ -6,7 +7,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
 
@@ -17,7 +17,8 @@
 {
 
 constexpr int Upstreams = 6;
-constexpr int Callers = 24;
+constexpr int Callers = 20;
+constexpr int PipeliningCallers = 4;
 constexpr int SlotsPerUpstream = 8;
 constexpr std::uint16_t UpstreamPort = 9000;
 /// Where the link listens for the upstreams, the platform's list, the VMs among themselves, and the entry VMs.
@@ -59,26 +60,6 @@
     return value == "\"\"" ? "" : value;
 }
 
-std::string soakDocument()
-{
-    nlohmann::json document = nlohmann::json::parse(documentOf(3));
-    nlohmann::json route = document["routes"][0];
-    document["routes"].clear();
-    const auto add = [&](const std::string &name, const std::string &kind, int attempts, bool resumes) {
-        route["name"] = name;
-        route["pathPrefix"] = "/" + name + "/";
-        route["kind"] = kind;
-        route["maxAttempts"] = attempts;
-        route["streamResume"] = resumes;
-        document["routes"].push_back(route);
-    };
-    add("lookups", "idempotent", 3, false);
-    add("deposits", "non_idempotent", 2, false);
-    add("drafts", "streaming", 2, false);
-    add("texts", "streaming", 3, true);
-    return document.dump();
-}
-
 /// The system, the faulty upstreams, and what happens to their processes.
 class Soak
 {
@@ -123,6 +104,12 @@
             callers.push_back(std::make_unique<SoakCaller>(entryVms, "s" + std::to_string(m_seed) + "-" + std::to_string(number), m_random(), m_record));
             threads.emplace_back([caller = callers.back().get(), &stop] { caller->run(stop); });
         }
+        for (int number = 1; number <= PipeliningCallers; ++number) {
+            threads.emplace_back([this, &stop, seed = m_random(), prefix = "s" + std::to_string(m_seed) + "-p" + std::to_string(number)] {
+                const std::vector<Address> entryVms{callerAddress(ControlVms + 1), callerAddress(ControlVms + 2)};
+                PipeliningCaller(entryVms, prefix, seed, false, m_record).run(stop);
+            });
+        }
         const auto end = std::chrono::steady_clock::now() + length;
         while (std::chrono::steady_clock::now() < end) {
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
@@ -246,6 +233,7 @@
         std::vector<Violation> found = std::move(m_record.violations);
         const auto add = [&found](const std::vector<Violation> &more) { found.insert(found.end(), more.begin(), more.end()); };
         add(checkRuns(m_record.outcomes, runs));
+        add(checkAsked(m_record.outcomes, runs));
         std::size_t mostKb = 0;
         for (const auto &[vm, kb] : m_residentKb) {
             add(checkMemory("vm " + std::to_string(vm), kb, MemoryBoundKb));
