A deeply nested event of an upstream ends no process

An upstream that answers a completion with an event whose "usage" or "delta" is nested some hundred thousand levels deep (a megabyte of brackets) ended the entry VM with a stack overflow; requests that were running there were lost.

Cause: the JSON library parses without recursion, but copies and serializes nested values recursively. Callers' bodies were bounded for this reason, upstreams' events were not, nor the messages of a prompt whose parts are named (there every caller bounds them before, so it could not happen yet).

Change: the bound of 64 levels is a function of its own (common/jsondepth.h) and holds in all three places. Such an event is passed over, as one that is no JSON.

--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -1,5 +1,6 @@
 #include "entry/answers.h"
 
+#include "common/jsondepth.h"
 #include "entry/headers.h"
 
 #include <nlohmann/json.hpp>
@@ -76,6 +77,9 @@
 
 void AssembledAnswer::appendEvent(const StreamEvent &event)
 {
+    if (exceedsMaxDepth(event.data)) {
+        return;
+    }
     const json body = json::parse(event.data, nullptr, false);
     if (!body.is_object()) {
         return;
--- a/src/entry/callerrequest.cpp
+++ b/src/entry/callerrequest.cpp
@@ -1,6 +1,7 @@
 #include "entry/callerrequest.h"
 
 #include "common/hash.h"
+#include "common/jsondepth.h"
 #include "entry/headers.h"
 
 #include <nlohmann/json.hpp>
@@ -26,30 +27,6 @@
 constexpr std::size_t PrefixHashBytes = 256;
 constexpr std::size_t MaxIdempotencyKeyBytes = 200;
 
-/// The JSON library serializes nested values recursively: 4 MiB of opening brackets overflow the stack and crash the process.
-constexpr int MaxJsonDepth = 64;
-
-bool exceedsMaxDepth(std::string_view text)
-{
-    int depth = 0;
-    bool inString = false;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const char c = text[i];
-        if (inString) {
-            i += c == '\\' ? 1 : 0;
-            inString = c != '"';
-            continue;
-        }
-        inString = c == '"';
-        depth += (c == '[' || c == '{') ? 1 : 0;
-        depth -= (c == ']' || c == '}') ? 1 : 0;
-        if (depth > MaxJsonDepth) {
-            return true;
-        }
-    }
-    return false;
-}
-
 Error badRequest(std::string message)
 {
     return Error{ErrorKind::BadRequest, std::move(message)};
--- a/src/entry/requesttraits.cpp
+++ b/src/entry/requesttraits.cpp
@@ -1,6 +1,7 @@
 #include "entry/requesttraits.h"
 
 #include "common/hash.h"
+#include "common/jsondepth.h"
 
 #include <nlohmann/json.hpp>
 
@@ -50,6 +51,9 @@
 std::vector<RequestTrait> parseCompletionBody(std::string_view service, std::string_view text)
 {
     std::vector<RequestTrait> parts;
+    if (exceedsMaxDepth(text)) {
+        return parts;
+    }
     const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
     if (!body.is_object()) {
         return parts;
