Soak: a full table of descriptors ends no process

The test limits the table of each daemon to what it has, opens 60 connections with pipelined requests to its listeners, and checks that no process ends and that all serve afterwards.

--- a/tests/soak/pipelinesoaktest.cpp
+++ b/tests/soak/pipelinesoaktest.cpp
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -90,6 +91,12 @@
         log.add(contentOfFile(m_system.folder.file("runs")));
         return log;
     }
+    /// From now on the daemon opens no descriptor with this number or a higher one; it keeps those that it has.
+    void limitDescriptors(int vm, rlim_t count)
+    {
+        const rlimit limit{.rlim_cur = count, .rlim_max = RLIM_INFINITY};
+        prlimit(m_system.daemons[vm]->pid(), RLIMIT_NOFILE, &limit, nullptr);
+    }
     std::vector<Violation> endedProcesses()
     {
         std::vector<Violation> found;
@@ -380,3 +387,38 @@
 {
     playSeeds(playMutations);
 }
+
+// Guards against a process that ends for want of descriptors: a library that can't open one more gives up, or its error is not handled.
+TEST_CASE("a full table of descriptors ends no process, and requests are served again afterwards")
+{
+    constexpr rlim_t FullTable = 10;
+    constexpr rlim_t UsualTable = 1000;
+    constexpr int Connections = 60;
+    CalmSystem system(1);
+    REQUIRE(system.isReady());
+    std::mt19937_64 random(1);
+    std::vector<int> sockets;
+    for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
+        system.limitDescriptors(vm, FullTable);
+        for (int number = 0; number < Connections; ++number) {
+            const std::array<std::uint16_t, 4> ports{
+                PeerPort, LeasePort, vm <= ControlVms ? ControlPort : CallerPort, vm <= ControlVms ? ControlPort : ReadinessPort};
+            const int socket = connectTo(Address{.host = system.host(vm), .port = ports[random() % ports.size()]});
+            if (socket >= 0) {
+                const std::string bytes = makePipeline("d-" + std::to_string(vm) + "-" + std::to_string(number), random).bytes;
+                send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+                sockets.push_back(socket);
+            }
+        }
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    CHECK(system.endedProcesses().empty());
+    for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
+        system.limitDescriptors(vm, UsualTable);
+    }
+    for (int &socket : sockets) {
+        closeSocket(socket);
+    }
+    CHECK(system.endedProcesses().empty());
+    CHECK(system.stillServes());
+}
