--- a/src/microbench/requestbench.cpp
+++ b/src/microbench/requestbench.cpp
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -36,12 +37,16 @@
 }
 BENCHMARK(readSmallRequest);
 
-/// On one connection that is kept.
-void smallRequestThroughServer(benchmark::State &state)
+/// So many requests at a time on one connection that is kept.
+void smallRequestsThroughServer(benchmark::State &state)
 {
     EventLoop loop;
     auto door = HttpServer::listen(loop, Address{.host = Host, .port = 0}, std::chrono::seconds(5));
-    valueOf(door)->arrived().connect([](const std::shared_ptr<Exchange> &exchange) { exchange->reply(200, "text/plain", "done"); });
+    std::int64_t arrived = 0;
+    valueOf(door)->arrived().connect([&arrived](const std::shared_ptr<Exchange> &exchange) {
+        ++arrived;
+        exchange->reply(200, "text/plain", "done");
+    });
     const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in to{.sin_family = AF_INET, .sin_port = htons(valueOf(door)->port())};
     inet_pton(AF_INET, Host.c_str(), &to.sin_addr);
@@ -49,15 +54,24 @@
         state.SkipWithError("the server can't be reached");
         return;
     }
-    std::array<char, 4096> answer{};
+    std::string requests;
+    for (std::int64_t number = 0; number < state.range(0); ++number) {
+        requests += SmallRequest;
+    }
+    std::array<char, 4096> answers{};
+    // Otherwise each answer but the first waits for an acknowledgement.
+    const int atOnce = 1;
     for (auto _ : state) {
-        send(caller, SmallRequest.data(), SmallRequest.size(), MSG_NOSIGNAL);
-        while (recv(caller, answer.data(), answer.size(), MSG_DONTWAIT) <= 0) {
+        const std::int64_t last = arrived + state.range(0);
+        send(caller, requests.data(), requests.size(), MSG_NOSIGNAL);
+        while (arrived < last || recv(caller, answers.data(), answers.size(), MSG_DONTWAIT) <= 0) {
             event_base_loop(loop.base(), EVLOOP_ONCE);
+            setsockopt(caller, IPPROTO_TCP, TCP_QUICKACK, &atOnce, sizeof atOnce);
         }
     }
+    state.SetItemsProcessed(state.iterations() * state.range(0));
     close(caller);
 }
-BENCHMARK(smallRequestThroughServer);
+BENCHMARK(smallRequestsThroughServer)->Arg(1)->Arg(6);
 
 }
