--- a/tests/soak/pipeliningcaller.h
+++ b/tests/soak/pipeliningcaller.h
@@ -34,7 +34,8 @@
 class PipeliningCaller
 {
 public:
-    /// With "isStrict" each request that was sent as a whole must be answered unless this caller leaves: nothing ends or disturbs the processes.
+    /// With "isStrict" each request that was sent as a whole must be answered unless this caller leaves, or the connection was refused: nothing ends or
+    /// disturbs the processes.
     PipeliningCaller(std::vector<Address> entryVms, std::string prefix, std::uint64_t seed, bool isStrict, SoakRecord &record);
     ~PipeliningCaller();
     PipeliningCaller(const PipeliningCaller &) = delete;
@@ -60,6 +61,8 @@
     int m_socket = -1;
     int m_number = 0;
     std::string m_received;
+    /// Any byte came on the present connection.
+    bool m_hasReceived = false;
     ConnectionEnd m_end = ConnectionEnd::Open;
     /// Of the present pipeline.
     std::vector<CallerAnswer> m_answers;
