A request that outlives its server is not used after it is freed

A server that closes while requests wait for their answers frees them with its connections; when their exchanges were answered or destroyed later, freed memory was used: a process that stopped could end by a crash instead of its exit code. It needs answers that are still under way when the tasks are destroyed, such as an operator's change that waits for the log.

Cause: the close callback took each freed connection for one whose caller has left. In that case libevent takes the request from the connection first, and it is ours until it is answered; when the server is closed it isn't taken, and is freed behind the callback.

Change: the exchange asks whether the request still belongs to its connection, and if so forgets it.

Evidence: "a request that outlives its server is answered without effect" ended by SIGSEGV before (after 5 assertions) and passes now, for plain and streamed answers. A second test closes connections, by resets and in order, at each cut of pipelined bytes; it passed before, too.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -382,6 +382,11 @@
 {
     auto *exchange = static_cast<Exchange *>(self);
     exchange->m_connectionFreed = true;
+    if (exchange->m_request && evhttp_request_get_connection(exchange->m_request)) {
+        // The server is closed: libevent frees the request with its connection. A request whose caller has left is taken from the connection first, and
+        // stays until it is answered.
+        exchange->m_request = nullptr;
+    }
     if (exchange->m_closeCallback) {
         exchange->m_closeCallback(connection, exchange->m_closeArgument);
     }
--- a/tests/entry/interleavedrequeststest.cpp
+++ b/tests/entry/interleavedrequeststest.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <utility>
 
 using namespace cumindyke;
 using namespace cumindyke::test;
@@ -25,15 +26,9 @@
 class SteppedServer
 {
 public:
-    explicit SteppedServer(Duration readLimit = std::chrono::seconds(30))
+    SteppedServer()
     {
-        auto door = HttpServer::listen(loop, Address{.host = m_network.host(1), .port = 0}, readLimit);
-        REQUIRE(ok(door));
-        m_door = std::move(valueOf(door));
-        m_door->arrived().connect([this](const std::shared_ptr<Exchange> &exchange) {
-            ran.push_back(exchange->method() + " " + exchange->target() + " " + exchange->body());
-            waiting.push_back(exchange);
-        });
+        restart();
     }
     ~SteppedServer()
     {
@@ -42,6 +37,17 @@
     SteppedServer(const SteppedServer &) = delete;
     SteppedServer &operator=(const SteppedServer &) = delete;
 
+    void restart()
+    {
+        auto door = HttpServer::listen(loop, Address{.host = m_network.host(1), .port = 0}, std::chrono::seconds(30));
+        REQUIRE(ok(door));
+        m_door = std::move(valueOf(door));
+        m_door->arrived().connect([this](const std::shared_ptr<Exchange> &exchange) {
+            ran.push_back(exchange->method() + " " + exchange->target() + " " + exchange->body());
+            waiting.push_back(exchange);
+        });
+    }
+
     void connect()
     {
         disconnect();
@@ -63,6 +69,17 @@
         waiting.clear();
         hasEnded = false;
     }
+    /// Closes the connection, by a reset or in order, and keeps what has arrived at the server.
+    void leave(bool resets)
+    {
+        const linger discard{.l_onoff = resets ? 1 : 0, .l_linger = 0};
+        setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+        close(std::exchange(m_socket, -1));
+    }
+    void stopServer()
+    {
+        m_door.reset();
+    }
     void send(std::string_view bytes) const
     {
         ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -71,7 +88,7 @@
     {
         event_base_loop(loop.base(), EVLOOP_NONBLOCK);
         std::array<char, 4096> buffer{};
-        for (;;) {
+        while (m_socket >= 0) {
             const ssize_t got = recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
             hasEnded = hasEnded || got == 0;
             if (got <= 0) {
@@ -222,3 +239,59 @@
     INFO(wrong.substr(0, MaxDescription));
     CHECK(wrong.empty());
 }
+
+// Guards against a timer or a callback that uses a connection which its caller has left, or the server has closed, while bytes of the next request are held, or
+// a refusal is due.
+TEST_CASE("a connection that closes while pipelined bytes are held leaves nothing behind")
+{
+    const std::string bytes = "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbodyGET /c HTTP/1.1\r\nHost : a\r\n\r\nGET /d";
+    SteppedServer server;
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+        for (const int turns : {0, 1, 2}) {
+            server.connect();
+            server.send(First + bytes.substr(0, cut));
+            REQUIRE(server.turnUntil([&] { return !server.waiting.empty(); }));
+            if (turns > 0) {
+                server.answerFirst();
+            }
+            for (int count = 1; count < turns; ++count) {
+                server.turn();
+            }
+            server.leave(cut % 2 == 0);
+            for (int count = 0; count < SomeTurns; ++count) {
+                server.turn();
+            }
+        }
+    }
+    CHECK(play(server, "", "GET /b HTTP/1.1\r\nHost: a\r\n\r\n", Moment::WithAnswer, 2));
+    CHECK(server.turnUntil([&] { return server.received.ends_with("ran /b;"); }));
+}
+
+// Guards against requests that are used after they were freed: a server closes its connections while requests wait for their answers, which are given later.
+TEST_CASE("a request that outlives its server is answered without effect")
+{
+    SteppedServer server;
+    for (const bool isStream : {false, true}) {
+        server.restart();
+        server.connect();
+        server.send(First + First);
+        REQUIRE(server.turnUntil([&] { return !server.waiting.empty(); }));
+        if (isStream) {
+            server.waiting.front()->startStream(200, "text/plain");
+            server.waiting.front()->streamData("part");
+            server.turn();
+        }
+        int disconnected = 0;
+        server.waiting.front()->callerDisconnected().connect([&disconnected] { ++disconnected; });
+        server.stopServer();
+        CHECK(disconnected == 1);
+        CHECK(server.waiting.front()->header("Host").empty());
+        server.waiting.front()->streamData("more");
+        server.answerFirst();
+        for (int count = 0; count < SomeTurns; ++count) {
+            server.turn();
+        }
+        CHECK(server.hasEnded);
+        CHECK(server.ran.size() == 1);
+    }
+}
