What a caller sends during its answer is read up to a bound

Cause: the gate holds what comes before its turn, as it must, and nothing stopped the reading; libevent enables it again with each piece of an answer that it writes.

Change: beyond 64 KiB held, reading is disabled, and what libevent enables in between reads one byte at a time. The end of the answer takes both back. The rest waits in the kernel's buffers and at the caller, and is read after the answer.

Evidence: "what a caller sends during its answer is read up to a bound, and the rest after the answer" sends 64 MiB of pipelined uploads during a stream whose pieces are written all the time.

--- a/src/entry/requestgate.cpp
+++ b/src/entry/requestgate.cpp
@@ -25,6 +25,9 @@
 constexpr Duration MaxDiscardTime = std::chrono::seconds(2);
 constexpr std::size_t MaxDiscardedBytes = 2 * RequestReader::MaxBodyBytes;
 
+/// Of what a caller sends before its answer is written. More waits in the kernel's buffers and at the caller.
+constexpr std::size_t MaxHeldBytes = 64U << 10;
+
 const char *statusText(int status)
 {
     switch (status) {
@@ -87,6 +90,21 @@
     if (isReading()) {
         readHeld();
     }
+    limitHeld();
+}
+
+/// Without it a caller fills the VM's memory with what it sends during one long answer. libevent enables reading again with each piece of an answer that it
+/// writes: then one byte is read until it is disabled again.
+void RequestGate::limitHeld()
+{
+    const bool isFull = isAnswering() && evbuffer_get_length(m_held) > MaxHeldBytes;
+    if (isFull) {
+        bufferevent_disable(m_connection, EV_READ);
+    }
+    if (isFull != m_isFull) {
+        m_isFull = isFull;
+        bufferevent_set_max_single_read(m_connection, isFull ? 1 : 0);
+    }
 }
 
 const char *RequestGate::stateName() const
@@ -213,6 +231,7 @@
     if (evbuffer_get_length(m_held) > 0) {
         readHeld();
     }
+    limitHeld();
 }
 
 void RequestGate::close()
--- a/src/entry/requestgate.h
+++ b/src/entry/requestgate.h
@@ -83,6 +83,7 @@
     void release(std::size_t bytes);
     void releaseChunk();
     void append(const std::string &bytes);
+    void limitHeld();
     void refuse();
     void sendRefusal();
     void discardInput();
@@ -99,6 +100,8 @@
     std::string m_chunkData;
     std::optional<std::string> m_target;
     bool m_isReleasing = false;
+    /// Nothing more is read before the answer is written.
+    bool m_isFull = false;
     Phase m_phase = Phase::Reading;
     TimePoint m_refusedAt;
     std::size_t m_discardedBytes = 0;
--- a/tests/entry/interleavedrequeststest.cpp
+++ b/tests/entry/interleavedrequeststest.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -84,6 +85,11 @@
     {
         ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
+    /// Returns how many of the bytes the server, and the kernel, take now.
+    std::size_t sendNow(std::string_view bytes) const
+    {
+        return static_cast<std::size_t>(std::max<ssize_t>(::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT), 0));
+    }
     void turn()
     {
         event_base_loop(loop.base(), EVLOOP_NONBLOCK);
@@ -267,6 +273,41 @@
     CHECK(server.turnUntil([&] { return server.received.ends_with("ran /b;"); }));
 }
 
+// Guards against a process that ends for want of memory: whatever a caller sent during a long answer was read and held.
+TEST_CASE("what a caller sends during its answer is read up to a bound, and the rest after the answer")
+{
+    constexpr std::size_t Sent = 64U << 20;
+    // Most of it is what the kernel holds.
+    constexpr std::size_t MaxTaken = 24U << 20;
+    constexpr std::size_t BodyBytes = 4U << 20;
+    std::string requests;
+    while (requests.size() < Sent) {
+        requests += "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x');
+    }
+    SteppedServer server;
+    server.connect();
+    server.send(First);
+    REQUIRE(server.turnUntil([&] { return !server.waiting.empty(); }));
+    server.waiting.front()->startStream(200, "text/plain");
+    std::size_t taken = 0;
+    for (int refused = 0; refused < 1000 && taken < Sent;) {
+        const std::size_t more = server.sendNow(std::string_view(requests).substr(taken, 64U << 10));
+        taken += more;
+        refused = more == 0 ? refused + 1 : 0;
+        // Each piece of the answer makes libevent read again.
+        server.waiting.front()->streamData("piece");
+        server.turn();
+    }
+    CHECK(taken < MaxTaken);
+    server.waiting.front()->endStream();
+    server.waiting.clear();
+    REQUIRE(server.turnUntil([&] {
+        taken += server.sendNow(std::string_view(requests).substr(taken, 64U << 10));
+        return !server.waiting.empty();
+    }));
+    CHECK(server.waiting.front()->body() == std::string(BodyBytes, 'x'));
+}
+
 // Guards against requests that are used after they were freed: a server closes its connections while requests wait for their answers, which are given later.
 TEST_CASE("a request that outlives its server is answered without effect")
 {
