Soak: a reset connection counts as refused only if the entry VM says that it refused

Now only a reset counts, and the log of that entry VM must have the line `connections-refused`; otherwise the connection's requests count as unanswered. A reset that shows as a failed sending and an end in order afterwards is taken for a reset. The line of figures says how many connections were refused.

--- a/tests/soak/pipelinesoaktest.cpp
+++ b/tests/soak/pipelinesoaktest.cpp
@@ -15,6 +15,7 @@
 #include <filesystem>
 #include <iostream>
 #include <iterator>
+#include <numeric>
 #include <thread>
 
 using namespace cumindyke;
@@ -107,6 +108,22 @@
         }
         return found;
     }
+    /// Connections that were reset by entry VMs whose logs don't tell that they refused any.
+    std::vector<Violation> unexplained(const std::map<std::string, int> &refusedConnections) const
+    {
+        std::vector<Violation> found;
+        for (int vm = ControlVms + 1; vm <= ControlVms + EntryVms; ++vm) {
+            const auto refused = refusedConnections.find(host(vm));
+            if (refused == refusedConnections.end()) {
+                continue;
+            }
+            const std::string log = contentOfFile(m_system.folder.file("out" + std::to_string(vm)));
+            if (log.find("connections-refused") == std::string::npos) {
+                found.push_back({"unanswered", "vm " + std::to_string(vm), std::to_string(refused->second) + " connections were reset, and none was refused"});
+            }
+        }
+        return found;
+    }
     bool stillServes() const
     {
         return m_system.waitUntilReady() && eventually([this] { return http(controlAddress(0), "GET", "/api/config").status == 200; });
@@ -344,12 +361,14 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
     const RunLog runs = system.runs();
     std::vector<Violation> found = std::move(record.violations);
-    for (const auto &more : {checkRuns(record.outcomes, runs), checkAsked(record.outcomes, runs)}) {
+    for (const auto &more : {checkRuns(record.outcomes, runs), checkAsked(record.outcomes, runs), system.unexplained(record.refusedConnections)}) {
         found.insert(found.end(), more.begin(), more.end());
     }
     const auto answered = std::ranges::count_if(record.outcomes, [](const SoakOutcome &outcome) { return outcome.answer.status == 200; });
+    const auto addCount = [](int sum, const auto &entry) { return sum + entry.second; };
+    const int refused = std::accumulate(record.refusedConnections.begin(), record.refusedConnections.end(), 0, addCount);
     std::cout << "seed " << seed << ": " << record.outcomes.size() << " pipelined requests, " << answered << " answered with 200, " << runs.starts.size()
-              << " ran; " << reads << " pipelined reads of control VMs\n";
+              << " ran; " << refused << " connections refused; " << reads << " pipelined reads of control VMs\n";
     CHECK(answered > 0);
     return found;
 }
--- a/tests/soak/pipeliningcaller.cpp
+++ b/tests/soak/pipeliningcaller.cpp
@@ -140,9 +140,11 @@
 {
     while (!stop) {
         if (m_socket < 0) {
-            m_socket = connectTo(m_entryVms[below(m_random, m_entryVms.size())]);
+            m_entryVm = m_entryVms[below(m_random, m_entryVms.size())];
+            m_socket = connectTo(m_entryVm);
             m_received.clear();
             m_hasReceived = false;
+            m_isSendReset = false;
             m_end = ConnectionEnd::Open;
         }
         if (m_socket < 0) {
@@ -178,17 +180,21 @@
     }
     takeAnswers(pipeline);
     const bool hasTimedOut = !leaves && !isDone() && m_end == ConnectionEnd::Open;
+    // An entry VM whose loop is late resets connections that it has not accepted. The requests on them must not run.
+    const bool isRefused = m_isStrict && !leaves && !m_hasReceived && m_end == ConnectionEnd::Reset;
+    if (isRefused) {
+        const std::lock_guard lock(m_record.mutex);
+        ++m_record.refusedConnections[m_entryVm.host];
+    }
     for (std::size_t number = 0; number < expected; ++number) {
         const Pipeline::Item &item = pipeline.items[number];
         const CallerAnswer answer = number < m_answers.size() ? m_answers[number] : CallerAnswer{};
-        // An entry VM whose loop is late resets connections that it has not accepted. The requests on them must not run.
-        const bool isRefused = !m_hasReceived && m_end != ConnectionEnd::Open;
         if (m_isStrict && !leaves && !m_isBroken && !isRefused && number >= m_answers.size()) {
             report({"unanswered", item.request.id, hasTimedOut ? "no answer in time" : "the connection ended"});
         }
         const std::lock_guard lock(m_record.mutex);
         m_record.unanswered += hasTimedOut && number >= m_answers.size() ? 1 : 0;
-        m_record.outcomes.push_back({.request = item.request, .answer = answer, .isSent = item.end <= sent && !(m_isStrict && isRefused)});
+        m_record.outcomes.push_back({.request = item.request, .answer = answer, .isSent = item.end <= sent && !isRefused});
     }
     if (pipeline.endsRefused && !leaves && m_answers.size() == expected && !m_isBroken) {
         if (!m_refusal || m_refusal->status != 400 || !m_refusal->isComplete || m_end == ConnectionEnd::Open) {
@@ -213,6 +219,7 @@
         const std::size_t piece = std::min(length - at, longestPiece == 1 ? 200 : 1 + below(m_random, longestPiece));
         const ssize_t got = send(m_socket, pipeline.bytes.data() + at, piece, MSG_NOSIGNAL);
         if (got <= 0) {
+            m_isSendReset = errno == ECONNRESET || errno == EPIPE;
             break;
         }
         at += static_cast<std::size_t>(got);
@@ -236,7 +243,7 @@
         m_received.append(buffer.data(), static_cast<std::size_t>(got));
         m_hasReceived = true;
     } else if (got == 0) {
-        m_end = ConnectionEnd::InOrder;
+        m_end = m_isSendReset ? ConnectionEnd::Reset : ConnectionEnd::InOrder;
     } else if (errno != EAGAIN && errno != EWOULDBLOCK) {
         m_end = ConnectionEnd::Reset;
     }
--- a/tests/soak/pipeliningcaller.h
+++ b/tests/soak/pipeliningcaller.h
@@ -34,8 +34,8 @@
 class PipeliningCaller
 {
 public:
-    /// With "isStrict" each request that was sent as a whole must be answered unless this caller leaves, or the connection was refused: nothing ends or
-    /// disturbs the processes.
+    /// With "isStrict" each request that was sent as a whole must be answered unless this caller leaves: nothing ends or disturbs the
+    /// processes. Connections that are reset before any byte came are recorded for the test, which knows what the entry VMs refused.
     PipeliningCaller(std::vector<Address> entryVms, std::string prefix, std::uint64_t seed, bool isStrict, SoakRecord &record);
     ~PipeliningCaller();
     PipeliningCaller(const PipeliningCaller &) = delete;
@@ -59,10 +59,13 @@
     const bool m_isStrict;
     SoakRecord &m_record;
     int m_socket = -1;
+    Address m_entryVm;
     int m_number = 0;
     std::string m_received;
     /// Any byte came on the present connection.
     bool m_hasReceived = false;
+    /// A reset that a failed sending has shown, so that reading shows an end in order.
+    bool m_isSendReset = false;
     ConnectionEnd m_end = ConnectionEnd::Open;
     /// Of the present pipeline.
     std::vector<CallerAnswer> m_answers;
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -4,6 +4,7 @@
 #include "soak/answerchecker.h"
 
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <random>
 
@@ -19,6 +20,8 @@
     /// Requests whose answers neither came nor ended within AnswerTimeout.
     int unanswered = 0;
     std::size_t longestBodyBytes = 0;
+    /// Connections of strict callers that an entry VM reset before any of its bytes came, by its host.
+    std::map<std::string, int> refusedConnections;
 };
 
 /// A caller that sends one request after the other on connections that it keeps until the entry VM closes them. Some requests are uploads, some are
