The test of a full table of descriptors did not limit any; now it does

Cause: the test asked prlimit for an infinite hard limit, which is refused (EPERM) where the hard limit is lower, as it is here (20,000), and it passed over the result. So the test played on an unlimited table. Found when a daemon with a planted fault (a preloaded accept4 that aborts at EMFILE) passed the test. Change: only the soft limit is set, and the result is checked. The test plays a full table and tables with two and six descriptors to spare, so that connections are accepted and the next step fails.

--- a/tests/soak/pipelinesoaktest.cpp
+++ b/tests/soak/pipelinesoaktest.cpp
@@ -95,8 +95,16 @@
     /// From now on the daemon opens no descriptor with this number or a higher one; it keeps those that it has.
     void limitDescriptors(int vm, rlim_t count)
     {
-        const rlimit limit{.rlim_cur = count, .rlim_max = RLIM_INFINITY};
-        prlimit(m_system.daemons[vm]->pid(), RLIMIT_NOFILE, &limit, nullptr);
+        const pid_t pid = m_system.daemons[vm]->pid();
+        rlimit limit{};
+        REQUIRE(prlimit(pid, RLIMIT_NOFILE, nullptr, &limit) == 0);
+        limit.rlim_cur = count;
+        REQUIRE(prlimit(pid, RLIMIT_NOFILE, &limit, nullptr) == 0);
+    }
+    std::size_t openDescriptors(int vm) const
+    {
+        const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(m_system.daemons.at(vm)->pid()) + "/fd");
+        return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
     }
     std::vector<Violation> endedProcesses()
     {
@@ -298,6 +306,23 @@
     return sent;
 }
 
+/// Opens connections to all listeners of a daemon and sends a pipeline on each.
+void crowd(const CalmSystem &system, int vm, std::vector<int> &sockets, std::mt19937_64 &random)
+{
+    constexpr int Connections = 60;
+    const bool isControl = vm <= ControlVms;
+    const std::array<std::uint16_t, 4> ports{PeerPort, LeasePort, isControl ? ControlPort : CallerPort, isControl ? ControlPort : ReadinessPort};
+    for (int number = 0; number < Connections; ++number) {
+        const int socket = connectTo(Address{.host = system.host(vm), .port = ports[random() % ports.size()]});
+        if (socket < 0) {
+            continue;
+        }
+        const std::string bytes = makePipeline("d-" + std::to_string(vm) + "-" + std::to_string(number), random).bytes;
+        send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        sockets.push_back(socket);
+    }
+}
+
 /// Plays the seeds of the environment's settings; prints a line of figures and the violations of each.
 template<typename PlaySeed>
 void playSeeds(const PlaySeed &playSeed)
@@ -410,34 +435,27 @@
 // Guards against a process that ends for want of descriptors: a library that can't open one more gives up, or its error is not handled.
 TEST_CASE("a full table of descriptors ends no process, and requests are served again afterwards")
 {
-    constexpr rlim_t FullTable = 10;
-    constexpr rlim_t UsualTable = 1000;
-    constexpr int Connections = 60;
+    constexpr std::size_t UsualTable = 1000;
     CalmSystem system(1);
     REQUIRE(system.isReady());
     std::mt19937_64 random(1);
-    std::vector<int> sockets;
-    for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
-        system.limitDescriptors(vm, FullTable);
-        for (int number = 0; number < Connections; ++number) {
-            const std::array<std::uint16_t, 4> ports{
-                PeerPort, LeasePort, vm <= ControlVms ? ControlPort : CallerPort, vm <= ControlVms ? ControlPort : ReadinessPort};
-            const int socket = connectTo(Address{.host = system.host(vm), .port = ports[random() % ports.size()]});
-            if (socket >= 0) {
-                const std::string bytes = makePipeline("d-" + std::to_string(vm) + "-" + std::to_string(number), random).bytes;
-                send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-                sockets.push_back(socket);
-            }
+    // With a few to spare, connections are accepted and the next step of their requests fails.
+    for (const std::size_t spare : {0U, 2U, 6U}) {
+        CAPTURE(spare);
+        std::vector<int> sockets;
+        for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
+            system.limitDescriptors(vm, system.openDescriptors(vm) + spare);
+            crowd(system, vm, sockets, random);
         }
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        REQUIRE(system.endedProcesses().empty());
+        for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
+            system.limitDescriptors(vm, UsualTable);
+        }
+        for (int &socket : sockets) {
+            closeSocket(socket);
+        }
+        REQUIRE(system.endedProcesses().empty());
+        CHECK(system.stillServes());
     }
-    std::this_thread::sleep_for(std::chrono::seconds(2));
-    CHECK(system.endedProcesses().empty());
-    for (int vm = 1; vm <= ControlVms + EntryVms; ++vm) {
-        system.limitDescriptors(vm, UsualTable);
-    }
-    for (int &socket : sockets) {
-        closeSocket(socket);
-    }
-    CHECK(system.endedProcesses().empty());
-    CHECK(system.stillServes());
 }
