Old segments are removed one at a time: a loss of power leaves no hole in the log

Seen by operators: a control VM whose disk kept the removal of one old segment but not that of the one before it doesn't start again after a loss of power; it calls its own log damaged ("entry 7 doesn't follow the one before it") until somebody moves the folder away. Cause: a log of over 2 MB is shortened by several removals with one sync of the folder behind them. Until that sync the disk may write them in any order. Evidence: the test file system kept or lost all unsynced names together, so no test could see it. Change: each removal is synced before the next, and a segment is forgotten when its file is removed, so that a call that failed can be repeated. One more sync of the folder for each segment beyond the first.

--- a/src/raft/filestorage.h
+++ b/src/raft/filestorage.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <iterator>
 #include <map>
 
 namespace cumindyke::raft
@@ -340,19 +341,22 @@
 }
 
 /// Removes the first segments. When all are removed, the newest goes first, so that a crash leaves the start of the log; otherwise the
-/// oldest goes first.
+/// oldest goes first. Each removal is synced before the next: a disk may write them in any order, and a log with a hole looks damaged.
 template<FileSystem F>
 Result<Done> FileStorage<F>::removeSegments(std::size_t count)
 {
     const bool removesAll = count == m_segments.size();
     for (std::size_t i = 0; i < count; ++i) {
-        const std::size_t position = removesAll ? count - 1 - i : i;
-        if (auto removed = m_files.remove(m_segments[position].path); !ok(removed)) {
+        const auto segment = removesAll ? std::prev(m_segments.end()) : m_segments.begin();
+        if (auto removed = m_files.remove(segment->path); !ok(removed)) {
             return removed;
         }
+        m_segments.erase(segment);
+        if (auto synced = m_files.syncFolder(m_folder); !ok(synced)) {
+            return synced;
+        }
     }
-    m_segments.erase(m_segments.begin(), m_segments.begin() + static_cast<std::ptrdiff_t>(count));
-    return count == 0 ? Result<Done>(Done{}) : m_files.syncFolder(m_folder);
+    return Done{};
 }
 
 template<FileSystem F>
--- a/tests/raft/fakefilesystem.h
+++ b/tests/raft/fakefilesystem.h
@@ -42,12 +42,13 @@
     /// Restarts the machine with the content that the disk has kept.
     void restart()
     {
-        if (m_hasFailed && m_random() % 2 == 0) {
-            files = m_syncedNames;
+        if (m_hasFailed) {
+            loseUnsyncedNames();
         }
         m_hasFailed = false;
         m_operationsLeft = -1;
         m_syncedNames = files;
+        m_unsyncedRemovals.clear();
     }
 
     Result<Done> openFolder(const std::string & /*path*/)
@@ -112,6 +113,7 @@
             return crashError();
         }
         files.erase(path);
+        m_unsyncedRemovals.push_back(path);
         return Done{};
     }
     Result<Done> syncFolder(const std::string & /*path*/)
@@ -120,10 +122,27 @@
             return crashError();
         }
         m_syncedNames = files;
+        m_unsyncedRemovals.clear();
         return Done{};
     }
 
 private:
+    /// Each removal is kept or lost for itself: the disk writes them in any order.
+    void loseUnsyncedNames()
+    {
+        if (m_random() % 2 == 0) {
+            files = m_syncedNames;
+        }
+        for (const std::string &path : m_unsyncedRemovals) {
+            const auto synced = m_syncedNames.find(path);
+            if (synced != m_syncedNames.end() && m_random() % 2 == 0) {
+                files.insert(*synced);
+            } else {
+                files.erase(path);
+            }
+        }
+        m_unsyncedRemovals.clear();
+    }
     bool nextOperationFails()
     {
         m_hasFailed = m_hasFailed || m_operationsLeft == 0;
@@ -137,6 +156,7 @@
 
     std::mt19937_64 m_random;
     std::map<std::string, std::string> m_syncedNames;
+    std::vector<std::string> m_unsyncedRemovals;
     int m_operationsLeft = -1;
     bool m_isCrash = true;
     bool m_hasFailed = false;
--- a/tests/raft/storagetest.cpp
+++ b/tests/raft/storagetest.cpp
@@ -153,6 +153,47 @@
     }
 }
 
+// Guards against a replica that takes its own log for damaged after a loss of power, since the disk kept some removals of old segments and not others.
+TEST_CASE("a crash between the removals of segments leaves a log that can be read")
+{
+    constexpr Index Entries = 15;
+    constexpr std::size_t EntryBytes = 400'000;
+    constexpr int MaxOperations = 20;
+    constexpr std::uint64_t Seeds = 10;
+    const bool installs = GENERATE(false, true);
+    for (int operations = 0; operations < MaxOperations; ++operations) {
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            CAPTURE(installs, operations, seed);
+            FakeFileSystem files(seed);
+            auto storage = std::make_unique<FileStorage<FakeFileSystem>>(files, Folder);
+            REQUIRE(ok(storage->open(7)));
+            REQUIRE(ok(storage->persist(firstWrites())));
+            Model before{.vote = {.term = 1}};
+            for (Index index = 1; index <= Entries; ++index) {
+                const std::string command(EntryBytes, static_cast<char>('a' + index));
+                REQUIRE(ok(storage->persist(Writes{.entries = {entry(index, 1, command)}})));
+                before.entries[index] = "1" + command;
+            }
+            auto snapshot = std::make_shared<Snapshot>();
+            snapshot->index = installs ? Entries + 25 : Entries - 2;
+            snapshot->term = 1;
+            Model after = before;
+            after.snapshotIndex = snapshot->index;
+            after.snapshotTerm = 1;
+            files.crashAfter(operations);
+            const bool isDone
+                = ok(installs ? storage->persist(Writes{.snapshot = snapshot, .resetLog = true}) : storage->saveSnapshot(snapshot, snapshot->index));
+            files.restart();
+            storage = std::make_unique<FileStorage<FakeFileSystem>>(files, Folder);
+            auto recovered = storage->open(8);
+            INFO((ok(recovered) ? "" : errorOf(recovered).message));
+            REQUIRE(ok(recovered));
+            const Model found = modelOf(valueOf(recovered));
+            REQUIRE((found == after || (!isDone && found == before)));
+        }
+    }
+}
+
 // A crash during the write of the last frame: the frame is truncated at the next start, and the log continues after it.
 TEST_CASE("a torn tail is truncated")
 {
