A SIGHUP or SIGTERM during the start ends no process

The platform sends SIGHUP whenever seeds change, also to a process that it has just started; the process was gone with signal 1 and without a line.

Cause: the awaited signals were blocked in runDaemon(), after the libraries' constructors and the settings. Until then their default action ends the process.

Change: the signals are blocked before the constructors of the shared libraries run, and SIGXFSZ and SIGPIPE ignored. A SIGTERM is obeyed as a planned stop once the VM has started. What remains is the dynamic loader's time (up to about 15 ms beside a build), in which no code of the process runs.

The tests hold the process at its settings, a named pipe.

--- a/src/main/cumindyked.cpp
+++ b/src/main/cumindyked.cpp
@@ -11,133 +11,167 @@
 #include <csignal>
 #include <future>
 #include <iostream>
+#include <memory>
+#include <optional>
 #include <pthread.h>
 
 using namespace cumindyke;
 
-namespace
-{
+namespace {
 
 constexpr int ExitOk = 0;
 constexpr int ExitFailed = 1;
 constexpr int ExitUsage = 2;
 
-/// Returns the settings file named by --settings, or else by the environment variable; empty when neither names one and the embedded
-/// defaults apply.
-std::string findSettingsFile(const cxxopts::ParseResult &options)
-{
-    if (options.count("settings")) {
-        return options["settings"].as<std::string>();
-    }
-    const char *fromEnvironment = std::getenv(platform::SettingsVariable);
-    return fromEnvironment ? fromEnvironment : "";
+/// Returns the settings file named by --settings, or else by the environment
+/// variable; empty when neither names one and the embedded defaults apply.
+std::string findSettingsFile(const cxxopts::ParseResult &options) {
+  if (options.count("settings")) {
+    return options["settings"].as<std::string>();
+  }
+  const char *fromEnvironment = std::getenv(platform::SettingsVariable);
+  return fromEnvironment ? fromEnvironment : "";
 }
 
-Result<Settings> loadSettings(const cxxopts::ParseResult &options)
-{
-    const std::string file = findSettingsFile(options);
-    if (file.empty()) {
-        return parseSettings("", "embedded defaults");
-    }
-    const Result<std::string> text = readFile(file);
-    if (!ok(text)) {
-        return errorOf(text);
-    }
-    return parseSettings(valueOf(text), file);
+/// The signals that the daemon waits for.
+sigset_t awaitedSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  return signals;
 }
 
-/// Reloads the settings whenever their file changes or SIGHUP arrives, and returns on SIGTERM or SIGINT. These signals are blocked in
-/// all threads. Unreadable or invalid settings change nothing: the daemon keeps the settings in force.
-void reloadUntilShutdown(const sigset_t &signals, SettingsWatch &settingsWatch, Daemon &daemon)
-{
-    const timespec interval{.tv_sec = SettingsWatch::PollIntervalSeconds, .tv_nsec = 0};
-    while (true) {
-        const int signalNumber = sigtimedwait(&signals, nullptr, &interval);
-        if (signalNumber == SIGTERM || signalNumber == SIGINT) {
-            return;
-        }
-        const std::optional<Result<Settings>> newSettings = settingsWatch.changed(signalNumber == SIGHUP);
-        if (!newSettings) {
-            continue;
-        }
-        if (!ok(*newSettings)) {
-            logWarning("daemon", "settings-refused", {{"why", errorOf(*newSettings).message}});
-            continue;
-        }
-        daemon.reload(valueOf(*newSettings));
-        logChange("daemon", "settings-reloaded", {{"replicas", std::to_string(valueOf(*newSettings).replicas.size())}});
-    }
+/// Blocks the awaited signals in this thread and all that it starts, and
+/// ignores those whose failed write is reported by an error.
+void prepareSignals() {
+  const sigset_t signals = awaitedSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
 }
 
-/// Runs the daemon until a signal shuts it down and its requests have ended, and returns the exit code. Exits the process directly when the
-/// requests outlast the drain limit.
-int runDaemon(const Settings &settings, const std::string &settingsFile)
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+/// Runs before the constructors of the shared libraries, which take most of the
+/// time until main(): the platform sends SIGHUP also to a process that it has
+/// just started, and by default that ends it.
+__attribute__((section(".preinit_array"),
+               used)) void (*const prepareSignalsFirst)() = &prepareSignals;
 
-    startLog();
-    reportFatalErrors(fatalErrorsFile(settings));
-    auto started = Daemon::start(settings, platform::makeAdapter());
-    if (!ok(started)) {
-        std::cerr << "cumindyked: " << errorOf(started).message << "\n";
-        return ExitFailed;
+Result<Settings> loadSettings(const cxxopts::ParseResult &options) {
+  const std::string file = findSettingsFile(options);
+  if (file.empty()) {
+    return parseSettings("", "embedded defaults");
+  }
+  const Result<std::string> text = readFile(file);
+  if (!ok(text)) {
+    return errorOf(text);
+  }
+  return parseSettings(valueOf(text), file);
+}
+
+/// Reloads the settings whenever their file changes or SIGHUP arrives, and
+/// returns on SIGTERM or SIGINT. Unreadable or invalid settings change nothing:
+/// the daemon keeps the settings in force.
+void reloadUntilShutdown(SettingsWatch &settingsWatch, Daemon &daemon) {
+  const sigset_t signals = awaitedSignals();
+  while (true) {
+    const timespec interval{.tv_sec = SettingsWatch::PollIntervalSeconds,
+                            .tv_nsec = 0};
+    const int signalNumber = sigtimedwait(&signals, nullptr, &interval);
+    if (signalNumber == SIGTERM || signalNumber == SIGINT) {
+      return;
     }
-    Daemon &daemon = *valueOf(started);
-    logChange(
-        "daemon", "started", {{"vm", settings.vm.value}, {"http_port", std::to_string(daemon.httpPort())}, {"rpc_port", std::to_string(daemon.rpcPort())}});
-    SettingsWatch settingsWatch(settingsFile);
-    reloadUntilShutdown(signals, settingsWatch, daemon);
-    logChange("daemon", "shutdown-began");
-    std::promise<void> drainPromise;
-    std::future<void> drained = drainPromise.get_future();
-    daemon.drain([&drainPromise] { drainPromise.set_value(); });
-    // Only the drain limit of the settings cuts requests short, with a warning; a second signal doesn't.
-    if (settings.drainLimit && drained.wait_for(*settings.drainLimit) != std::future_status::ready) {
-        logWarning("daemon", "drain-limit-passed", {{"limit_ms", std::to_string(settings.drainLimit->count())}});
-        stopLog();
-        std::_Exit(ExitFailed);
+    const std::optional<Result<Settings>> newSettings =
+        settingsWatch.changed(signalNumber == SIGHUP);
+    if (!newSettings) {
+      continue;
     }
-    drained.wait();
-    logChange("daemon", "stopped");
-    stopLog();
-    return ExitOk;
+    if (!ok(*newSettings)) {
+      logWarning("daemon", "settings-refused",
+                 {{"why", errorOf(*newSettings).message}});
+      continue;
+    }
+    daemon.reload(valueOf(*newSettings));
+    logChange(
+        "daemon", "settings-reloaded",
+        {{"replicas", std::to_string(valueOf(*newSettings).replicas.size())}});
+  }
 }
 
+/// Runs the daemon until a signal shuts it down and its requests have ended,
+/// and returns the exit code. Exits the process directly when the requests
+/// outlast the drain limit.
+int runDaemon(const Settings &settings, const std::string &settingsFile) {
+  startLog();
+  reportFatalErrors(fatalErrorsFile(settings));
+  auto started = Daemon::start(settings, platform::makeAdapter());
+  if (!ok(started)) {
+    std::cerr << "cumindyked: " << errorOf(started).message << "\n";
+    return ExitFailed;
+  }
+  Daemon &daemon = *valueOf(started);
+  logChange("daemon", "started",
+            {{"vm", settings.vm.value},
+             {"http_port", std::to_string(daemon.httpPort())},
+             {"rpc_port", std::to_string(daemon.rpcPort())}});
+  SettingsWatch settingsWatch(settingsFile);
+  reloadUntilShutdown(settingsWatch, daemon);
+  logChange("daemon", "shutdown-began");
+  std::promise<void> drainPromise;
+  std::future<void> drained = drainPromise.get_future();
+  daemon.drain([&drainPromise] { drainPromise.set_value(); });
+  // Only the drain limit of the settings cuts requests short, with a warning; a
+  // second signal doesn't.
+  if (settings.drainLimit &&
+      drained.wait_for(*settings.drainLimit) != std::future_status::ready) {
+    logWarning("daemon", "drain-limit-passed",
+               {{"limit_ms", std::to_string(settings.drainLimit->count())}});
+    stopLog();
+    std::_Exit(ExitFailed);
+  }
+  drained.wait();
+  logChange("daemon", "stopped");
+  stopLog();
+  return ExitOk;
 }
 
-int main(int argc, char **argv)
-{
-    cxxopts::Options options("cumindyked", "Request scheduler for unlike model engines and plain services.");
-    options.add_options()("settings", "TOML file; without it, one VM on loopback with embedded defaults", cxxopts::value<std::string>(), "FILE")(
-        "check", "check the settings and exit: 0 when they are valid, 2 when not")("version", "print the version")("help", "print this help");
-    try {
-        const cxxopts::ParseResult parsed = options.parse(argc, argv);
-        if (parsed.count("help")) {
-            std::cout << options.help();
-            return ExitOk;
-        }
-        if (parsed.count("version")) {
-            std::cout << "cumindyked " CUMINDYKE_VERSION "\n";
-            return ExitOk;
-        }
-        const Result<Settings> settings = loadSettings(parsed);
-        if (!ok(settings)) {
-            std::cerr << errorOf(settings).message << "\n";
-            return ExitUsage;
-        }
-        if (parsed.count("check")) {
-            std::cout << "settings are valid\n";
-            return ExitOk;
-        }
-        return runDaemon(valueOf(settings), findSettingsFile(parsed));
-    } catch (const cxxopts::exceptions::exception &error) {
-        std::cerr << "cumindyked: " << error.what() << ": see cumindyked --help\n";
-        return ExitUsage;
+} // namespace
+
+int main(int argc, char **argv) {
+  prepareSignals();
+  cxxopts::Options options(
+      "cumindyked",
+      "Request scheduler for unlike model engines and plain services.");
+  options.add_options()(
+      "settings",
+      "TOML file; without it, one VM on loopback with embedded defaults",
+      cxxopts::value<std::string>(),
+      "FILE")("check",
+              "check the settings and exit: 0 when they are valid, 2 when not")(
+      "version", "print the version")("help", "print this help");
+  try {
+    const cxxopts::ParseResult parsed = options.parse(argc, argv);
+    if (parsed.count("help")) {
+      std::cout << options.help();
+      return ExitOk;
+    }
+    if (parsed.count("version")) {
+      std::cout << "cumindyked " CUMINDYKE_VERSION "\n";
+      return ExitOk;
+    }
+    const Result<Settings> settings = loadSettings(parsed);
+    if (!ok(settings)) {
+      std::cerr << errorOf(settings).message << "\n";
+      return ExitUsage;
+    }
+    if (parsed.count("check")) {
+      std::cout << "settings are valid\n";
+      return ExitOk;
     }
+    return runDaemon(valueOf(settings), findSettingsFile(parsed));
+  } catch (const cxxopts::exceptions::exception &error) {
+    std::cerr << "cumindyked: " << error.what() << ": see cumindyked --help\n";
+    return ExitUsage;
+  }
 }
--- /dev/null
+++ b/tests/platform/startstest.cpp
@@ -0,0 +1,122 @@
+#include "fakeplatform/platformsystem.h"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+
+using namespace cumindyke;
+using namespace cumindyke::test;
+
+namespace
+{
+
+constexpr int RestartedVm = ControlVms + 1;
+constexpr int ControlVm = 2;
+
+std::string settingsFile(const System &system, int vm)
+{
+    return system.folder.file("vm" + std::to_string(vm) + ".toml");
+}
+
+std::string logOf(const System &system, int vm)
+{
+    return contentOf(system.folder.file("out" + std::to_string(vm)));
+}
+
+void kill(System &system, int vm)
+{
+    system.daemons[vm]->signal(SIGKILL);
+    system.daemons[vm]->wait();
+}
+
+/// Starts the VM with the settings that are in its file.
+void startAgain(System &system, int vm)
+{
+    system.daemons[vm] = std::make_unique<Process>(std::vector<std::string>{daemonProgram(), "--settings", settingsFile(system, vm)},
+                                                   system.folder.file("out" + std::to_string(vm)),
+                                                   system.folder.file("err" + std::to_string(vm)));
+}
+
+/// A settings file whose first reader waits until the test lets it go on, and gets what the test writes. Later readers find the whole file.
+class HeldSettings
+{
+public:
+    explicit HeldSettings(std::string file)
+        : m_file(std::move(file))
+        , m_whole(contentOf(m_file))
+    {
+        REQUIRE(unlink(m_file.c_str()) == 0);
+        REQUIRE(mkfifo(m_file.c_str(), 0600) == 0);
+    }
+    ~HeldSettings()
+    {
+        if (m_writer >= 0) {
+            close(m_writer);
+        }
+    }
+    HeldSettings(const HeldSettings &) = delete;
+    HeldSettings &operator=(const HeldSettings &) = delete;
+
+    void waitForReader()
+    {
+        REQUIRE(eventually([this] { return (m_writer = open(m_file.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0; }));
+    }
+    /// Gives the reader this part of the settings.
+    void release(double part)
+    {
+        writeFile(m_file + ".whole", m_whole);
+        REQUIRE(rename((m_file + ".whole").c_str(), m_file.c_str()) == 0);
+        const auto length = static_cast<std::size_t>(static_cast<double>(m_whole.size()) * part);
+        REQUIRE(write(m_writer, m_whole.data(), length) == static_cast<ssize_t>(length));
+        close(std::exchange(m_writer, -1));
+    }
+
+private:
+    const std::string m_file;
+    const std::string m_whole;
+    int m_writer = -1;
+};
+
+void makeReady(System &system)
+{
+    REQUIRE(system.publish(documentOf(3)));
+    REQUIRE(system.waitUntilReady());
+}
+
+}
+
+// Guards against a process that is ended by the platform's SIGHUP because it has just been started.
+TEST_CASE("process: a SIGHUP during the start ends no process")
+{
+    System system;
+    makeReady(system);
+    for (const int vm : {RestartedVm, ControlVm}) {
+        kill(system, vm);
+        HeldSettings settings(settingsFile(system, vm));
+        startAgain(system, vm);
+        settings.waitForReader();
+        system.daemons[vm]->signal(SIGHUP);
+        settings.release(1);
+        CHECK(eventually([&] { return !system.daemons[vm]->running() || logOf(system, vm).find("change=settings-reloaded") != std::string::npos; }));
+        CHECK(system.daemons[vm]->running());
+    }
+    CHECK(system.waitUntilReady());
+}
+
+// Guards against a process that a SIGTERM during its start ends by the signal, or that goes on in spite of it.
+TEST_CASE("process: a SIGTERM during the start is obeyed as a planned stop")
+{
+    System system;
+    kill(system, RestartedVm);
+    HeldSettings settings(settingsFile(system, RestartedVm));
+    startAgain(system, RestartedVm);
+    settings.waitForReader();
+    system.daemons[RestartedVm]->signal(SIGTERM);
+    settings.release(1);
+    CHECK(system.daemons[RestartedVm]->wait() == 0);
+}
