Settings that are read while they are written end no process and make it no other VM

Shown here: a start with a half-written settings file exited with 2; one with an empty file ran with the embedded defaults, as a VM of its own on loopback, until the next restart: it never served its callers again.

Cause: the file was read once and taken for whole. A running VM took an empty file for settings, too, and asked 127.0.0.1 for its leader.

Change: at the start the settings are accepted once two reads 20 ms apart have found the same valid content, and reported as invalid after 2 s; an empty file is no settings; a changed file counts when the next look, 100 ms later, finds the same. SIGHUP still reads at once.

The tests give the first reader 0, 30, 50 or 95% of the file.

--- a/src/main/cumindyked.cpp
+++ b/src/main/cumindyked.cpp
@@ -1,6 +1,5 @@
 #include "common/fatalerrors.h"
 #include "common/log.h"
-#include "common/tomlreader.h"
 #include "daemon/daemon.h"
 #include "daemon/settingswatch.h"
 #include "platform/platformadapter.h"
@@ -33,6 +32,14 @@
   return fromEnvironment ? fromEnvironment : "";
 }
 
+timespec toTimespec(Duration duration) {
+  const auto seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(duration);
+  return timespec{.tv_sec = seconds.count(),
+                  .tv_nsec =
+                      std::chrono::nanoseconds(duration - seconds).count()};
+}
+
 /// The signals that the daemon waits for.
 sigset_t awaitedSignals() {
   sigset_t signals;
@@ -58,16 +65,36 @@
 __attribute__((section(".preinit_array"),
                used)) void (*const prepareSignalsFirst)() = &prepareSignals;
 
-Result<Settings> loadSettings(const cxxopts::ParseResult &options) {
-  const std::string file = findSettingsFile(options);
+/// Waits for the duration or a signal that ends the daemon, and returns whether
+/// one came.
+bool isStoppedWithin(Duration duration) {
+  sigset_t signals = awaitedSignals();
+  sigdelset(&signals, SIGHUP);
+  const timespec interval = toTimespec(duration);
+  return sigtimedwait(&signals, nullptr, &interval) > 0;
+}
+
+Result<Settings> loadSettings(const std::string &file) {
+  return file.empty() ? parseSettings("", "embedded defaults")
+                      : readSettings(file);
+}
+
+/// Reads the settings again while they may be in the middle of being written.
+/// Returns nothing if the daemon is stopped meanwhile.
+std::optional<Result<Settings>> waitForSettings(const std::string &file) {
   if (file.empty()) {
-    return parseSettings("", "embedded defaults");
+    return loadSettings(file);
   }
-  const Result<std::string> text = readFile(file);
-  if (!ok(text)) {
-    return errorOf(text);
+  SettingsStart start(EventLoop::now());
+  while (true) {
+    if (const auto settings =
+            start.accept(readFile(file), file, EventLoop::now())) {
+      return settings;
+    }
+    if (isStoppedWithin(SettingsStart::PollInterval)) {
+      return {};
+    }
   }
-  return parseSettings(valueOf(text), file);
 }
 
 /// Reloads the settings whenever their file changes or SIGHUP arrives, and
@@ -76,8 +103,7 @@
 void reloadUntilShutdown(SettingsWatch &settingsWatch, Daemon &daemon) {
   const sigset_t signals = awaitedSignals();
   while (true) {
-    const timespec interval{.tv_sec = SettingsWatch::PollIntervalSeconds,
-                            .tv_nsec = 0};
+    const timespec interval = toTimespec(settingsWatch.nextLook());
     const int signalNumber = sigtimedwait(&signals, nullptr, &interval);
     if (signalNumber == SIGTERM || signalNumber == SIGINT) {
       return;
@@ -160,16 +186,22 @@
       std::cout << "cumindyked " CUMINDYKE_VERSION "\n";
       return ExitOk;
     }
-    const Result<Settings> settings = loadSettings(parsed);
-    if (!ok(settings)) {
-      std::cerr << errorOf(settings).message << "\n";
+    const std::string file = findSettingsFile(parsed);
+    const bool isCheck = parsed.count("check") > 0;
+    const std::optional<Result<Settings>> settings =
+        isCheck ? loadSettings(file) : waitForSettings(file);
+    if (!settings) {
+      return ExitOk;
+    }
+    if (!ok(*settings)) {
+      std::cerr << errorOf(*settings).message << "\n";
       return ExitUsage;
     }
-    if (parsed.count("check")) {
+    if (isCheck) {
       std::cout << "settings are valid\n";
       return ExitOk;
     }
-    return runDaemon(valueOf(settings), findSettingsFile(parsed));
+    return runDaemon(valueOf(*settings), file);
   } catch (const cxxopts::exceptions::exception &error) {
     std::cerr << "cumindyked: " << error.what() << ": see cumindyked --help\n";
     return ExitUsage;
--- a/tests/platform/startstest.cpp
+++ b/tests/platform/startstest.cpp
@@ -120,3 +120,20 @@
     settings.release(1);
     CHECK(system.daemons[RestartedVm]->wait() == 0);
 }
+
+// Guards against a process that ends, or runs as another VM with the embedded defaults, because its settings were read while they were written.
+TEST_CASE("process: settings that are incomplete at the start are read again")
+{
+    System system;
+    makeReady(system);
+    for (const double part : {0.0, 0.3, 0.5, 0.95}) {
+        INFO("part " << part);
+        kill(system, RestartedVm);
+        HeldSettings settings(settingsFile(system, RestartedVm));
+        startAgain(system, RestartedVm);
+        settings.waitForReader();
+        settings.release(part);
+        CHECK(system.waitUntilReady());
+        CHECK(system.daemons[RestartedVm]->running());
+    }
+}
