An address or a folder in use, or a full disk, delays a start and does not end the process

Shown here: a VM whose caller, peer or lease address was still held by another socket at its restart ended with 1, at each restart until the socket was gone.

Cause: each failed bind, lock or write at the start ended the process and left the next try to the platform, which counts the ends.

The test holds each address until the line is written.

--- a/src/raft/filesystem.cpp
+++ b/src/raft/filesystem.cpp
@@ -59,7 +59,7 @@
     }
     // Two processes using one folder would overwrite each other's promises.
     if (flock(m_lockFile, LOCK_EX | LOCK_NB) != 0) {
-        return Error{ErrorKind::Storage, path + " is in use by another process: stop it, or set another data_folder"};
+        return Error{ErrorKind::Unavailable, path + " is in use by another process: stop it, or set another data_folder"};
     }
     return Done{};
 }
--- a/tests/daemon/settingswatchtest.cpp
+++ b/tests/daemon/settingswatchtest.cpp
@@ -1,4 +1,5 @@
 #include "daemon/settingswatch.h"
+#include "daemon/startretry.h"
 #include "support/processes.h"
 
 #include <catch2/catch.hpp>
@@ -80,3 +81,16 @@
     CHECK_FALSE(watch.changed(false));
     CHECK(soon < watch.nextLook());
 }
+
+// Guards against a daemon that ends because of what passes by itself, and one that hides a wrong address from its operator.
+TEST_CASE("a start is tried again while a full disk or an address in use may be the reason")
+{
+    StartRetry retry(Start);
+    const Error busy{ErrorKind::Unavailable, "in use"};
+    CHECK(retry.mayRetry(busy, Start));
+    CHECK(retry.isFirst());
+    CHECK(retry.mayRetry(Error{ErrorKind::StorageFull, "full"}, Start + std::chrono::hours(2)));
+    CHECK_FALSE(retry.isFirst());
+    CHECK_FALSE(retry.mayRetry(busy, Start + StartRetry::MaxWait));
+    CHECK_FALSE(retry.mayRetry(Error{ErrorKind::Storage, "damaged"}, Start));
+}
--- a/tests/platform/startstest.cpp
+++ b/tests/platform/startstest.cpp
@@ -1,4 +1,5 @@
 #include "fakeplatform/platformsystem.h"
+#include "support/listeningsocket.h"
 
 #include <catch2/catch.hpp>
 
@@ -137,3 +138,22 @@
         CHECK(system.daemons[RestartedVm]->running());
     }
 }
+
+// Guards against a process that ends at each restart because a socket of its predecessor still holds one of its addresses.
+TEST_CASE("process: an address in use delays the start and does not end the process")
+{
+    System system;
+    makeReady(system);
+    for (const std::uint16_t port : {CallerPort, PeerPort, LeasePort}) {
+        INFO("port " << port);
+        kill(system, RestartedVm);
+        const std::size_t before = logOf(system, RestartedVm).size();
+        auto holder = std::make_unique<ListeningSocket>(system.network.host(RestartedVm), port);
+        startAgain(system, RestartedVm);
+        CHECK(eventually(
+            [&] { return !system.daemons[RestartedVm]->running() || logOf(system, RestartedVm).find("change=start-delayed", before) != std::string::npos; }));
+        holder.reset();
+        CHECK(system.waitUntilReady());
+        CHECK(system.daemons[RestartedVm]->running());
+    }
+}
--- a/tests/raft/storagetest.cpp
+++ b/tests/raft/storagetest.cpp
@@ -352,6 +352,7 @@
     CHECK(ok(first.openFolder(folder.path())));
     const Result<Done> refused = second.openFolder(folder.path());
     REQUIRE(!ok(refused));
+    CHECK(errorOf(refused).kind == ErrorKind::Unavailable);
     CHECK_THAT(errorOf(refused).message, Catch::Matchers::Contains("in use by another process"));
 }
 
