A disk that refuses writes by another error than a full one ends no control VM

Shown here: with a limit on the size of files, all three control VMs ended (signal 25, SIGXFSZ) at the next change or election, and each restart ended in the same way.

Cause: only ENOSPC and EDQUOT counted as a disk that takes no data. The default action of SIGXFSZ ended the process before any error was seen; EFBIG and EROFS ended it by stopped-by-storage. A VM that had not formed its cluster yet ended by any refused write.

Change: EFBIG and EROFS stall the replica as a full disk does, and what has been formed is saved at a later tick. Until then the VM answers nobody that there is no cluster. Failed syncs still end the process: what they lost is not known.

The tests limit the files of running and of starting control VMs.

--- a/src/raft/filesystem.cpp
+++ b/src/raft/filesystem.cpp
@@ -18,9 +18,16 @@
 namespace
 {
 
+/// Whether the disk takes no more data for now, and nothing was changed: it is full, the file has reached the limit of its size, or the file system was
+/// made read-only.
+bool isRefusal(int error)
+{
+    return error == ENOSPC || error == EDQUOT || error == EFBIG || error == EROFS;
+}
+
 Error systemError(const std::string &operation, const std::string &path)
 {
-    const bool isFull = errno == ENOSPC || errno == EDQUOT;
+    const bool isFull = isRefusal(errno);
     return Error{isFull ? ErrorKind::StorageFull : ErrorKind::Storage,
                  "can't " + operation + " " + path + ": " + std::strerror(errno) + ": check the disk, its space and the permissions"};
 }
--- a/src/raft/replicatedlog.cpp
+++ b/src/raft/replicatedlog.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace cumindyke::raft
 {
@@ -73,6 +74,12 @@
     {
     }
 
+    struct FormationResult
+    {
+        v1::Membership membership;
+        bool isMember = false;
+    };
+
     void recoverOrForm(TimePoint now);
     void finishFormation(const v1::Membership &membership, bool isMember, TimePoint now);
     void startReplica(TimePoint now);
@@ -92,6 +99,8 @@
     MembershipRepair membershipRepair;
     Recovered recovered;
     std::unique_ptr<Formation> formation;
+    /// The disk takes no writes: tried again at each tick.
+    std::optional<FormationResult> unsavedFormation;
     std::unique_ptr<LogReplica> replica;
     TimePoint nextFormRequestAt = TimePoint::min();
     std::optional<StandbyOffers> offers;
@@ -129,11 +138,16 @@
         first->membership = membership;
     }
     recovered.identity.admitted = isMember;
-    recovered.snapshot = first;
     if (const auto done = storage.persist(Writes{.identity = recovered.identity, .vote = {}, .snapshot = first}); !ok(done)) {
-        handleStorageError(errorOf(done));
+        if (errorOf(done).kind != ErrorKind::StorageFull) {
+            handleStorageError(errorOf(done));
+        } else if (!std::exchange(unsavedFormation, FormationResult{.membership = membership, .isMember = isMember})) {
+            logWarning("raft", "storage-full", {{"error", errorOf(done).message}});
+        }
         return;
     }
+    recovered.snapshot = first;
+    unsavedFormation.reset();
     logChange("raft", isMember ? "cluster-formed" : "waiting-to-be-admitted", {{"vm", options.vm.value}});
     startReplica(now);
 }
@@ -155,13 +169,13 @@
         const std::optional<v1::Membership> members
             = replica ? std::optional(replica->core().membershipAt(replica->appliedIndex())) : std::optional<v1::Membership>();
         // A replica that waits to be admitted knows no members; its reply would wrongly say that there is no cluster yet.
-        if (replica && members->voters().empty()) {
+        if ((replica && members->voters().empty()) || (unsavedFormation && !unsavedFormation->isMember)) {
             return;
         }
         sender.send(Formation::makeReply(message, options.vm, recovered.identity.incarnation, members ? &*members : nullptr));
         return;
     }
-    if (formation && message.kind() == v1::RaftMessage::FORM_REPLY) {
+    if (formation && !unsavedFormation && message.kind() == v1::RaftMessage::FORM_REPLY) {
         formation->handleReply(message);
         if (formation->membership()) {
             const v1::Membership members = *formation->membership();
@@ -296,6 +310,10 @@
             d->sender.send(std::move(request));
         }
     }
+    if (d->unsavedFormation) {
+        const Private::FormationResult unsaved = *d->unsavedFormation;
+        d->finishFormation(unsaved.membership, unsaved.isMember, now);
+    }
     if (!d->replica) {
         return;
     }
--- a/tests/platform/startstest.cpp
+++ b/tests/platform/startstest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -83,6 +84,42 @@
     int m_writer = -1;
 };
 
+/// As long as it exists the files of the process refuse to grow.
+class RefusingDisk
+{
+public:
+    explicit RefusingDisk(pid_t process)
+        : m_process(process)
+    {
+        REQUIRE(prlimit(m_process, RLIMIT_FSIZE, nullptr, &m_before) == 0);
+        const rlimit refusing{.rlim_cur = 1, .rlim_max = m_before.rlim_max};
+        REQUIRE(prlimit(m_process, RLIMIT_FSIZE, &refusing, nullptr) == 0);
+    }
+    ~RefusingDisk()
+    {
+        prlimit(m_process, RLIMIT_FSIZE, &m_before, nullptr);
+    }
+    RefusingDisk(const RefusingDisk &) = delete;
+    RefusingDisk &operator=(const RefusingDisk &) = delete;
+
+private:
+    const pid_t m_process;
+    rlimit m_before{};
+};
+
+void allowWrites(pid_t process)
+{
+    rlimit limit{};
+    REQUIRE(prlimit(process, RLIMIT_FSIZE, nullptr, &limit) == 0);
+    limit.rlim_cur = limit.rlim_max;
+    REQUIRE(prlimit(process, RLIMIT_FSIZE, &limit, nullptr) == 0);
+}
+
+std::string readConfiguration(const System &system, int vm)
+{
+    return http(system.operatorAddress(vm), "GET", "/api/config").body;
+}
+
 void makeReady(System &system)
 {
     REQUIRE(system.publish(documentOf(3)));
@@ -157,3 +194,44 @@
         CHECK(system.daemons[RestartedVm]->running());
     }
 }
+
+// Guards against control VMs that a disk which refuses writes ends: the kernel's SIGXFSZ, or an error other than "no space left".
+TEST_CASE("process: a disk that refuses writes ends no control VM, and later changes are accepted again")
+{
+    System system;
+    makeReady(system);
+    {
+        std::vector<std::unique_ptr<RefusingDisk>> disks;
+        for (int vm = 1; vm <= ControlVms; ++vm) {
+            disks.push_back(std::make_unique<RefusingDisk>(system.daemons[vm]->pid()));
+        }
+        CHECK(http(system.operatorAddress(1), "PUT", "/api/config", {}, documentOf(4)).status != 200);
+        for (int vm = 1; vm <= ControlVms; ++vm) {
+            CHECK(system.daemons[vm]->running());
+        }
+    }
+    CHECK(system.publish(documentOf(5)));
+    CHECK(eventually([&] { return readConfiguration(system, 1) == documentOf(5); }));
+    for (int vm = 1; vm <= ControlVms; ++vm) {
+        CHECK(system.daemons[vm]->running());
+    }
+}
+
+// Guards against a control VM whose disk is empty and takes no writes at its start, which ended at each of its starts.
+TEST_CASE("process: a control VM that starts while its disk refuses writes joins when the disk takes them")
+{
+    System system;
+    makeReady(system);
+    kill(system, ControlVm);
+    REQUIRE(std::system(("rm -rf " + system.folder.file("data" + std::to_string(ControlVm))).c_str()) == 0);
+    const std::string file = settingsFile(system, ControlVm);
+    writeFile(file, "form_cluster = false\n" + contentOf(file));
+    {
+        const RefusingDisk inherited(getpid());
+        startAgain(system, ControlVm);
+    }
+    CHECK_FALSE(eventually([&] { return !system.daemons[ControlVm]->running(); }, std::chrono::seconds(3)));
+    allowWrites(system.daemons[ControlVm]->pid());
+    CHECK(eventually([&] { return logOf(system, ControlVm).find("change=admitted") != std::string::npos; }));
+    CHECK(system.daemons[ControlVm]->running());
+}
