--- a/tests/soak/calmsystem.h
+++ b/tests/soak/calmsystem.h
@@ -7,6 +7,7 @@
 
 #include <sys/resource.h>
 
+#include <csignal>
 #include <filesystem>
 #include <iterator>
 
@@ -59,6 +60,17 @@
     {
         return m_system.daemons.at(vm)->pid();
     }
+    bool isRunning(int vm)
+    {
+        return m_system.daemons.at(vm)->running();
+    }
+    /// Ends the VM's process, and starts the next one at once.
+    void endAndRestart(int vm)
+    {
+        m_system.daemons.at(vm)->signal(SIGKILL);
+        m_system.daemons.at(vm)->wait();
+        m_system.start(vm);
+    }
     RunLog runs() const
     {
         RunLog log;
--- a/tests/soak/memorysoaktest.cpp
+++ b/tests/soak/memorysoaktest.cpp
@@ -36,13 +36,25 @@
     bool isChunked = false;
 };
 
-/// The largest resident memory so far, in MB.
+/// The largest resident memory so far, in MB; 0 if the process is just starting or ending.
 std::size_t peakMemoryMb(pid_t process)
 {
     const std::string status = contentOf("/proc/" + std::to_string(process) + "/status");
     const std::size_t at = status.find("VmHWM:");
-    REQUIRE(at != std::string::npos);
-    return std::stoul(status.substr(at + 6)) / 1024;
+    return at == std::string::npos ? 0 : std::stoul(status.substr(at + 6)) / 1024;
+}
+
+std::string limitSettings()
+{
+    // The daemons of earlier versions don't know the setting.
+    const bool isPresent = std::getenv("CUMINDYKE_DAEMON") == nullptr;
+    return isPresent ? "memory_limit_mb = " + std::to_string(MemoryLimitMb) + "\n" : "";
+}
+
+std::chrono::seconds soakLength()
+{
+    const char *seconds = std::getenv("CUMINDYKE_SOAK_SECONDS");
+    return std::chrono::seconds(seconds ? std::stoi(seconds) : 4);
 }
 
 /// Callers in one thread. Each sends a request, holds back the last byte, reads the answer and begins again on a new connection.
@@ -171,19 +183,15 @@
             .name = "control, 50 callers, 4 MB, held", .callers = 50, .bodyBytes = 4 << 20, .holdsBack = std::chrono::milliseconds(2500), .asksControl = true},
         Crowd{.name = "control, 50 callers, 4 MB", .callers = 50, .bodyBytes = 4 << 20, .asksControl = true},
     };
-    const bool isPresent = std::getenv("CUMINDYKE_DAEMON") == nullptr;
-    // The daemons of earlier versions don't know the setting.
-    const std::string settings = isPresent ? "memory_limit_mb = " + std::to_string(MemoryLimitMb) + "\n" : "";
-    const std::chrono::seconds length(std::stoi(std::getenv("CUMINDYKE_SOAK_SECONDS") ? std::getenv("CUMINDYKE_SOAK_SECONDS") : "4"));
     for (const Crowd &crowd : crowds) {
         INFO(crowd.name);
-        CalmSystem system(1, settings);
+        CalmSystem system(1, limitSettings());
         REQUIRE(system.isReady());
         const Address address = crowd.asksControl ? system.controlAddress(0) : system.entryAddresses()[0];
         std::map<std::string, int> answers;
         {
             CrowdOfCallers callers(crowd, address);
-            callers.playUntil(Clock::now() + length);
+            callers.playUntil(Clock::now() + soakLength());
             answers = callers.answers();
         }
         const std::size_t peak = peakMemoryMb(system.pid(crowd.asksControl ? 1 : EntryVm));
@@ -197,3 +205,34 @@
         CHECK(system.stillServes());
     }
 }
+
+// Guards against service that doesn't come back: the platform ends a process over its limit, and the callers that return at once end the next one.
+TEST_CASE("small requests are served beside a crowd with large bodies where processes are ended at their memory limit")
+{
+    CalmSystem system(1, limitSettings());
+    REQUIRE(system.isReady());
+    const Clock::time_point end = Clock::now() + 3 * soakLength();
+    std::thread crowd([&] { CrowdOfCallers(Crowd{.name = "crowd", .callers = 60, .bodyBytes = 4 << 20}, system.entryAddresses()[0]).playUntil(end); });
+    int sent = 0;
+    int served = 0;
+    std::thread small([&] {
+        for (; Clock::now() < end; ++sent) {
+            const std::string id = "s-" + std::to_string(sent);
+            served += http(system.entryAddresses()[0], "POST", "/deposits/plain/10", callerHeaders(id), id).status == 200 ? 1 : 0;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    });
+    int ends = 0;
+    while (Clock::now() < end) {
+        if (peakMemoryMb(system.pid(EntryVm)) > MemoryLimitMb) {
+            ++ends;
+            system.endAndRestart(EntryVm);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    crowd.join();
+    small.join();
+    std::cout << "small requests beside the crowd: " << served << " of " << sent << " served; the process was ended " << ends << " times\n";
+    CHECK(ends == 0);
+    CHECK(served * 4 > sent);
+}
