The completions front door bounds its callers' bodies too

The same cause as at routed requests: bodies of up to 4 MiB a connection, and no bound over all. They wait at their callers, or are refused 'not run', as there. No memory was measured at the front door.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -272,6 +272,7 @@
                                      .vms = allVms(settings),
                                      .address = settings.httpAddress,
                                      .requestReadLimit = settings.requestReadLimit,
+                                     .bodyBudgetBytes = bodyBudgetBytes(memoryLimitBytes(settings)),
                                      .propose = [control = m_controlTask.get()](Proposal proposal) { control->post(std::move(proposal)); },
                                      .send = [this](const VmName &to, v1::Envelope envelope) { send(to, std::move(envelope)); },
                                      .historyFile = settings.historyFile,
--- a/src/entry/entrytask.cpp
+++ b/src/entry/entrytask.cpp
@@ -31,6 +31,9 @@
     }
     task->m_httpServer = std::move(valueOf(server));
     task->m_httpServer->refuseWhileLate(metrics);
+    if (task->m_options.bodyBudgetBytes > 0) {
+        task->m_httpServer->limitBodies(task->m_options.bodyBudgetBytes, metrics);
+    }
     task->m_httpServer->arrived().connect(sigc::mem_fun(*task, &EntryTask::onRequest));
     if (auto error = task->openPaths()) {
         return *error;
--- a/src/entry/entrytask.h
+++ b/src/entry/entrytask.h
@@ -51,6 +51,8 @@
     Address address;
     /// Maximum time for receiving one request from a caller.
     Duration requestReadLimit = std::chrono::seconds(30);
+    /// Bound of the bytes of requests' bodies; 0: none.
+    std::size_t bodyBudgetBytes = 0;
     /// Proposes a command to the control replicas, through the control task.
     std::function<void(Proposal)> propose;
     PeerSender send;
--- a/src/main/cumindyked.cpp
+++ b/src/main/cumindyked.cpp
@@ -65,7 +65,7 @@
 
 /// Runs before the constructors of the shared libraries, which take most of the time until main(): the platform sends SIGHUP also to a process that it has just
 /// started, and by default that ends it.
-__attribute__((section(".preinit_array"), used)) void (*const prepareSignalsFirst)() = &prepareSignals;
+__attribute__((section(".preinit_array"), used)) void (*const PrepareSignalsFirst)() = &prepareSignals;
 
 /// Waits for the duration or a signal that ends the daemon, and returns whether one came.
 bool isStoppedWithin(Duration duration)
@@ -89,7 +89,7 @@
     }
     SettingsStart start(EventLoop::now());
     while (true) {
-        if (const auto settings = start.accept(readFile(file), file, EventLoop::now())) {
+        if (auto settings = start.accept(readFile(file), file, EventLoop::now())) {
             return settings;
         }
         if (isStoppedWithin(SettingsStart::PollInterval)) {
--- a/tests/platform/startstest.cpp
+++ b/tests/platform/startstest.cpp
@@ -152,7 +152,7 @@
     System system;
     makeReady(system);
     const auto saysSo = [&system] { return logOf(system, ControlVm).find("change=previous-run-ended-without-stop") != std::string::npos; };
-    const auto startsIn = [&system](const std::string &log) { return log.find("change=started", log.rfind("change=stopped")) != std::string::npos; };
+    const auto startsIn = [](const std::string &log) { return log.find("change=started", log.rfind("change=stopped")) != std::string::npos; };
     system.daemons[ControlVm]->signal(SIGTERM);
     CHECK(system.daemons[ControlVm]->wait() == 0);
     startAgain(system, ControlVm);
