--- a/src/entry/requestgate.cpp
+++ b/src/entry/requestgate.cpp
@@ -12,7 +12,6 @@
 
 #include <array>
 #include <cstdio>
-#include <cstdlib>
 #include <utility>
 
 namespace cumindyke
@@ -50,14 +49,6 @@
 
 }
 
-HeadRefusal makeHeadRefusal(const std::string &status, const std::string &fields, const std::string &reason, const std::string &body)
-{
-    return HeadRefusal{.status = std::atoi(status.c_str()),
-                       .reason = reason,
-                       .text = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n" + fields + headers::Outcome + ": " + toString(RunOutcome::NotRun)
-                           + "\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
-}
-
 RequestGate::RequestGate(EventLoop &loop, bufferevent *connection, Refused refused, AdmitBody admitBody)
     : m_loop(loop)
     , m_connection(connection)
