The parser's state when it is told to read: stated, and tested behind an answered request

A reader of the change asked in which state the parser is when a body that has waited is admitted. In Waiting it has answered all before it and waits for a first line; the comment that it is never told to read was out of date. The new test has a body wait behind an answered request on five connections, its bytes all arrived: passes on this code, and it is a guard, not the test of a fault that was seen.

--- a/src/entry/httpserver.h
+++ b/src/entry/httpserver.h
@@ -97,6 +97,7 @@
 
     static constexpr Duration MaxBodyWait = std::chrono::seconds(1);
     static constexpr Duration BodyCheckInterval = std::chrono::milliseconds(10);
+    /// A shorter body mostly arrives with its head, and costs less than reading the head twice.
     static constexpr std::uint64_t MinCheckedBytes = 16U << 10;
 
     EventLoop &m_loop;
--- a/src/entry/requestgate.cpp
+++ b/src/entry/requestgate.cpp
@@ -234,7 +234,7 @@
     readHeld();
     limitHeld();
     bufferevent_enable(m_connection, EV_READ);
-    // The parser reads a request and answers none. It may close the connection.
+    // In Waiting the parser has no request: it waits for a first line, and no bytes need to follow that would have it read. It may close the connection.
     bufferevent_trigger(m_connection, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
 }
 
--- a/src/entry/requestgate.h
+++ b/src/entry/requestgate.h
@@ -86,8 +86,8 @@
     std::optional<std::string> takeTarget();
 
 private:
-    /// Only in Reading does the parser get bytes. It reads them when they arrive, or when it turns to the next request; it is never told to read, since it
-    /// ends the process if it is told so while it answers.
+    /// Only in Reading does the parser get bytes. It reads them when they arrive, or when it turns to the next request. It is told to read only by retryBody(),
+    /// after Waiting: then it has answered all before and waits for the first line of a request. Told so while it answers, it ends the process.
     enum class Phase {
         Reading, ///< bytes that are accepted are given to the parser
         Waiting, ///< the head is complete, the body waits at the caller until there is room for it
--- a/tests/entry/bodyadmissiontest.cpp
+++ b/tests/entry/bodyadmissiontest.cpp
@@ -147,6 +147,27 @@
     sender.join();
 }
 
+// Guards against a parser that is told to read while it answers, which ends the process: a body that waits comes right behind a request that is answered.
+TEST_CASE("a body that waits behind an answered request on its connection is read whole when there is room")
+{
+    HoldingServer server;
+    RawConnection first(server.address());
+    REQUIRE(first.send(headOf("/hold", LargeBytes) + largeBody('a')));
+    server.waitUntilHeld(1);
+    std::vector<std::unique_ptr<RawConnection>> pipelining;
+    for (int i = 0; i < 5; ++i) {
+        pipelining.push_back(std::make_unique<RawConnection>(server.address()));
+        // The whole second request has arrived when its room comes, so that nothing else has the parser read.
+        REQUIRE(pipelining.back()->send(headOf("/s", 1) + "s" + headOf("/e", 200'000) + std::string(1000, 'e')));
+        CHECK(pipelining.back()->readUntil("s1").find("HTTP/1.1 200") == 0);
+        CHECK(pipelining.back()->send(std::string(199'000, 'e')));
+    }
+    server.release();
+    for (const auto &connection : pipelining) {
+        CHECK(connection->readUntil("e200000").find("e200000") != std::string::npos);
+    }
+}
+
 // Guards against a request that waits for ever, and against a refusal that is lost or leaves the connection open.
 TEST_CASE("a body that finds no room in time is refused with 503 and when to come back")
 {
